--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
@@ -0,0 +1,14 @@
+package io.samphiredyke.bench;
+
+/** Starts the program. */
+public final class Main {
+
+  private Main() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the flags
+   */
+  public static void main(String[] args) {}
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Load generator, experiments and benchmarks. */
+@NullMarked
+package io.samphiredyke.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-cli/src/main/java/io/samphiredyke/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' tool samphiredykectl. */
+@NullMarked
+package io.samphiredyke.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** The daemon samphiredyked. */
+@NullMarked
+package io.samphiredyke.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-test/src/main/java/io/samphiredyke/test/package-info.java
@@ -0,0 +1,5 @@
+/** Helpers for tests. */
+@NullMarked
+package io.samphiredyke.test;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds everything with formatter, linter and null checks, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")"
+mvn -B -ntp verify
