HTTP server and client on Netty's codec

Cause: every process speaks HTTP with streamed answers; a misdirected request has to be refused before its body is read, and a failed connect has to be told apart from a lost answer.

--- /dev/null
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpException.java
@@ -0,0 +1,20 @@
+package io.samphiredyke.net.http;
+
+/** A request that cannot be served, with the HTTP status that says so. */
+public final class HttpException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final int status;
+
+  /** Creates an exception with an HTTP status and a message for the caller. */
+  public HttpException(int status, String message) {
+    super(message);
+    this.status = status;
+  }
+
+  /** Returns the HTTP status. */
+  public int status() {
+    return status;
+  }
+}
--- /dev/null
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpRequest.java
@@ -0,0 +1,110 @@
+package io.samphiredyke.net.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request to send.
+ *
+ * @param method the method
+ * @param address where to connect
+ * @param path the path with its query, encoded
+ * @param headers further headers
+ * @param body the body, empty for none
+ * @param timeout how long the connection may stay silent while an answer is due
+ */
+public record HttpRequest(
+    String method,
+    InetSocketAddress address,
+    String path,
+    Map<String, String> headers,
+    byte[] body,
+    Duration timeout) {
+
+  /** Returns a builder of a GET request. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns a builder of a GET request. */
+  public static Builder get(InetSocketAddress address, String path) {
+    return builder().address(address).path(path);
+  }
+
+  /** Returns a builder of a POST request with a JSON body. */
+  public static Builder post(InetSocketAddress address, String path, byte[] json) {
+    return builder()
+        .method("POST")
+        .address(address)
+        .path(path)
+        .header("content-type", "application/json")
+        .body(json);
+  }
+
+  /** Collects the parts of a request. */
+  public static final class Builder {
+
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+
+    private String method = "GET";
+    private @Nullable InetSocketAddress address;
+    private String path = "/";
+    private final Map<String, String> headers = new LinkedHashMap<>();
+    private byte[] body = new byte[0];
+    private Duration timeout = DEFAULT_TIMEOUT;
+
+    private Builder() {}
+
+    /** Sets the method. */
+    public Builder method(String value) {
+      method = value;
+      return this;
+    }
+
+    /** Sets where to connect. */
+    public Builder address(InetSocketAddress value) {
+      address = value;
+      return this;
+    }
+
+    /** Sets the encoded path and query. */
+    public Builder path(String value) {
+      path = value;
+      return this;
+    }
+
+    /** Adds a header. */
+    public Builder header(String name, String value) {
+      headers.put(name, value);
+      return this;
+    }
+
+    /** Sets the body. */
+    public Builder body(byte[] value) {
+      body = value;
+      return this;
+    }
+
+    /** Sets how long the connection may stay silent while an answer is due. */
+    public Builder timeout(Duration value) {
+      timeout = value;
+      return this;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @throws IllegalStateException if no address was set
+     */
+    public HttpRequest build() {
+      InetSocketAddress target = address;
+      if (target == null) {
+        throw new IllegalStateException("a request needs an address");
+      }
+      return new HttpRequest(method, target, path, Map.copyOf(headers), body, timeout);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -0,0 +1,112 @@
+package io.samphiredyke.net.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** An HTTP/1.1 server. */
+public final class HttpServer {
+
+  private final Channel listener;
+  private final ChannelGroup connections;
+
+  private HttpServer(Channel listener, ChannelGroup connections) {
+    this.listener = listener;
+    this.connections = connections;
+  }
+
+  /**
+   * Binds an address and serves requests.
+   *
+   * @return the server; fails with {@link java.net.BindException} when the address is in use
+   */
+  public static CompletableFuture<HttpServer> start(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      HttpServerOptions options,
+      HttpHandler handler) {
+    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Initializer(options, handler, connections));
+    CompletableFuture<HttpServer> started = new CompletableFuture<>();
+    ChannelFuture bind = bootstrap.bind(address);
+    bind.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            started.complete(new HttpServer(bind.channel(), connections));
+          } else {
+            started.completeExceptionally(done.cause());
+          }
+        });
+    return started;
+  }
+
+  /** Returns the bound address. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Closes the listener; connections stay until they end. */
+  public CompletableFuture<Void> stopAccepting() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    listener.close().addListener(done -> stopped.complete(null));
+    return stopped;
+  }
+
+  /** Closes the listener and all connections. */
+  public CompletableFuture<Void> stop() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    listener
+        .close()
+        .addListener(closed -> connections.close().addListener(done -> stopped.complete(null)));
+    return stopped;
+  }
+
+  private static final class Initializer extends ChannelInitializer<SocketChannel> {
+
+    private final HttpServerOptions options;
+    private final HttpHandler handler;
+    private final ChannelGroup connections;
+
+    Initializer(HttpServerOptions options, HttpHandler handler, ChannelGroup connections) {
+      this.options = options;
+      this.handler = handler;
+      this.connections = connections;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      connections.add(channel);
+      SslContext tls = options.tls();
+      if (tls != null) {
+        channel.pipeline().addLast(tls.newHandler(channel.alloc()));
+      }
+      HttpDecoderConfig decoder =
+          new HttpDecoderConfig().setMaxHeaderSize(options.maxHeaderBytes());
+      channel.pipeline().addLast(new HttpServerCodec(decoder));
+      long idleMillis = options.idleTimeout().toMillis();
+      channel.pipeline().addLast(new IdleStateHandler(idleMillis, 0, 0, TimeUnit.MILLISECONDS));
+      channel.pipeline().addLast(new ServerConnection(options, handler));
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpStream.java
@@ -0,0 +1,11 @@
+package io.samphiredyke.net.http;
+
+/** A streamed answer in progress. */
+public interface HttpStream {
+
+  /** Closes the connection; the listener hears no more. */
+  void close();
+
+  /** Stops or restarts reading, so that a slow reader holds the sender back. */
+  void setReading(boolean reading);
+}
--- /dev/null
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP/1.1 server and client on Netty's codec, with streamed answers. */
+@NullMarked
+package io.samphiredyke.net.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -0,0 +1,130 @@
+package io.samphiredyke.net.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpServerTest {
+
+  private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final HttpClient client = new HttpClient(group, HttpClientOptions.defaults());
+
+  @AfterEach
+  void stop() {
+    client.close();
+    group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+  }
+
+  private HttpServer serve(HttpHandler handler) {
+    HttpServerOptions options = HttpServerOptions.defaults().withMaxBodyBytes(1000);
+    return HttpServer.start(group, ANY_PORT, options, handler).join();
+  }
+
+  @Test
+  void echoesBodiesOverOneConnection() {
+    HttpServer server =
+        serve(exchange -> exchange.body().thenAccept(b -> exchange.respond(200, Map.of(), b)));
+    for (int i = 0; i < 50; i++) {
+      byte[] body = ("body " + i).getBytes(StandardCharsets.UTF_8);
+      HttpResponse response =
+          client.send(HttpRequest.post(server.address(), "/echo", body).build()).join();
+      assertThat(response.text()).isEqualTo("body " + i);
+    }
+    server.stop().join();
+  }
+
+  @Test
+  void streamsChunksInOrder() {
+    HttpServer server =
+        serve(
+            exchange -> {
+              ResponseStream stream = exchange.startStream(200, Map.of());
+              for (int i = 0; i < 100; i++) {
+                stream.write((i + ",").getBytes(StandardCharsets.UTF_8));
+              }
+              stream.end();
+            });
+    HttpResponse response = client.send(HttpRequest.get(server.address(), "/").build()).join();
+    assertThat(response.text()).startsWith("0,1,2,").endsWith("98,99,");
+    server.stop().join();
+  }
+
+  @Test
+  void refusesLongBodies() {
+    HttpServer server =
+        serve(
+            exchange ->
+                exchange
+                    .body()
+                    .whenComplete(
+                        (bytes, failure) ->
+                            exchange.respond(
+                                ((HttpException) failure).status(), Map.of(), new byte[0])));
+    HttpRequest request = HttpRequest.post(server.address(), "/", new byte[5000]).build();
+    assertThat(client.send(request).join().status()).isEqualTo(413);
+    server.stop().join();
+  }
+
+  @Test
+  void reportsThatNothingWasSentWhenConnectFails() {
+    HttpServer server = serve(exchange -> {});
+    InetSocketAddress address = server.address();
+    server.stop().join();
+    CompletableFuture<HttpResponse> response = client.send(HttpRequest.get(address, "/").build());
+    assertThatThrownBy(response::join).hasCauseInstanceOf(ConnectFailedException.class);
+  }
+
+  @Test
+  void reportsLostConnectionAfterSilence() {
+    HttpServer server = serve(exchange -> {});
+    CompletableFuture<HttpResponse> response =
+        client.send(HttpRequest.get(server.address(), "/").timeout(Duration.ofMillis(50)).build());
+    assertThatThrownBy(response::join).hasCauseInstanceOf(ConnectionLostException.class);
+    server.stop().join();
+  }
+
+  @Test
+  void noticesThatTheCallerLeft() {
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    CompletableFuture<Void> arrived = new CompletableFuture<>();
+    HttpServer server =
+        serve(
+            exchange -> {
+              exchange.disconnected().thenRun(() -> left.complete(null));
+              arrived.complete(null);
+            });
+    HttpStream stream =
+        client.open(HttpRequest.get(server.address(), "/").build(), new IgnoringListener());
+    arrived.join();
+    stream.close();
+    assertThat(left).succeedsWithin(Duration.ofSeconds(10));
+    server.stop().join();
+  }
+
+  private static final class IgnoringListener implements StreamListener {
+    @Override
+    public void onHead(int status, Map<String, String> headers) {}
+
+    @Override
+    public void onChunk(byte[] bytes) {}
+
+    @Override
+    public void onEnd() {}
+
+    @Override
+    public void onFailure(Throwable cause) {}
+  }
+}
