--- /dev/null
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/log/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of the append-only log service. */
+@NullMarked
+package io.samphiredyke.standins.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/plain/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of a plain service. */
+@NullMarked
+package io.samphiredyke.standins.plain;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/weights/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of the weight store. */
+@NullMarked
+package io.samphiredyke.standins.weights;
+
+import org.jspecify.annotations.NullMarked;
