--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/config/SnapshotAssembler.java
@@ -0,0 +1,67 @@
+package io.samphiredyke.core.config;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** Puts snapshots together from chunks that may be interleaved, repeated or never completed. */
+public final class SnapshotAssembler {
+
+  private static final int MAX_OPEN_SNAPSHOTS = 16;
+  private static final int MAX_CHUNKS = 10_000;
+
+  private final Map<String, @Nullable SnapshotChunk[]> open = new LinkedHashMap<>();
+
+  /**
+   * Takes in a chunk.
+   *
+   * @param chunk the chunk
+   * @return the snapshot that this chunk completes, if it does and its digest is right
+   */
+  public Optional<Snapshot> add(SnapshotChunk chunk) {
+    if (chunk.count() < 1 || chunk.count() > MAX_CHUNKS) {
+      return Optional.empty();
+    }
+    @Nullable SnapshotChunk[] parts =
+        open.computeIfAbsent(chunk.snapshotId(), id -> new SnapshotChunk[chunk.count()]);
+    if (chunk.count() != parts.length || chunk.index() < 0 || chunk.index() >= parts.length) {
+      return Optional.empty();
+    }
+    parts[chunk.index()] = chunk;
+    dropOldest();
+    if (Arrays.stream(parts).anyMatch(Objects::isNull)) {
+      return Optional.empty();
+    }
+    open.remove(chunk.snapshotId());
+    return join(parts);
+  }
+
+  private void dropOldest() {
+    if (open.size() > MAX_OPEN_SNAPSHOTS) {
+      open.remove(open.keySet().iterator().next());
+    }
+  }
+
+  private static Optional<Snapshot> join(@Nullable SnapshotChunk[] parts) {
+    List<VersionedItem> items = new ArrayList<>();
+    List<RecordOutcome> outcomes = new ArrayList<>();
+    long nextOffset = -1;
+    String digest = "";
+    for (SnapshotChunk part : parts) {
+      if (part == null || (nextOffset >= 0 && part.nextOffset() != nextOffset)) {
+        return Optional.empty();
+      }
+      nextOffset = part.nextOffset();
+      digest = part.digest();
+      items.addAll(part.items());
+      outcomes.addAll(part.outcomes());
+    }
+    Snapshot snapshot = new Snapshot(nextOffset, items, outcomes);
+    return snapshot.digest().equals(digest) ? Optional.of(snapshot) : Optional.empty();
+  }
+}
