--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/RegisterRules.java
@@ -0,0 +1,95 @@
+package io.samphiredyke.core.ownership;
+
+import io.samphiredyke.core.ownership.RegisterOperation.Close;
+import io.samphiredyke.core.ownership.RegisterOperation.Intent;
+import io.samphiredyke.core.ownership.RegisterOperation.Outcome;
+import io.samphiredyke.core.ownership.RegisterOperation.Take;
+import io.samphiredyke.core.ownership.RegisterRecord.Status;
+import org.jspecify.annotations.Nullable;
+
+/** Decides what a write does to the register of one request. */
+@FunctionalInterface
+interface RegisterRules {
+
+  /** The first writer holds the register for good. */
+  RegisterRules WRITE_ONCE = RegisterRules::writeOnce;
+
+  /**
+   * Decides one write.
+   *
+   * @param before what the register holds
+   * @param writer who writes
+   * @param operation what is written
+   * @return the answer with what the register holds from now on
+   */
+  RegisterReply apply(
+      @Nullable RegisterRecord before, Incarnation writer, RegisterOperation operation);
+
+  private static RegisterReply writeOnce(
+      @Nullable RegisterRecord before, Incarnation writer, RegisterOperation operation) {
+    if (before == null) {
+      return first(writer, operation);
+    }
+    if (!before.holder().equals(writer)) {
+      return new RegisterReply(RegisterReply.Status.HELD_BY_OTHER, before);
+    }
+    return advance(before, operation);
+  }
+
+  private static RegisterReply first(Incarnation writer, RegisterOperation operation) {
+    if (operation instanceof Outcome) {
+      return new RegisterReply(RegisterReply.Status.ABSENT, null);
+    }
+    RegisterRecord empty = new RegisterRecord(writer, Status.TAKEN, 0, null, null, null);
+    return accepted(next(empty, operation));
+  }
+
+  private static RegisterReply advance(RegisterRecord before, RegisterOperation operation) {
+    if (operation instanceof Take) {
+      return accepted(before);
+    }
+    RegisterRecord after = next(before, operation);
+    if (after.equals(before)) {
+      return accepted(before);
+    }
+    if (isLate(before, operation)) {
+      return new RegisterReply(RegisterReply.Status.STALE, before);
+    }
+    return accepted(after);
+  }
+
+  private static boolean isLate(RegisterRecord before, RegisterOperation operation) {
+    if (before.status() == Status.CLOSED || before.status() == Status.FINISHED) {
+      return true;
+    }
+    if (operation instanceof Intent && before.status() == Status.INTENDED) {
+      return operation.attempt() <= before.attempt();
+    }
+    if (operation instanceof Outcome) {
+      return operation.attempt() != before.attempt();
+    }
+    return operation.attempt() < before.attempt();
+  }
+
+  private static RegisterRecord next(RegisterRecord before, RegisterOperation operation) {
+    Incarnation holder = before.holder();
+    String digest = before.bodyDigest();
+    int attempt = operation.attempt();
+    if (operation instanceof Intent intent) {
+      return new RegisterRecord(
+          holder, Status.INTENDED, attempt, intent.endpoint(), null, intent.bodyDigest());
+    }
+    if (operation instanceof Close close) {
+      return new RegisterRecord(holder, Status.CLOSED, attempt, null, close.reason(), digest);
+    }
+    if (operation instanceof Outcome outcome) {
+      return new RegisterRecord(
+          holder, Status.FINISHED, attempt, before.endpoint(), outcome.detail(), digest);
+    }
+    return new RegisterRecord(holder, Status.TAKEN, attempt, null, null, digest);
+  }
+
+  private static RegisterReply accepted(RegisterRecord record) {
+    return new RegisterReply(RegisterReply.Status.ACCEPTED, record);
+  }
+}
