Messages between hosts: schemas, generated records, registry of types

The messages are JSON Schema files; records with builders are generated from them and committed.

jsonschema2pojo 1.2.2 was ruled out: its code model (codemodel 2.6) knows classes, interfaces, enums and annotations, but no records.

--- /dev/null
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/Field.java
@@ -0,0 +1,132 @@
+package io.samphiredyke.schema.generator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.StreamSupport;
+
+/** A property of a schema with the Java type that it gets. */
+record Field(String name, String javaType, boolean nullable, boolean strict, JsonNode schema) {
+
+  private static final Set<String> PRIMITIVES = Set.of("int", "long", "boolean", "double");
+
+  /** Returns the fields of an object schema in the order in which the file lists them. */
+  static List<Field> fieldsOf(JsonNode object, boolean strict) {
+    List<Field> fields = new ArrayList<>();
+    List<String> required = texts(object.path("required"));
+    for (var entry : object.path("properties").properties()) {
+      String type = javaType(entry.getKey(), entry.getValue());
+      boolean absentAllowed = !required.contains(entry.getKey());
+      boolean nullable = absentAllowed && !PRIMITIVES.contains(type) && !type.startsWith("List<");
+      fields.add(new Field(entry.getKey(), type, nullable, strict, entry.getValue()));
+    }
+    return fields;
+  }
+
+  static List<String> texts(JsonNode array) {
+    return StreamSupport.stream(array.spliterator(), false).map(JsonNode::asText).toList();
+  }
+
+  private static String javaType(String name, JsonNode schema) {
+    if (schema.has("$ref")) {
+      return camelCase(schema.get("$ref").asText().replace(".json", ""));
+    }
+    return switch (schema.path("type").asText()) {
+      case "string" -> stringType(name, schema);
+      case "integer" -> schema.path("format").asText().equals("int32") ? "int" : "long";
+      case "number" -> "double";
+      case "boolean" -> "boolean";
+      case "object" -> schema.path("title").asText();
+      case "array" -> arrayType(name, schema.path("items"));
+      default -> throw new IllegalArgumentException("no type for property " + name);
+    };
+  }
+
+  private static String arrayType(String name, JsonNode items) {
+    String itemType = javaType(name, items);
+    return itemType.equals("long") ? "long[]" : "List<" + itemType + ">";
+  }
+
+  private static String stringType(String name, JsonNode schema) {
+    if (schema.has("enum")) {
+      return schema.path("title").asText(camelCase(name));
+    }
+    return switch (schema.path("format").asText()) {
+      case "" -> "String";
+      case "duration" -> "Duration";
+      case "data-size" -> "long";
+      case "ip-port" -> "InetSocketAddress";
+      case "uri" -> "URI";
+      case "path" -> "Path";
+      case "key" -> "NamedKey";
+      case "password" -> "Secret";
+      default -> throw new IllegalArgumentException("unknown format of property " + name);
+    };
+  }
+
+  static String camelCase(String kebab) {
+    StringBuilder result = new StringBuilder();
+    for (String word : kebab.split("-", -1)) {
+      result.append(word.substring(0, 1).toUpperCase(Locale.ROOT)).append(word.substring(1));
+    }
+    return result.toString();
+  }
+
+  String description() {
+    return schema.path("description").asText();
+  }
+
+  boolean isList() {
+    return javaType.startsWith("List<");
+  }
+
+  boolean isArray() {
+    return javaType.endsWith("[]");
+  }
+
+  boolean isEnum() {
+    return schema.has("enum");
+  }
+
+  /** Returns the schema of the type that is declared inside the record, or the field's own. */
+  JsonNode declaration() {
+    return schema.has("items") ? schema.get("items") : schema;
+  }
+
+  String declaredType() {
+    return nullable ? "@Nullable " + javaType : javaType;
+  }
+
+  /** Returns the value that stands for an absent one, as a Java expression. */
+  String absentValue() {
+    if (nullable) {
+      return "null";
+    }
+    return switch (javaType) {
+      case "int", "long", "double" -> "0";
+      case "boolean" -> "false";
+      case "String" -> "\"\"";
+      default -> isList() ? "List.of()" : isArray() ? "new long[0]" : enumOrNull();
+    };
+  }
+
+  private String enumOrNull() {
+    return isEnum() && !strict ? javaType + ".UNRECOGNIZED" : "null";
+  }
+
+  /** Returns the statement by which the constructor normalises the component, or nothing. */
+  String normalisation() {
+    if (PRIMITIVES.contains(javaType) || nullable) {
+      return "";
+    }
+    if (isList()) {
+      return name + " = " + name + " == null ? List.of() : List.copyOf(" + name + ");";
+    }
+    if (strict || absentValue().equals("null")) {
+      return "Objects.requireNonNull(" + name + ", \"" + name + "\");";
+    }
+    return name + " = " + name + " == null ? " + absentValue() + " : " + name + ";";
+  }
+}
--- /dev/null
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/GenerateCode.java
@@ -0,0 +1,91 @@
+package io.samphiredyke.schema.generator;
+
+import com.google.googlejavaformat.java.Formatter;
+import com.google.googlejavaformat.java.FormatterException;
+import com.google.googlejavaformat.java.RemoveUnusedImports;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Generates all code that follows from the schemas. */
+final class GenerateCode {
+
+  private static final String MESSAGE_PACKAGE = "io.samphiredyke.schema.message";
+
+  private final Path schemas;
+  private final Map<Path, String> files = new TreeMap<>();
+
+  GenerateCode(Path schemas) {
+    this.schemas = schemas;
+  }
+
+  /** Returns the text of each file by its path below the root of the generated code. */
+  Map<Path, String> files() throws IOException {
+    List<SchemaFile> messages = SchemaFile.readAll(schemas.resolve("messages"));
+    MessageTypeWriter types = new MessageTypeWriter(MESSAGE_PACKAGE, messages);
+    writePackage(MESSAGE_PACKAGE, "Messages between hosts.");
+    writeRecords(MESSAGE_PACKAGE, messages, false);
+    write(MESSAGE_PACKAGE, "PeerMessage", types.peerMessage());
+    write(MESSAGE_PACKAGE, "MessageType", types.messageType());
+    return files;
+  }
+
+  private void writePackage(String packageName, String description) {
+    String text =
+        """
+        /** %s Generated from the schemas; not to be edited. */
+        @NullMarked
+        package %s;
+
+        import org.jspecify.annotations.NullMarked;
+        """
+            .formatted(description, packageName);
+    write(packageName, "package-info", text);
+  }
+
+  private void writeRecords(String packageName, List<SchemaFile> schemaFiles, boolean strict) {
+    RecordWriter writer = new RecordWriter(packageName, strict);
+    for (SchemaFile file : schemaFiles) {
+      write(packageName, file.typeName(), writer.write(file));
+    }
+  }
+
+  private void write(String packageName, String typeName, String source) {
+    Path path = Path.of(packageName.replace('.', '/')).resolve(typeName + ".java");
+    files.put(path, format(source));
+  }
+
+  private static String format(String source) {
+    try {
+      return new Formatter()
+          .formatSourceAndFixImports(RemoveUnusedImports.removeUnusedImports(source));
+    } catch (FormatterException e) {
+      throw new IllegalStateException(e.getMessage() + "\n" + source, e);
+    }
+  }
+
+  /** Makes a directory hold exactly the given files. */
+  static void replace(Path directory, Map<Path, String> files) throws IOException {
+    for (Path old : existing(directory)) {
+      Files.delete(directory.resolve(old));
+    }
+    for (var file : files.entrySet()) {
+      Path path = directory.resolve(file.getKey());
+      Files.createDirectories(path.getParent());
+      Files.writeString(path, file.getValue());
+    }
+  }
+
+  /** Returns the paths of the files below a directory, relative to it. */
+  static List<Path> existing(Path directory) throws IOException {
+    if (!Files.exists(directory)) {
+      return List.of();
+    }
+    try (var paths = Files.walk(directory)) {
+      return paths.filter(Files::isRegularFile).map(directory::relativize).sorted().toList();
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/GeneratedCodeTest.java
@@ -0,0 +1,33 @@
+package io.samphiredyke.schema.generator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Fails if the committed code differs from what the schemas give. With {@code
+ * -Dsamphiredyke.schema.write=true} the code is rewritten first.
+ */
+class GeneratedCodeTest {
+
+  private static final Path SCHEMAS = Path.of("src/main/resources/schema");
+  private static final Path CODE = Path.of("src/generated/java");
+
+  @Test
+  void committedCodeFollowsFromTheSchemas() throws IOException {
+    Map<Path, String> expected = new GenerateCode(SCHEMAS).files();
+    if (Boolean.getBoolean("samphiredyke.schema.write")) {
+      GenerateCode.replace(CODE, expected);
+    }
+    assertThat(GenerateCode.existing(CODE)).containsExactlyElementsOf(expected.keySet());
+    for (var file : expected.entrySet()) {
+      assertThat(Files.readString(CODE.resolve(file.getKey())))
+          .as(file.getKey().toString())
+          .isEqualTo(file.getValue());
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/message/PeerMessageTest.java
@@ -0,0 +1,62 @@
+package io.samphiredyke.schema.message;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+class PeerMessageTest {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+  @ParameterizedTest
+  @EnumSource
+  void decodesAbsentAndUnknownFields(MessageType type) throws IOException {
+    byte[] bytes = MAPPER.writeValueAsBytes(Map.of("fieldOfLaterVersion", List.of(1)));
+    PeerMessage message = MAPPER.readValue(bytes, type.messageClass());
+    assertThat(message.messageType()).isEqualTo(type);
+    assertThat(roundTrip(message)).isEqualTo(message);
+    assertThat(MessageType.ofNumber(type.number())).hasValue(type);
+  }
+
+  @Test
+  void keepsAllValues() throws IOException {
+    Claim claim =
+        Claim.builder()
+            .requestId("t.7")
+            .attempt(2)
+            .endpoint("engine-a")
+            .remainingMillis(1L << 40)
+            .prefixes(new long[] {Long.MIN_VALUE, 3})
+            .build();
+    assertThat(roundTrip(claim)).isEqualTo(claim).hasSameHashCodeAs(claim);
+    assertThat(claim.toBuilder().prefixes(new long[] {3}).build()).isNotEqualTo(claim);
+    Adopt.HeldGrant held = Adopt.HeldGrant.builder().requestId("t.8").tierRank(1).build();
+    Adopt adopt = Adopt.builder().endpoint("engine-a").held(List.of(held)).build();
+    assertThat(roundTrip(adopt)).isEqualTo(adopt);
+  }
+
+  @Test
+  void decodesConstantsOfLaterVersions() throws IOException {
+    byte[] bytes = MAPPER.writeValueAsBytes(Map.of("requestId", "t.7", "reason", "LATER"));
+    Refusal refusal = MAPPER.readValue(bytes, Refusal.class);
+    assertThat(refusal.requestId()).isEqualTo("t.7");
+    assertThat(refusal.reason()).isEqualTo(Refusal.Reason.UNRECOGNIZED);
+  }
+
+  @Test
+  void numberOfLaterVersionHasNoType() {
+    assertThat(MessageType.ofNumber(9999)).isEmpty();
+  }
+
+  private static PeerMessage roundTrip(PeerMessage message) throws IOException {
+    return MAPPER.readValue(
+        MAPPER.writeValueAsBytes(message), message.messageType().messageClass());
+  }
+}
