Client library: addresses, tickets, resume and safe retry

A request id is repeated on fresh connections until the system states the outcome; a new id follows only an answer with ran=no, or a route on which no connection was ever established.

--- /dev/null
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Connections.java
@@ -0,0 +1,39 @@
+package io.samphiredyke.client.internal;
+
+import io.netty.channel.EventLoopGroup;
+import io.samphiredyke.client.ClientOptions;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpClientOptions;
+import java.time.Duration;
+
+/**
+ * The client's connections.
+ *
+ * @param kept for first attempts, on connections kept from earlier requests
+ * @param fresh for resumes and questions for addresses, each on a connection of its own, as a kept
+ *     one may have gone silent
+ */
+public record Connections(HttpClient kept, HttpClient fresh) {
+
+  private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+  private static final int MAX_IDLE = 64;
+  private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(5);
+
+  /** Creates the two clients. */
+  public static Connections create(EventLoopGroup group, ClientOptions options) {
+    return new Connections(client(group, options, MAX_IDLE), client(group, options, 0));
+  }
+
+  private static HttpClient client(EventLoopGroup group, ClientOptions options, int maxIdle) {
+    return new HttpClient(
+        group,
+        new HttpClientOptions(
+            options.connectTimeout(), MAX_BODY_BYTES, maxIdle, MAX_IDLE_TIME, null));
+  }
+
+  /** Closes the idle connections. */
+  public void close() {
+    kept.close();
+    fresh.close();
+  }
+}
--- /dev/null
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/HostPorts.java
@@ -0,0 +1,37 @@
+package io.samphiredyke.client.internal;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Reads addresses of the form {@code ip:port}. */
+public final class HostPorts {
+
+  private HostPorts() {}
+
+  /**
+   * Reads one address.
+   *
+   * @throws IllegalArgumentException if the text has no port or a wrong one
+   */
+  public static InetSocketAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 1) {
+      throw new IllegalArgumentException("'" + text + "' is not of the form ip:port");
+    }
+    try {
+      return new InetSocketAddress(
+          text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("'" + text + "' has no port number", e);
+    }
+  }
+
+  /**
+   * Reads several addresses.
+   *
+   * @throws IllegalArgumentException if one is wrong
+   */
+  public static List<InetSocketAddress> parse(List<String> texts) {
+    return texts.stream().map(HostPorts::parse).toList();
+  }
+}
--- /dev/null
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -0,0 +1,396 @@
+package io.samphiredyke.client.internal;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.samphiredyke.client.Answer;
+import io.samphiredyke.client.AnswerFailedException;
+import io.samphiredyke.client.AnswerListener;
+import io.samphiredyke.client.Attempts;
+import io.samphiredyke.client.ClientOptions;
+import io.samphiredyke.client.DeadlineException;
+import io.samphiredyke.client.NotRunException;
+import io.samphiredyke.client.OutcomeUnknownException;
+import io.samphiredyke.client.Ran;
+import io.samphiredyke.net.http.ConnectFailedException;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpStream;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request from its first id to its outcome. All state is touched on one event loop.
+ *
+ * <p>A request id is repeated until the system states its outcome. A new id is taken only after the
+ * old one was answered "not run", or if no connection was ever established under it.
+ */
+public final class RequestRun {
+
+  private static final int MAX_REDIRECTS_AT_ONCE = 3;
+
+  private final Client client;
+  private final Call call;
+  private final AnswerListener listener;
+  private final EventLoop loop;
+  private final CompletableFuture<Answer> result = new CompletableFuture<>();
+  private final long deadlineNanos;
+  private @Nullable Future<?> deadlineTask;
+  private @Nullable Lease lease;
+  private Route route = new Route(List.of());
+  private Reception reception;
+  private String id = "";
+  private int generation;
+  private int failures;
+  private int redirects;
+  private int ids;
+  private int connections;
+  private int connectionsOfId;
+  private boolean maybeSent;
+  private @Nullable HttpStream stream;
+
+  /** What the requests of a client share. */
+  public record Client(
+      Connections connections,
+      AddressBook book,
+      RetryBudget budget,
+      ClientOptions options,
+      String customerKey) {}
+
+  /** Creates a request that runs on an event loop. */
+  public RequestRun(Client client, Call call, AnswerListener listener, EventLoop loop) {
+    this.client = client;
+    this.call = call;
+    this.listener = listener;
+    this.loop = loop;
+    this.reception = new Reception(listener);
+    this.deadlineNanos = loop.ticker().nanoTime() + call.deadline().toNanos();
+  }
+
+  /** Starts the request. Cancelling the returned future closes the connection. */
+  public CompletableFuture<Answer> start() {
+    client.budget().earn();
+    result.whenComplete((answer, failure) -> loop.execute(this::stop));
+    loop.execute(
+        () -> {
+          long left = deadlineNanos - loop.ticker().nanoTime();
+          deadlineTask = loop.schedule(this::deadlinePassed, left, TimeUnit.NANOSECONDS);
+          acquire();
+        });
+    return result;
+  }
+
+  private void acquire() {
+    if (result.isDone()) {
+      return;
+    }
+    client
+        .book()
+        .lease(call.service())
+        .whenComplete((found, failure) -> loop.execute(() -> acquired(found, failure)));
+  }
+
+  private void acquired(@Nullable Lease found, @Nullable Throwable failure) {
+    if (result.isDone()) {
+      return;
+    }
+    if (found == null) {
+      acquireFailed(failure);
+      return;
+    }
+    lease = found;
+    route = new Route(found.addresses());
+    id = found.nextId();
+    ids++;
+    connectionsOfId = 0;
+    maybeSent = false;
+    reception = new Reception(listener);
+    listener.onRequestId(id);
+    connect();
+  }
+
+  private void acquireFailed(@Nullable Throwable failure) {
+    if (failure instanceof NotRunException refused) {
+      result.completeExceptionally(refused);
+      return;
+    }
+    failures++;
+    later(this::acquire, pauseNanos());
+  }
+
+  private void connect() {
+    if (result.isDone()) {
+      return;
+    }
+    generation++;
+    HttpRequest.Builder request =
+        HttpRequest.builder()
+            .method("POST")
+            .address(route.current())
+            .path(call.path())
+            .header("authorization", "Bearer " + client.customerKey())
+            .header("idempotency-key", id)
+            .body(call.body())
+            .timeout(client.options().silenceTimeout());
+    call.headers().forEach(request::header);
+    if (reception.lastOffset() > 0) {
+      request.header("last-event-id", Long.toString(reception.lastOffset()));
+    }
+    connections++;
+    connectionsOfId++;
+    Connections pool = client.connections();
+    boolean first = connectionsOfId == 1;
+    ResponseReader reader = new ResponseReader(loop, new Sink(generation, maybeSent));
+    maybeSent = true;
+    stream = (first ? pool.kept() : pool.fresh()).open(request.build(), reader);
+  }
+
+  /** Receives the parts of one response; those of an abandoned one are dropped. */
+  private final class Sink implements ResponseReader.Sink {
+
+    private final int own;
+    private final boolean sentBefore;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private @Nullable SseParser parser;
+    private ResponseReader.Head head = ResponseReader.Head.NONE;
+
+    Sink(int own, boolean sentBefore) {
+      this.own = own;
+      this.sentBefore = sentBefore;
+    }
+
+    private boolean isStale() {
+      return own != generation || result.isDone();
+    }
+
+    @Override
+    public void head(ResponseReader.Head received) {
+      head = received;
+      if (call.kind() == Call.Kind.STREAM && received.isEventStream()) {
+        parser = new SseParser(this::event);
+      }
+    }
+
+    private void event(SseEvent event) {
+      if (!isStale()) {
+        RequestRun.this.event(event, head);
+      }
+    }
+
+    @Override
+    public void chunk(byte[] bytes) {
+      if (isStale()) {
+        return;
+      }
+      if (parser == null) {
+        body.writeBytes(bytes);
+        return;
+      }
+      parser.read(bytes);
+    }
+
+    @Override
+    public void end() {
+      if (isStale()) {
+        return;
+      }
+      if (parser != null) {
+        cut();
+        return;
+      }
+      judge(head, body.toByteArray());
+    }
+
+    @Override
+    public void failure(Throwable cause) {
+      if (isStale()) {
+        return;
+      }
+      if (cause instanceof ConnectFailedException) {
+        maybeSent = sentBefore;
+        connectFailed();
+        return;
+      }
+      cut();
+    }
+  }
+
+  private void event(SseEvent event, ResponseReader.Head head) {
+    if (event.type().equals("error")) {
+      judgeProblem(head, Problem.parse(event.data().getBytes(StandardCharsets.UTF_8)));
+      return;
+    }
+    Reception.Result taken = reception.accept(event);
+    if (taken == Reception.Result.REFUSED) {
+      cut();
+      return;
+    }
+    if (taken == Reception.Result.ACCEPTED) {
+      failures = 0;
+      route.progress();
+    }
+    if (reception.isWhole()) {
+      succeed(head.status(), reception.text());
+    }
+  }
+
+  private void connectFailed() {
+    forgetLease();
+    boolean wasLast = route.isLast();
+    route.next();
+    failures++;
+    if (wasLast && !maybeSent) {
+      later(this::acquire, pauseNanos());
+      return;
+    }
+    later(this::connect, wasLast ? pauseNanos() : 0);
+  }
+
+  /** Resumes the request on a fresh connection, after one that ended early or went silent. */
+  private void cut() {
+    closeStream();
+    failures++;
+    if (route.cut()) {
+      forgetLease();
+      route.next();
+    }
+    later(this::connect, pauseNanos());
+  }
+
+  private void forgetLease() {
+    if (lease != null && route.isFirst()) {
+      client.book().invalidate(call.service(), lease);
+    }
+  }
+
+  private void judge(ResponseReader.Head head, byte[] body) {
+    Problem problem = head.isProblem() ? Problem.parse(body) : Problem.NONE;
+    Verdict verdict = Verdict.of(call.kind(), head.status(), problem.ran(), head.hasRetryAfter());
+    if (verdict == Verdict.ANSWER) {
+      answer(head, body);
+      return;
+    }
+    act(verdict, head, problem);
+  }
+
+  private void judgeProblem(ResponseReader.Head head, Problem problem) {
+    Verdict verdict =
+        Verdict.of(call.kind(), problem.status(), problem.ran(), head.hasRetryAfter());
+    act(verdict == Verdict.ANSWER ? Verdict.ASK_AGAIN : verdict, head, problem);
+  }
+
+  private void act(Verdict verdict, ResponseReader.Head head, Problem problem) {
+    boolean contradicts = reception.lastOffset() > 0;
+    int status = head.isEventStream() ? problem.status() : head.status();
+    switch (verdict) {
+      case RETRY_AS_NEW, REFUSED -> {
+        if (contradicts) {
+          unknown(status, "\"not run\" after a part of the answer");
+          return;
+        }
+        notRun(verdict, status, head, problem);
+      }
+      case REDIRECTED -> redirect(problem);
+      case UNKNOWN -> unknown(status, problem.message());
+      case FAILED ->
+          result.completeExceptionally(new AnswerFailedException(id, status, problem.message()));
+      default -> {
+        closeStream();
+        failures++;
+        later(this::connect, Math.max(pauseNanos(), head.retryAfterNanos()));
+      }
+    }
+  }
+
+  private void notRun(Verdict verdict, int status, ResponseReader.Head head, Problem problem) {
+    closeStream();
+    listener.onNotRun(id);
+    maybeSent = false;
+    failures++;
+    long pause = Math.max(pauseNanos(), head.retryAfterNanos());
+    boolean late = deadlineNanos - loop.ticker().nanoTime() <= pause;
+    if (verdict == Verdict.REFUSED || late || !client.budget().trySpend()) {
+      result.completeExceptionally(new NotRunException(id, status, problem.message()));
+      return;
+    }
+    if (lease != null) {
+      client.book().invalidate(call.service(), lease);
+    }
+    later(this::acquire, pause);
+  }
+
+  private void redirect(Problem problem) {
+    closeStream();
+    forgetLease();
+    redirects++;
+    List<InetSocketAddress> others = problem.parsedAddresses();
+    if (others.isEmpty()) {
+      route.next();
+    } else {
+      route = new Route(others);
+    }
+    later(this::connect, redirects > MAX_REDIRECTS_AT_ONCE ? pauseNanos() : 0);
+  }
+
+  private void answer(ResponseReader.Head head, byte[] body) {
+    switch (call.kind()) {
+      case PLAIN -> succeed(head.status(), new String(body, StandardCharsets.UTF_8));
+      case COMPLETION -> {
+        String text = Reception.completionText(body);
+        if (text == null) {
+          cut();
+          return;
+        }
+        succeed(head.status(), text);
+      }
+      default -> cut();
+    }
+  }
+
+  private void succeed(int status, String text) {
+    result.complete(new Answer(id, status, text, new Attempts(ids, connections)));
+  }
+
+  private void unknown(int status, String message) {
+    result.completeExceptionally(new OutcomeUnknownException(id, status, message));
+  }
+
+  private void deadlinePassed() {
+    Ran ran = maybeSent ? Ran.UNKNOWN : Ran.NO;
+    String message = "no outcome within " + call.deadline();
+    result.completeExceptionally(new DeadlineException(id, ran, message));
+  }
+
+  private long pauseNanos() {
+    return client.options().backoff().pauseNanos(failures, ThreadLocalRandom.current());
+  }
+
+  private void later(Runnable step, long pauseNanos) {
+    if (pauseNanos <= 0) {
+      step.run();
+      return;
+    }
+    loop.schedule(step, pauseNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void closeStream() {
+    generation++;
+    if (stream != null) {
+      stream.close();
+      stream = null;
+    }
+  }
+
+  private void stop() {
+    if (deadlineTask != null) {
+      deadlineTask.cancel(false);
+    }
+    if (result.isCompletedExceptionally()) {
+      closeStream();
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Parts of the client that callers don't use directly. */
+@NullMarked
+package io.samphiredyke.client.internal;
+
+import org.jspecify.annotations.NullMarked;
