Broker and choice of endpoint: first whole form

Cause: the daemon needs queue, limits and shedding per endpoint and the entry's side of claims. Claims wait by tier, weighted fair between customers, then by deadline; a full queue displaces the latest claim of the lowest tier; claims at slower endpoints are held back by the difference in expected completion (delay scheduling), so the first grant to arrive is also a good one.

--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/ClaimQueue.java
@@ -0,0 +1,108 @@
+package io.samphiredyke.core.broker;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
+
+/** The claims that wait at one broker, by tier. */
+final class ClaimQueue {
+
+  private final List<TierQueue> tiers;
+  private final Map<ClaimKey, QueuedClaim> byKey = new HashMap<>();
+  private final TreeSet<QueuedClaim> heldBack = new TreeSet<>(QueuedClaim.BY_ELIGIBILITY);
+  private final TreeSet<QueuedClaim> deadlines = new TreeSet<>(QueuedClaim.BY_DEADLINE);
+  private long nextSequence;
+
+  ClaimQueue(int tierCount) {
+    tiers = IntStream.range(0, tierCount).mapToObj(rank -> new TierQueue()).toList();
+  }
+
+  int size() {
+    return byKey.size();
+  }
+
+  int tierCount() {
+    return tiers.size();
+  }
+
+  TierQueue tier(int rank) {
+    return tiers.get(Math.max(0, Math.min(rank, tiers.size() - 1)));
+  }
+
+  Collection<QueuedClaim> all() {
+    return new ArrayList<>(deadlines);
+  }
+
+  /** Adds a claim; a claim with the same key is replaced. */
+  void add(Claim claim, long now) {
+    remove(claim.key());
+    QueuedClaim queued = new QueuedClaim(claim, nextSequence++);
+    byKey.put(claim.key(), queued);
+    deadlines.add(queued);
+    tier(claim.tierRank()).add(queued);
+    if (claim.grantNotBefore() > now) {
+      heldBack.add(queued);
+      return;
+    }
+    tier(claim.tierRank()).activate(queued);
+  }
+
+  @Nullable Claim remove(ClaimKey key) {
+    QueuedClaim queued = byKey.remove(key);
+    if (queued == null) {
+      return null;
+    }
+    heldBack.remove(queued);
+    deadlines.remove(queued);
+    tier(queued.claim.tierRank()).remove(queued);
+    return queued.claim;
+  }
+
+  /** Makes the claims available whose time to be held back is over. */
+  void activateEligible(long now) {
+    while (!heldBack.isEmpty() && heldBack.first().claim.grantNotBefore() <= now) {
+      QueuedClaim queued = heldBack.pollFirst();
+      tier(queued.claim.tierRank()).activate(queued);
+    }
+  }
+
+  /** Returns the claim to be granted next, null if none may be granted. */
+  @Nullable Claim peek() {
+    for (TierQueue tier : tiers) {
+      QueuedClaim queued = tier.peek();
+      if (queued != null) {
+        return queued.claim;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Returns the claim that may give its place to another: the latest of the lowest tier that is
+   * below the given one, null if there is none.
+   */
+  @Nullable Claim displaceableBy(int tierRank) {
+    for (int rank = tiers.size() - 1; rank > tierRank; rank--) {
+      QueuedClaim latest = tiers.get(rank).latest();
+      if (latest != null) {
+        return latest.claim;
+      }
+    }
+    return null;
+  }
+
+  /** Returns the claim with the earliest deadline, null if the queue is empty. */
+  @Nullable Claim earliestDeadline() {
+    return deadlines.isEmpty() ? null : deadlines.first().claim;
+  }
+
+  /** Returns when the next claim stops being held back, {@link Long#MAX_VALUE} if none is. */
+  long nextEligibility() {
+    return heldBack.isEmpty() ? Long.MAX_VALUE : heldBack.first().claim.grantNotBefore();
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/ConcurrencyLimit.java
@@ -0,0 +1,105 @@
+package io.samphiredyke.core.broker;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The number of requests that may run on an endpoint at once, learned from the time between tokens.
+ *
+ * <p>The time between tokens of a continuously batching engine is close to an affine function of
+ * the streams in the batch. Scaling the streams in flight by target / observed therefore approaches
+ * the target from one side and doesn't swing around it. The limit grows only while it is used.
+ */
+final class ConcurrencyLimit {
+
+  private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final double TARGET_SHARE = 0.95;
+  private static final double GROWTH_MAXIMUM = 1.5;
+  private static final double SHRINK_MAXIMUM = 0.5;
+  private static final double HYSTERESIS = 0.03;
+  private static final double USED_SHARE = 0.85;
+  private static final double OVERLOAD_FACTOR = 0.7;
+
+  private final BrokerOptions options;
+  private double limit;
+  private double weightedIntervals;
+  private double streams;
+  private double tokenIntervalNanos;
+  private long nextUpdateAt = Long.MIN_VALUE;
+
+  ConcurrencyLimit(BrokerOptions options) {
+    this.options = options;
+    limit = options.initialLimit();
+    tokenIntervalNanos = options.initialTokenIntervalNanos();
+  }
+
+  int value() {
+    return (int) Math.max(1, Math.round(limit));
+  }
+
+  long tokenIntervalNanos() {
+    return (long) tokenIntervalNanos;
+  }
+
+  /** Takes over what a former broker had learned. */
+  void restore(int formerLimit, long formerTokenIntervalNanos) {
+    limit = clamp(formerLimit);
+    if (formerTokenIntervalNanos > 0) {
+      tokenIntervalNanos = formerTokenIntervalNanos;
+    }
+  }
+
+  void raiseTo(int minimum) {
+    limit = Math.max(limit, clamp(minimum));
+  }
+
+  void overloaded() {
+    limit = clamp(limit * OVERLOAD_FACTOR);
+  }
+
+  /** Counts streams and their mean time between tokens; updates the limit once an interval. */
+  void observe(int streamCount, long meanIntervalNanos, int inFlight, long now) {
+    if (streamCount <= 0 || meanIntervalNanos <= 0) {
+      return;
+    }
+    weightedIntervals += (double) meanIntervalNanos * streamCount;
+    streams += streamCount;
+    if (nextUpdateAt == Long.MIN_VALUE) {
+      nextUpdateAt = now + INTERVAL_NANOS;
+    }
+    if (now < nextUpdateAt) {
+      return;
+    }
+    nextUpdateAt = now + INTERVAL_NANOS;
+    double observed = weightedIntervals / streams;
+    weightedIntervals = 0;
+    streams = 0;
+    tokenIntervalNanos = observed;
+    update(observed, inFlight);
+  }
+
+  /** Counts a completed request of an endpoint that streams no tokens. */
+  void completedWithoutTokens(int inFlight) {
+    if (inFlight >= limit * USED_SHARE) {
+      limit = clamp(limit + 1 / limit);
+    }
+  }
+
+  private void update(double observed, int inFlight) {
+    double ratio = options.tokenIntervalTargetNanos() * TARGET_SHARE / observed;
+    if (Math.abs(ratio - 1) < HYSTERESIS) {
+      return;
+    }
+    if (ratio < 1) {
+      double base = Math.min(limit, Math.max(1, inFlight));
+      limit = Math.min(limit, clamp(base * Math.max(SHRINK_MAXIMUM, ratio)));
+      return;
+    }
+    if (inFlight >= limit * USED_SHARE) {
+      limit = clamp(limit * Math.min(GROWTH_MAXIMUM, ratio));
+    }
+  }
+
+  private double clamp(double value) {
+    return Math.max(1, Math.min(options.maximumLimit(), value));
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/StreamSample.java
@@ -0,0 +1,9 @@
+package io.samphiredyke.core.broker;
+
+/**
+ * What one entry observed on its open streams from one endpoint since its last sample.
+ *
+ * @param streams number of streams that received tokens
+ * @param meanTokenIntervalNanos mean time between tokens over these streams
+ */
+public record StreamSample(int streams, long meanTokenIntervalNanos) {}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/routing/PrefixMap.java
@@ -0,0 +1,136 @@
+package io.samphiredyke.core.routing;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The prompt blocks that each endpoint is believed to hold in its prefix cache.
+ *
+ * <p>Filled from the entry's own dispatches, corrected by what the endpoint reports per request and
+ * by its cache events. Bounded per endpoint; the least recently used blocks go first, as in the
+ * engines.
+ */
+public final class PrefixMap {
+
+  private static final long UNKNOWN_SEQUENCE = -1;
+
+  private final int blocksPerEndpoint;
+  private final Map<String, EndpointBlocks> endpoints = new HashMap<>();
+
+  /**
+   * Creates an empty map.
+   *
+   * @param blocksPerEndpoint blocks remembered for each endpoint
+   */
+  public PrefixMap(int blocksPerEndpoint) {
+    this.blocksPerEndpoint = blocksPerEndpoint;
+  }
+
+  /** Returns how many leading blocks of the prompt the endpoint is believed to hold. */
+  public int cachedBlocks(String endpoint, PromptFingerprint prompt) {
+    EndpointBlocks known = endpoints.get(endpoint);
+    if (known == null) {
+      return 0;
+    }
+    for (int block = 0; block < prompt.blocks(); block++) {
+      if (!known.blocks.containsKey(prompt.hash(block))) {
+        return block;
+      }
+    }
+    return prompt.blocks();
+  }
+
+  /** Notes that a prompt was sent to the endpoint, which then holds its blocks. */
+  public void dispatched(String endpoint, PromptFingerprint prompt) {
+    EndpointBlocks known = blocksOf(endpoint);
+    for (int block = prompt.blocks() - 1; block >= 0; block--) {
+      known.blocks.put(prompt.hash(block), Boolean.TRUE);
+    }
+    known.trim();
+  }
+
+  /**
+   * Corrects the map by the cached blocks that the endpoint reported for a prompt.
+   *
+   * @param heldBlocks leading blocks that the endpoint held when the prompt arrived
+   * @param believedBlocks leading blocks that were believed to be held
+   */
+  public void reported(
+      String endpoint, PromptFingerprint prompt, int heldBlocks, int believedBlocks) {
+    if (heldBlocks >= believedBlocks) {
+      return;
+    }
+    blocksOf(endpoint).dropOldest(believedBlocks - heldBlocks);
+  }
+
+  /** Corrects the map by an event; an event that was seen before changes nothing. */
+  public void event(String endpoint, CacheEvent event) {
+    EndpointBlocks known = blocksOf(endpoint);
+    if (event.sequence() <= known.lastSequence) {
+      return;
+    }
+    if (known.lastSequence != UNKNOWN_SEQUENCE) {
+      known.dropOldest(event.sequence() - known.lastSequence - 1);
+    }
+    known.lastSequence = event.sequence();
+    if (event.kind() == CacheEvent.Kind.REMOVED) {
+      known.blocks.remove(event.blockHash());
+      return;
+    }
+    known.blocks.put(event.blockHash(), Boolean.TRUE);
+    known.trim();
+  }
+
+  /** Corrects the map by several events in order. */
+  public void events(String endpoint, List<CacheEvent> events) {
+    for (CacheEvent event : events) {
+      event(endpoint, event);
+    }
+  }
+
+  /** Forgets an endpoint that restarted or is gone. */
+  public void forget(String endpoint) {
+    endpoints.remove(endpoint);
+  }
+
+  /** Returns the number of blocks remembered for an endpoint. */
+  public int size(String endpoint) {
+    EndpointBlocks known = endpoints.get(endpoint);
+    return known == null ? 0 : known.blocks.size();
+  }
+
+  private EndpointBlocks blocksOf(String endpoint) {
+    return endpoints.computeIfAbsent(endpoint, name -> new EndpointBlocks(blocksPerEndpoint));
+  }
+
+  /** Blocks of one endpoint, least recently used first. */
+  private static final class EndpointBlocks {
+
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final int capacity;
+    private final LinkedHashMap<Long, Boolean> blocks =
+        new LinkedHashMap<>(16, LOAD_FACTOR, /* accessOrder= */ true);
+    private long lastSequence = UNKNOWN_SEQUENCE;
+
+    EndpointBlocks(int capacity) {
+      this.capacity = capacity;
+    }
+
+    void trim() {
+      dropOldest(Math.max(0, blocks.size() - capacity));
+    }
+
+    /** Drops blocks in the order in which an engine evicts them. */
+    void dropOldest(long count) {
+      Iterator<Long> oldest = blocks.keySet().iterator();
+      for (long dropped = 0; dropped < count && oldest.hasNext(); dropped++) {
+        oldest.next();
+        oldest.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/routing/RetryBudget.java
@@ -0,0 +1,56 @@
+package io.samphiredyke.core.routing;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Bounds retries to a share of the requests, so that retries don't multiply an overload.
+ *
+ * <p>Each request adds a fraction of a retry up to a maximum; some retries a second are always
+ * allowed, so that little traffic can retry as well.
+ */
+public final class RetryBudget {
+
+  private final double retriesPerRequest;
+  private final double retriesPerSecond;
+  private final double maximum;
+  private double available;
+  private long refilledAt;
+
+  /**
+   * Creates a full budget.
+   *
+   * @param retriesPerRequest retries that each request adds
+   * @param retriesPerSecond retries that each second adds
+   * @param maximum retries that may be saved up
+   * @param now the time
+   */
+  public RetryBudget(double retriesPerRequest, double retriesPerSecond, double maximum, long now) {
+    this.retriesPerRequest = retriesPerRequest;
+    this.retriesPerSecond = retriesPerSecond;
+    this.maximum = maximum;
+    available = maximum;
+    refilledAt = now;
+  }
+
+  /** Counts a first attempt. */
+  public void requestStarted(long now) {
+    refill(now);
+    available = Math.min(maximum, available + retriesPerRequest);
+  }
+
+  /** Takes one retry from the budget; returns false if none is left. */
+  public boolean tryRetry(long now) {
+    refill(now);
+    if (available < 1) {
+      return false;
+    }
+    available--;
+    return true;
+  }
+
+  private void refill(long now) {
+    double seconds = (double) (now - refilledAt) / TimeUnit.SECONDS.toNanos(1);
+    available = Math.min(maximum, available + seconds * retriesPerSecond);
+    refilledAt = now;
+  }
+}
