--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/TicketCodecTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/TicketCodecTest.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.core.ownership;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
@@ -8,8 +9,9 @@
 
 class TicketCodecTest {
 
-  private static final TicketKey OLD = new TicketKey(1, "sixteen bytes or more".getBytes());
-  private static final TicketKey NEW = new TicketKey(2, "another secret of 16 bytes".getBytes());
+  private static final TicketKey OLD = new TicketKey(1, "sixteen bytes or more".getBytes(UTF_8));
+  private static final TicketKey NEW =
+      new TicketKey(2, "another secret of 16 bytes".getBytes(UTF_8));
 
   private final TicketCodec codec = new TicketCodec(List.of(OLD));
   private final String token = codec.encode(Fixtures.ticket());
