Follow the configuration log through outages, retention and restarts

Cause: a node must start from whatever the log still keeps, go on while the log or its path to it is down, and never go back.

A node that was once ready stays ready through outages.

--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/config/LogFollower.java
@@ -0,0 +1,285 @@
+package io.samphiredyke.core.config;
+
+import io.samphiredyke.core.config.FollowerDecision.Activate;
+import io.samphiredyke.core.config.FollowerDecision.AppendSnapshot;
+import io.samphiredyke.core.config.FollowerDecision.AskPeer;
+import io.samphiredyke.core.config.FollowerDecision.ChangeReadiness;
+import io.samphiredyke.core.config.FollowerDecision.PollLog;
+import io.samphiredyke.core.config.FollowerDecision.Readiness;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows the configuration stream: polls the log, asks peers while it is out of reach, and appends
+ * snapshots before old records are dropped.
+ *
+ * <p>Each event returns the decisions to carry out. At most one poll is open at a time. Late,
+ * repeated and lost answers are harmless. Any node may append a snapshot; a random delay keeps most
+ * nodes from doing so at once, and further ones have no effect. Not thread-safe.
+ */
+public final class LogFollower {
+
+  private static final long NONE = Long.MAX_VALUE;
+
+  private final String host;
+  private final LogFollowerOptions options;
+  private final RandomGenerator random;
+  private final LogReplay replay = new LogReplay();
+  private Readiness readiness = Readiness.CATCHING_UP;
+  private boolean hasReachedEnd;
+  private boolean isPolling;
+  private long pollAt;
+  private long pollDeadline = NONE;
+  private long snapshotAt = NONE;
+  private long snapshotBaseOffset = -1;
+  private int failures;
+  private long snapshotsAppended;
+
+  /**
+   * Creates a follower.
+   *
+   * @param host the name of this host, the author of its snapshots
+   * @param options how to follow
+   * @param random the source of jitter and snapshot ids
+   * @param now the time in nanoseconds
+   */
+  public LogFollower(String host, LogFollowerOptions options, RandomGenerator random, long now) {
+    this.host = host;
+    this.options = options;
+    this.random = random;
+    this.pollAt = now;
+  }
+
+  /** Returns the configuration in force. */
+  public Configuration configuration() {
+    return replay.configuration();
+  }
+
+  /** Returns whether requests may be taken. */
+  public Readiness readiness() {
+    return readiness;
+  }
+
+  /** Returns whether records are known to be missing here. */
+  public boolean isBehind() {
+    return replay.hasGap();
+  }
+
+  /** Returns how many polls of the log have failed since the last that succeeded. */
+  public int consecutiveFailures() {
+    return failures;
+  }
+
+  /** Returns how many offers to go back were refused. */
+  public long refusedRegressions() {
+    return replay.refusedRegressions();
+  }
+
+  /** Returns how many records could not be decoded. */
+  public long undecodable() {
+    return replay.undecodable();
+  }
+
+  /** Returns how many snapshots this node decided to append. */
+  public long snapshotsAppended() {
+    return snapshotsAppended;
+  }
+
+  /** Returns the time in nanoseconds at which {@link #tick} is to be called at the latest. */
+  public long nextTick() {
+    return Math.min(isPolling ? pollDeadline : pollAt, snapshotAt);
+  }
+
+  /**
+   * Does what has become due.
+   *
+   * @param now the time in nanoseconds
+   * @param epochMillis the time in milliseconds since 1970, compared with the log's times of
+   *     records
+   */
+  public List<FollowerDecision> tick(long now, long epochMillis) {
+    List<FollowerDecision> decisions = new ArrayList<>();
+    if (isPolling && now >= pollDeadline) {
+      fail(now, decisions);
+    }
+    if (!isPolling && now >= pollAt) {
+      poll(now, decisions);
+    }
+    planSnapshot(now, epochMillis);
+    if (now >= snapshotAt) {
+      appendSnapshot(epochMillis, decisions);
+    }
+    return decisions;
+  }
+
+  /**
+   * Takes in a page of the log.
+   *
+   * @param page the page
+   * @param now the time in nanoseconds
+   */
+  public List<FollowerDecision> pageRead(LogPage page, long now) {
+    long before = replay.configuration().nextOffset();
+    List<ApplyResult> results = replay.accept(page);
+    isPolling = false;
+    failures = 0;
+    pollAt = now;
+    hasReachedEnd |= page.entries().isEmpty();
+    List<FollowerDecision> decisions = new ArrayList<>();
+    if (replay.hasGap()) {
+      decisions.add(new AskPeer(replay.configuration().nextOffset()));
+    }
+    activate(before, results, decisions);
+    poll(now, decisions);
+    return decisions;
+  }
+
+  /**
+   * Notes that the log no longer has the records asked for.
+   *
+   * @param first the offset of the oldest record that it keeps
+   * @param now the time in nanoseconds
+   */
+  public List<FollowerDecision> expired(long first, long now) {
+    replay.expired(first);
+    isPolling = false;
+    failures = 0;
+    pollAt = now;
+    List<FollowerDecision> decisions = new ArrayList<>();
+    decisions.add(new AskPeer(replay.configuration().nextOffset()));
+    poll(now, decisions);
+    return decisions;
+  }
+
+  /**
+   * Notes that a poll failed: the log is out of reach, refuses for its rate limit, or is too slow.
+   *
+   * @param now the time in nanoseconds
+   */
+  public List<FollowerDecision> pollFailed(long now) {
+    List<FollowerDecision> decisions = new ArrayList<>();
+    if (isPolling) {
+      fail(now, decisions);
+    }
+    return decisions;
+  }
+
+  /**
+   * Takes in what a peer knows.
+   *
+   * @param answer the answer
+   */
+  public List<FollowerDecision> peerAnswered(PeerAnswer answer) {
+    long before = replay.configuration().nextOffset();
+    boolean wasComplete = replay.isComplete();
+    List<ApplyResult> results = replay.accept(answer);
+    List<FollowerDecision> decisions = new ArrayList<>();
+    hasReachedEnd |= !wasComplete && replay.isComplete();
+    activate(before, results, decisions);
+    return decisions;
+  }
+
+  /**
+   * Returns what this node can tell a peer; null while it is not ready itself.
+   *
+   * @param from the offset of the first record that the peer lacks
+   */
+  public @Nullable PeerAnswer answerPeer(long from) {
+    return readiness == Readiness.READY ? replay.answer(from) : null;
+  }
+
+  private void activate(long before, List<ApplyResult> results, List<FollowerDecision> decisions) {
+    if (replay.configuration().nextOffset() > before) {
+      decisions.add(new Activate(replay.configuration(), results));
+    }
+    Readiness next = currentReadiness();
+    if (next != readiness) {
+      readiness = next;
+      decisions.add(new ChangeReadiness(next));
+    }
+  }
+
+  private Readiness currentReadiness() {
+    if (readiness == Readiness.READY || (replay.isComplete() && hasReachedEnd)) {
+      return Readiness.READY;
+    }
+    return hasReachedEnd ? Readiness.NO_SNAPSHOT : Readiness.CATCHING_UP;
+  }
+
+  private void poll(long now, List<FollowerDecision> decisions) {
+    long waitMillis = hasReachedEnd ? options.pollWaitMillis() : 0;
+    long timeoutMillis = waitMillis + options.pollGraceMillis();
+    isPolling = true;
+    pollDeadline = now + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    decisions.add(
+        new PollLog(replay.pollOffset(), options.pollRecords(), waitMillis, timeoutMillis));
+  }
+
+  private void fail(long now, List<FollowerDecision> decisions) {
+    isPolling = false;
+    failures++;
+    pollAt = now + backoff();
+    decisions.add(new AskPeer(replay.configuration().nextOffset()));
+  }
+
+  private long backoff() {
+    int doublings = Math.min(failures - 1, Integer.SIZE - 2);
+    long limit = options.minBackoffMillis() << doublings;
+    long bounded = Math.min(options.maxBackoffMillis(), limit);
+    long millis = options.minBackoffMillis() + random.nextLong(Math.max(1, bounded));
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  private void planSnapshot(long now, long epochMillis) {
+    if (!isSnapshotDue(epochMillis)) {
+      snapshotAt = NONE;
+      return;
+    }
+    boolean isPlanned = snapshotAt != NONE && snapshotBaseOffset == replay.snapshotOffset();
+    if (isPlanned) {
+      return;
+    }
+    snapshotBaseOffset = replay.snapshotOffset();
+    snapshotAt = now + spread();
+  }
+
+  private long spread() {
+    return TimeUnit.MILLISECONDS.toNanos(
+        random.nextLong(Math.max(1, options.snapshotSpreadMillis())));
+  }
+
+  private boolean isSnapshotDue(long epochMillis) {
+    boolean isAble = readiness == Readiness.READY && !replay.hasGap() && failures == 0;
+    if (!isAble || replay.configuration().nextOffset() == ConfigurationState.FIRST_OFFSET) {
+      return false;
+    }
+    long ageMillis = epochMillis - replay.snapshotTimeMillis();
+    return replay.changesSinceSnapshot() >= options.snapshotRecords()
+        || ageMillis >= options.snapshotIntervalMillis();
+  }
+
+  private void appendSnapshot(long epochMillis, List<FollowerDecision> decisions) {
+    snapshotAt = NONE;
+    snapshotBaseOffset = -1;
+    Snapshot snapshot = replay.snapshot();
+    if (snapshot == null) {
+      return;
+    }
+    snapshotsAppended++;
+    String id = host + "-" + HexFormat.of().toHexDigits(random.nextLong());
+    List<ConfigurationRecord> records =
+        snapshot.chunks(id, options.snapshotChunkEntries()).stream()
+            .map(chunk -> recordOf(chunk, epochMillis))
+            .toList();
+    decisions.add(new AppendSnapshot(records));
+  }
+
+  private ConfigurationRecord recordOf(SnapshotChunk chunk, long epochMillis) {
+    String recordId = chunk.snapshotId() + "-" + chunk.index();
+    return ConfigurationRecord.ofSnapshot(recordId, host, epochMillis, chunk);
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/config/LogReplay.java
@@ -0,0 +1,302 @@
+package io.samphiredyke.core.config;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Rebuilds the state from pages of the log, from its first record or from a snapshot.
+ *
+ * <p>While records before the oldest kept one are missing, entries are held back until a complete
+ * snapshot covers the gap. The state never goes back. Not thread-safe.
+ */
+public final class LogReplay {
+
+  private static final int MAX_RECENT_ENTRIES = 1_024;
+
+  private final SnapshotAssembler assembler = new SnapshotAssembler();
+  private final List<LogEntry> heldBack = new ArrayList<>();
+  private final Deque<LogEntry> recent = new ArrayDeque<>();
+  private @Nullable ConfigurationState state;
+  private boolean hasGap;
+  private long pollOffset = ConfigurationState.FIRST_OFFSET;
+  private long snapshotOffset = -1;
+  private long snapshotTimeMillis;
+  private long firstTimeMillis;
+  private int changesSinceSnapshot;
+  private long undecodable;
+  private long refusedRegressions;
+
+  /** Returns the offset to read from next. */
+  public long pollOffset() {
+    return pollOffset;
+  }
+
+  /** Returns whether the state is known. */
+  public boolean isComplete() {
+    return state != null;
+  }
+
+  /** Returns whether records are known to be missing between the state and the log. */
+  public boolean hasGap() {
+    return hasGap;
+  }
+
+  /** Returns the configuration in force, empty while the state is not known. */
+  public Configuration configuration() {
+    return state == null ? Configuration.empty() : state.configuration();
+  }
+
+  /** Returns the state as a snapshot, null while it is not known. */
+  public @Nullable Snapshot snapshot() {
+    return state == null ? null : state.snapshot();
+  }
+
+  /**
+   * Returns when the log took the newest complete snapshot, else the oldest entry that was read, in
+   * milliseconds since 1970; 0 if nothing was read.
+   */
+  public long snapshotTimeMillis() {
+    return snapshotTimeMillis == 0 ? firstTimeMillis : snapshotTimeMillis;
+  }
+
+  /** Returns the offset of the newest complete snapshot's state, -1 if there is none. */
+  public long snapshotOffset() {
+    return snapshotOffset;
+  }
+
+  /** Returns how many records with changes were read since the newest complete snapshot. */
+  public int changesSinceSnapshot() {
+    return changesSinceSnapshot;
+  }
+
+  /** Returns how many records could not be decoded. */
+  public long undecodable() {
+    return undecodable;
+  }
+
+  /** Returns how many offers to go back were refused. */
+  public long refusedRegressions() {
+    return refusedRegressions;
+  }
+
+  /**
+   * Takes in a page read from {@link #pollOffset()}.
+   *
+   * @param page the page
+   * @return the results of the records that were applied now
+   */
+  public List<ApplyResult> accept(LogPage page) {
+    if (page.next() < pollOffset && page.entries().isEmpty()) {
+      refusedRegressions++;
+      return List.of();
+    }
+    if (state == null && !hasGap) {
+      start(page);
+    }
+    return accept(page.entries());
+  }
+
+  private void start(LogPage page) {
+    if (page.first() > ConfigurationState.FIRST_OFFSET) {
+      expired(page.first());
+    } else {
+      state = new ConfigurationState();
+    }
+  }
+
+  private List<ApplyResult> accept(List<LogEntry> entries) {
+    List<ApplyResult> results = new ArrayList<>();
+    for (LogEntry entry : entries) {
+      if (entry.offset() < pollOffset) {
+        continue;
+      }
+      if (entry.offset() > pollOffset) {
+        expired(entry.offset());
+      }
+      pollOffset = entry.offset() + 1;
+      take(entry, results);
+    }
+    return results;
+  }
+
+  private void take(LogEntry entry, List<ApplyResult> results) {
+    firstTimeMillis = firstTimeMillis == 0 ? entry.timeMillis() : firstTimeMillis;
+    if (hasGap) {
+      heldBack.add(entry);
+    } else {
+      results.add(apply(entry));
+    }
+    count(entry, results);
+  }
+
+  private void count(LogEntry entry, List<ApplyResult> results) {
+    ConfigurationRecord record = entry.record();
+    if (record == null) {
+      undecodable++;
+      return;
+    }
+    SnapshotChunk chunk = record.snapshot();
+    if (chunk == null) {
+      changesSinceSnapshot++;
+      return;
+    }
+    assembler.add(chunk).ifPresent(snapshot -> found(snapshot, entry, results));
+  }
+
+  private void found(Snapshot snapshot, LogEntry entry, List<ApplyResult> results) {
+    if (snapshot.nextOffset() > entry.offset()) {
+      refusedRegressions++;
+      return;
+    }
+    if (snapshot.nextOffset() >= snapshotOffset) {
+      snapshotOffset = snapshot.nextOffset();
+      snapshotTimeMillis = entry.timeMillis();
+      changesSinceSnapshot = 0;
+    }
+    if (hasGap && !heldBack.isEmpty() && snapshot.nextOffset() >= heldBack.get(0).offset()) {
+      closeGap(snapshot, results);
+    }
+  }
+
+  private void closeGap(Snapshot snapshot, List<ApplyResult> results) {
+    if (restore(snapshot)) {
+      bridge(results);
+    }
+  }
+
+  /** Applies the entries held back if the state now reaches the first of them. */
+  private void bridge(List<ApplyResult> results) {
+    ConfigurationState current = state;
+    long firstHeld = heldBack.isEmpty() ? pollOffset : heldBack.get(0).offset();
+    if (current == null || current.nextOffset() < firstHeld) {
+      return;
+    }
+    for (LogEntry held : heldBack) {
+      if (held.offset() == current.nextOffset()) {
+        results.add(apply(held));
+      }
+    }
+    heldBack.clear();
+    hasGap = false;
+    pollOffset = Math.max(pollOffset, current.nextOffset());
+  }
+
+  private long stateOffset() {
+    return state == null ? -1 : state.nextOffset();
+  }
+
+  private ApplyResult apply(LogEntry entry) {
+    ConfigurationState current = state;
+    if (current == null) {
+      throw new IllegalStateException("no state to apply offset " + entry.offset() + " to");
+    }
+    recent.addLast(entry);
+    if (recent.size() > MAX_RECENT_ENTRIES) {
+      recent.removeFirst();
+    }
+    ConfigurationRecord record = entry.record();
+    return record == null ? current.skip(entry.offset()) : current.apply(entry.offset(), record);
+  }
+
+  /** Replaces the state by a later one; refuses an earlier one. */
+  private boolean restore(Snapshot snapshot) {
+    ConfigurationState current = state;
+    if (current != null && goesBack(current.configuration(), snapshot)) {
+      refusedRegressions++;
+      return false;
+    }
+    state = new ConfigurationState(snapshot);
+    recent.clear();
+    return true;
+  }
+
+  private static boolean goesBack(Configuration current, Snapshot snapshot) {
+    if (snapshot.nextOffset() < current.nextOffset()) {
+      return true;
+    }
+    return snapshot.items().stream()
+        .anyMatch(item -> item.version() < current.version(item.item().key()));
+  }
+
+  /**
+   * Notes that the log no longer has the record at {@link #pollOffset()}.
+   *
+   * @param first the offset of the oldest record that it keeps
+   */
+  public void expired(long first) {
+    if (first <= pollOffset) {
+      return;
+    }
+    heldBack.clear();
+    hasGap = true;
+    pollOffset = first;
+  }
+
+  /**
+   * Takes in what a peer knows.
+   *
+   * @param answer the answer of the peer
+   * @return the results of the records that were applied now
+   */
+  public List<ApplyResult> accept(PeerAnswer answer) {
+    snapshotTimeMillis = Math.max(snapshotTimeMillis, answer.snapshotTimeMillis());
+    List<ApplyResult> results = new ArrayList<>();
+    Snapshot snapshot = answer.snapshot();
+    if (snapshot != null) {
+      adopt(snapshot);
+    } else {
+      extend(answer, results);
+    }
+    bridge(results);
+    return results;
+  }
+
+  private void adopt(Snapshot snapshot) {
+    boolean isNews = state == null || snapshot.nextOffset() > state.nextOffset();
+    if (isNews && restore(snapshot) && !hasGap) {
+      pollOffset = snapshot.nextOffset();
+    }
+  }
+
+  private void extend(PeerAnswer answer, List<ApplyResult> results) {
+    ConfigurationState current = state;
+    long from = answer.entries().isEmpty() ? answer.nextOffset() : answer.entries().get(0).offset();
+    if (current == null && from == ConfigurationState.FIRST_OFFSET) {
+      current = new ConfigurationState();
+      state = current;
+    }
+    if (current == null || from > current.nextOffset()) {
+      return;
+    }
+    for (LogEntry entry : answer.entries()) {
+      if (entry.offset() == stateOffset()) {
+        results.add(apply(entry));
+        count(entry, results);
+      }
+    }
+  }
+
+  /**
+   * Returns what this node knows from an offset on.
+   *
+   * @param from the offset of the first record that the peer lacks
+   * @return the answer, null while the state is not known
+   */
+  public @Nullable PeerAnswer answer(long from) {
+    ConfigurationState current = state;
+    if (current == null) {
+      return null;
+    }
+    List<LogEntry> entries = recent.stream().filter(entry -> entry.offset() >= from).toList();
+    boolean isCovered =
+        from >= current.nextOffset() || (!entries.isEmpty() && entries.get(0).offset() == from);
+    return new PeerAnswer(
+        current.nextOffset(),
+        isCovered ? entries : List.of(),
+        isCovered ? null : current.snapshot(),
+        snapshotTimeMillis);
+  }
+}
