Client: use the shared decoder of server-sent events, read problems within a stream

A problem document within a stream is now known by its member ran, since the decoder keeps the last id and gives no event types.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Reception.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Reception.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.samphiredyke.client.AnswerListener;
 import io.samphiredyke.net.codec.Json;
+import io.samphiredyke.net.sse.SseEvent;
 import java.io.IOException;
 import org.jspecify.annotations.Nullable;
 
@@ -15,8 +16,6 @@
  */
 public final class Reception {
 
-  private static final String DONE = "[DONE]";
-
   private final AnswerListener listener;
   private final StringBuilder text = new StringBuilder();
   private long lastOffset;
@@ -46,7 +45,7 @@
     if (offset != lastOffset + 1 || done) {
       return Result.REFUSED;
     }
-    if (event.data().equals(DONE)) {
+    if (event.isDone()) {
       lastOffset = offset;
       done = true;
       return Result.ACCEPTED;
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -11,10 +11,9 @@
 import io.samphiredyke.client.NotRunException;
 import io.samphiredyke.client.OutcomeUnknownException;
 import io.samphiredyke.client.Ran;
-import io.samphiredyke.net.http.ConnectFailedException;
 import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpStream;
-import java.io.ByteArrayOutputStream;
+import io.samphiredyke.net.sse.SseEvent;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -44,7 +43,6 @@
   private Route route = new Route(List.of());
   private Reception reception;
   private String id = "";
-  private int generation;
   private int failures;
   private int redirects;
   private int ids;
@@ -52,6 +50,7 @@
   private int connectionsOfId;
   private boolean maybeSent;
   private @Nullable HttpStream stream;
+  private @Nullable ResponseReader reader;
 
   /** What the requests of a client share. */
   public record Client(
@@ -126,7 +125,6 @@
     if (result.isDone()) {
       return;
     }
-    generation++;
     HttpRequest.Builder request =
         HttpRequest.builder()
             .method("POST")
@@ -144,100 +142,68 @@
     connectionsOfId++;
     Connections pool = client.connections();
     boolean first = connectionsOfId == 1;
-    ResponseReader reader = new ResponseReader(loop, new Sink(generation, maybeSent));
+    ResponseReader opened = new ResponseReader(loop, new Handler(maybeSent));
     maybeSent = true;
-    stream = (first ? pool.kept() : pool.fresh()).open(request.build(), reader);
+    reader = opened;
+    stream = (first ? pool.kept() : pool.fresh()).open(request.build(), opened);
   }
 
-  /** Receives the parts of one response; those of an abandoned one are dropped. */
-  private final class Sink implements ResponseReader.Sink {
+  /** Follows one response. */
+  private final class Handler implements ResponseReader.Handler {
 
-    private final int own;
     private final boolean sentBefore;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private @Nullable SseParser parser;
-    private ResponseReader.Head head = ResponseReader.Head.NONE;
 
-    Sink(int own, boolean sentBefore) {
-      this.own = own;
+    Handler(boolean sentBefore) {
       this.sentBefore = sentBefore;
     }
 
-    private boolean isStale() {
-      return own != generation || result.isDone();
-    }
-
     @Override
-    public void head(ResponseReader.Head received) {
-      head = received;
-      if (call.kind() == Call.Kind.STREAM && received.isEventStream()) {
-        parser = new SseParser(this::event);
-      }
-    }
-
-    private void event(SseEvent event) {
-      if (!isStale()) {
-        RequestRun.this.event(event, head);
-      }
+    public void event(SseEvent event, ResponseReader.Head head) {
+      RequestRun.this.event(event, head);
     }
 
     @Override
-    public void chunk(byte[] bytes) {
-      if (isStale()) {
-        return;
-      }
-      if (parser == null) {
-        body.writeBytes(bytes);
-        return;
-      }
-      parser.read(bytes);
+    public void whole(ResponseReader.Head head, byte[] body) {
+      judge(head, body);
     }
 
     @Override
-    public void end() {
-      if (isStale()) {
-        return;
-      }
-      if (parser != null) {
-        cut();
-        return;
-      }
-      judge(head, body.toByteArray());
+    public void cut() {
+      RequestRun.this.cut();
     }
 
     @Override
-    public void failure(Throwable cause) {
-      if (isStale()) {
-        return;
-      }
-      if (cause instanceof ConnectFailedException) {
-        maybeSent = sentBefore;
-        connectFailed();
-        return;
-      }
-      cut();
+    public void connectFailed() {
+      maybeSent = sentBefore;
+      RequestRun.this.connectFailed();
     }
   }
 
   private void event(SseEvent event, ResponseReader.Head head) {
-    if (event.type().equals("error")) {
-      judgeProblem(head, Problem.parse(event.data().getBytes(StandardCharsets.UTF_8)));
-      return;
-    }
     Reception.Result taken = reception.accept(event);
-    if (taken == Reception.Result.REFUSED) {
-      cut();
+    if (taken != Reception.Result.ACCEPTED) {
+      refused(event, head, taken);
       return;
     }
-    if (taken == Reception.Result.ACCEPTED) {
-      failures = 0;
-      route.progress();
-    }
+    failures = 0;
+    route.progress();
     if (reception.isWhole()) {
       succeed(head.status(), reception.text());
     }
   }
 
+  /** A stream may end with a problem document in place of a chunk, with or without an offset. */
+  private void refused(SseEvent event, ResponseReader.Head head, Reception.Result taken) {
+    Problem problem = Problem.parse(event.data().getBytes(StandardCharsets.UTF_8));
+    if (problem.ran() != null) {
+      judgeProblem(head, problem);
+      return;
+    }
+    if (taken == Reception.Result.REFUSED) {
+      cut();
+    }
+  }
+
   private void connectFailed() {
     forgetLease();
     boolean wasLast = route.isLast();
@@ -378,7 +344,10 @@
   }
 
   private void closeStream() {
-    generation++;
+    if (reader != null) {
+      reader.abandon();
+      reader = null;
+    }
     if (stream != null) {
       stream.close();
       stream = null;
@@ -389,6 +358,9 @@
     if (deadlineTask != null) {
       deadlineTask.cancel(false);
     }
+    if (reader != null) {
+      reader.abandon();
+    }
     if (result.isCompletedExceptionally()) {
       closeStream();
     }
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -1,30 +1,119 @@
 package io.samphiredyke.client.internal;
 
 import io.netty.channel.EventLoop;
+import io.samphiredyke.net.http.ConnectFailedException;
 import io.samphiredyke.net.http.StreamListener;
+import io.samphiredyke.net.sse.SseDecoder;
+import io.samphiredyke.net.sse.SseEvent;
+import io.samphiredyke.net.sse.SseException;
+import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
-/** Moves the parts of a response, in order, from its connection's event loop to the request's. */
+/**
+ * Reads one response and reports it on the request's event loop.
+ *
+ * <p>The parts arrive on the connection's event loop and are moved, in order, to the request's.
+ */
 final class ResponseReader implements StreamListener {
 
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
   private final EventLoop loop;
-  private final Sink sink;
+  private final Handler handler;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private @Nullable SseDecoder decoder;
+  private Head head = Head.NONE;
+  private boolean abandoned;
 
-  ResponseReader(EventLoop loop, Sink sink) {
+  ResponseReader(EventLoop loop, Handler handler) {
     this.loop = loop;
-    this.sink = sink;
+    this.handler = handler;
+  }
+
+  /** Receives a response on the request's event loop. */
+  interface Handler {
+
+    /** Called with each event of a stream. */
+    void event(SseEvent event, Head head);
+
+    /** Called with a whole answer that isn't a stream. */
+    void whole(Head head, byte[] body);
+
+    /** Called when the answer ended before it was whole. */
+    void cut();
+
+    /** Called when no connection could be made, so that nothing was sent. */
+    void connectFailed();
+  }
+
+  /** Drops whatever is still to come. */
+  void abandon() {
+    abandoned = true;
+  }
+
+  private void inOrder(Runnable step) {
+    loop.execute(
+        () -> {
+          if (!abandoned) {
+            step.run();
+          }
+        });
+  }
+
+  @Override
+  public void onHead(int status, Map<String, String> headers) {
+    inOrder(() -> begin(new Head(status, headers)));
   }
 
-  /** Receives the parts on the request's event loop. */
-  interface Sink {
-    void head(Head head);
+  private void begin(Head received) {
+    head = received;
+    if (received.isEventStream()) {
+      decoder = new SseDecoder(MAX_EVENT_BYTES);
+    }
+  }
 
-    void chunk(byte[] bytes);
+  @Override
+  public void onChunk(byte[] bytes) {
+    inOrder(() -> read(bytes));
+  }
 
-    void end();
+  private void read(byte[] bytes) {
+    if (decoder == null) {
+      body.writeBytes(bytes);
+      return;
+    }
+    try {
+      decoder.feed(bytes, this::pass);
+    } catch (SseException e) {
+      handler.cut();
+    }
+  }
 
-    void failure(Throwable cause);
+  private void pass(SseEvent event) {
+    if (!abandoned) {
+      handler.event(event, head);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    inOrder(this::end);
+  }
+
+  private void end() {
+    if (decoder != null) {
+      handler.cut();
+      return;
+    }
+    handler.whole(head, body.toByteArray());
+  }
+
+  @Override
+  public void onFailure(Throwable cause) {
+    boolean nothingSent = cause instanceof ConnectFailedException;
+    inOrder(nothingSent ? handler::connectFailed : handler::cut);
   }
 
   /**
@@ -63,24 +152,4 @@
       }
     }
   }
-
-  @Override
-  public void onHead(int status, Map<String, String> headers) {
-    loop.execute(() -> sink.head(new Head(status, headers)));
-  }
-
-  @Override
-  public void onChunk(byte[] bytes) {
-    loop.execute(() -> sink.chunk(bytes));
-  }
-
-  @Override
-  public void onEnd() {
-    loop.execute(sink::end);
-  }
-
-  @Override
-  public void onFailure(Throwable cause) {
-    loop.execute(() -> sink.failure(cause));
-  }
 }
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
@@ -164,6 +164,12 @@
     assertThat(notRun).isEmpty();
   }
 
+  @Test
+  void readsProblemWithinStream() {
+    entry.then(ScriptedEntry.problemEvent(503, "unknown"));
+    assertThat(failure(CHAT, OutcomeUnknownException.class).status()).isEqualTo(503);
+  }
+
   @Test
   void followsMisdirectedRequestUnderTheSameId() {
     ScriptedEntry other = new ScriptedEntry(group);
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/ScriptedEntry.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/ScriptedEntry.java
@@ -103,6 +103,17 @@
     };
   }
 
+  /** Streams one chunk, and a problem document without an offset. */
+  static HttpHandler problemEvent(int status, String ran) {
+    return exchange -> {
+      ResponseStream stream =
+          exchange.startStream(200, Map.of("content-type", "text/event-stream"));
+      stream.write(bytes("id: 1\ndata: {\"choices\":[]}\n\n"));
+      stream.write(bytes("data: {\"status\":" + status + ",\"ran\":\"" + ran + "\"}\n\n"));
+      stream.end();
+    };
+  }
+
   static HttpHandler misdirected(String address) {
     return exchange ->
         exchange.respond(
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/internal/ReceptionTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/internal/ReceptionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.samphiredyke.client.AnswerListener;
+import io.samphiredyke.net.sse.SseEvent;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -21,7 +22,7 @@
       for (int i = 1; i <= length; i++) {
         arrivals.add(event(i, "t" + i + " "));
       }
-      arrivals.add(new SseEvent(Integer.toString(length + 1), "message", "[DONE]"));
+      arrivals.add(new SseEvent(Integer.toString(length + 1), "[DONE]"));
     }
     Collections.shuffle(arrivals, new Random(seed));
     List<Long> told = new ArrayList<>();
@@ -49,13 +50,12 @@
     for (int i = 1; i <= length; i++) {
       reception.accept(event(i, "x"));
     }
-    assertThat(reception.accept(new SseEvent("", "message", "[DONE]")))
-        .isEqualTo(Reception.Result.REFUSED);
+    assertThat(reception.accept(new SseEvent("", "[DONE]"))).isEqualTo(Reception.Result.REFUSED);
     assertThat(reception.isWhole()).isFalse();
   }
 
   private static SseEvent event(int offset, String text) {
     String data = "{\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}";
-    return new SseEvent(Integer.toString(offset), "message", data);
+    return new SseEvent(Integer.toString(offset), data);
   }
 }
