Authenticated links between hosts

Cause: brokers, witnesses and entries exchange small messages that must name the process they are for, and a connection may be forgotten by something between its ends while new ones work. Change: framed MessagePack over TCP, mutual proof by HMAC with rotating keys, requests with timeouts. A request for another incarnation is never delivered; a timeout without any received frame closes the link; an exception says whether the request may have arrived.

--- /dev/null
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerNodeTest.java
@@ -0,0 +1,117 @@
+package io.samphiredyke.net.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.schema.message.PeerMessage;
+import io.samphiredyke.schema.message.ReadRegister;
+import io.samphiredyke.schema.message.RequestStatus;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerNodeTest {
+
+  private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+  private static final PeerKey OLD = PeerKey.parse("old:00112233");
+  private static final PeerKey NEW = PeerKey.parse("new:44556677");
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private PeerNode start(String name, PeerHandler handler, PeerKey... keys) {
+    PeerIdentity self = new PeerIdentity(name, name + "-1", "127.0.0.1:1", "dc");
+    PeerKeys all = new PeerKeys(List.of(keys));
+    return PeerNode.start(group, ANY_PORT, self, all, PeerOptions.defaults(), handler).join();
+  }
+
+  private PeerNode echo(String name, PeerKey... keys) {
+    return start(
+        name,
+        (from, message, reply) -> {
+          ReadRegister read = (ReadRegister) message;
+          String answer = from.name() + ":" + read.requestId();
+          reply.accept(RequestStatus.builder().requestId(answer).build());
+        },
+        keys);
+  }
+
+  private static PeerMessage read(String id) {
+    return ReadRegister.builder().requestId(id).build();
+  }
+
+  @Test
+  void answersRequestsOfAuthenticatedPeers() {
+    PeerNode server = echo("server", NEW, OLD);
+    PeerNode client = echo("client", OLD, NEW);
+    PeerMessage reply = client.request(server.address(), "server-1", read("a"), PATIENCE).join();
+    assertThat(((RequestStatus) reply).requestId()).isEqualTo("client:a");
+  }
+
+  @Test
+  void refusesPeersWithAnotherKey() {
+    PeerNode server = echo("server", NEW);
+    PeerNode client = echo("client", OLD);
+    CompletableFuture<PeerMessage> reply =
+        client.request(server.address(), null, read("a"), PATIENCE);
+    assertThatThrownBy(reply::join)
+        .hasCauseInstanceOf(PeerUnreachableException.class)
+        .satisfies(e -> assertThat(mayHaveArrived(e)).isFalse());
+  }
+
+  @Test
+  void neverDeliversToAnotherIncarnation() {
+    PeerNode server = echo("server", NEW);
+    PeerNode client = echo("client", NEW);
+    CompletableFuture<PeerMessage> reply =
+        client.request(server.address(), "server-0", read("a"), PATIENCE);
+    assertThatThrownBy(reply::join).satisfies(e -> assertThat(mayHaveArrived(e)).isFalse());
+  }
+
+  @Test
+  void condemnsSilentLinksAndOpensNewOnes() {
+    CompletableFuture<Void> answer = new CompletableFuture<>();
+    PeerNode server =
+        start("server", (from, message, reply) -> answer.thenRun(() -> reply.accept(message)), NEW);
+    PeerNode client = echo("client", NEW);
+    CompletableFuture<PeerMessage> silent =
+        client.request(server.address(), null, read("a"), Duration.ofMillis(400));
+    assertThatThrownBy(silent::join).satisfies(e -> assertThat(mayHaveArrived(e)).isTrue());
+    answer.complete(null);
+    assertThat(client.request(server.address(), null, read("b"), PATIENCE).join())
+        .isEqualTo(read("b"));
+  }
+
+  @Test
+  void closesLinksWithMalformedFrames() throws Exception {
+    PeerNode server = echo("server", NEW);
+    try (Socket socket = new Socket("127.0.0.1", server.address().getPort())) {
+      OutputStream out = socket.getOutputStream();
+      out.write(new byte[] {0, 0, 0, 12, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, (byte) 0xc1, 1});
+      out.flush();
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+    assertThat(server.counters().malformedFrames()).isEqualTo(1);
+    PeerNode client = echo("client", NEW);
+    assertThat(client.request(server.address(), null, read("b"), PATIENCE).join()).isNotNull();
+  }
+
+  private static boolean mayHaveArrived(Throwable thrown) {
+    return ((PeerUnreachableException) thrown.getCause()).mayHaveArrived();
+  }
+}
