Settings: schemas of the daemon and the tool, loader, reference page

SettingsLoader makes the argparse4j parser from the schema, merges defaults, environment and flags and reports all findings together with their places. docs/SETTINGS.md is written from the schema; GeneratedCodeTest compares it.

argparse4j's own help and version actions print to System.out, and the version action ends the process, so that both are plain switches here. An ambiguous abbreviation or a flag without its value stops the parser at once; then only this and the wrong environment variables are reported.

--- a/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/Field.java
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/Field.java
@@ -1,6 +1,8 @@
 package io.samphiredyke.schema.generator;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.samphiredyke.schema.settings.loader.ValueParser;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -57,11 +59,9 @@
       case "" -> "String";
       case "duration" -> "Duration";
       case "data-size" -> "long";
-      case "ip-port" -> "InetSocketAddress";
-      case "uri" -> "URI";
+      case "ip-port", "listen-address", "http-address" -> "InetSocketAddress";
       case "path" -> "Path";
       case "key" -> "NamedKey";
-      case "password" -> "Secret";
       default -> throw new IllegalArgumentException("unknown format of property " + name);
     };
   }
@@ -104,6 +104,9 @@
     if (nullable) {
       return "null";
     }
+    if (schema.has("default")) {
+      return defaultValue();
+    }
     return switch (javaType) {
       case "int", "long", "double" -> "0";
       case "boolean" -> "false";
@@ -112,6 +115,25 @@
     };
   }
 
+  private String defaultValue() {
+    String text = schema.get("default").asText();
+    Object value = ValueParser.parse(schema, text);
+    if (isEnum()) {
+      return javaType + "." + constant(text);
+    }
+    if (value instanceof Duration duration) {
+      return "Duration.ofMillis(" + duration.toMillis() + ")";
+    }
+    if (value instanceof Long) {
+      return value + "L";
+    }
+    return value instanceof String ? "\"" + text + "\"" : String.valueOf(value);
+  }
+
+  static String constant(String text) {
+    return text.toUpperCase(Locale.ROOT).replace('-', '_');
+  }
+
   private String enumOrNull() {
     return isEnum() && !strict ? javaType + ".UNRECOGNIZED" : "null";
   }
--- a/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/GenerateCode.java
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/GenerateCode.java
@@ -14,6 +14,7 @@
 final class GenerateCode {
 
   private static final String MESSAGE_PACKAGE = "io.samphiredyke.schema.message";
+  private static final String SETTINGS_PACKAGE = "io.samphiredyke.schema.settings";
 
   private final Path schemas;
   private final Map<Path, String> files = new TreeMap<>();
@@ -30,9 +31,20 @@
     writeRecords(MESSAGE_PACKAGE, messages, false);
     write(MESSAGE_PACKAGE, "PeerMessage", types.peerMessage());
     write(MESSAGE_PACKAGE, "MessageType", types.messageType());
+    writePackage(SETTINGS_PACKAGE, "Settings of the programs.");
+    writeRecords(SETTINGS_PACKAGE, settings(), true);
     return files;
   }
 
+  /** Returns the reference page of all settings. */
+  String settingsPage() throws IOException {
+    return new SettingsPageWriter().write(settings());
+  }
+
+  private List<SchemaFile> settings() throws IOException {
+    return SchemaFile.readAll(schemas.resolve("settings"));
+  }
+
   private void writePackage(String packageName, String description) {
     String text =
         """
--- a/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/GeneratedCodeTest.java
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/GeneratedCodeTest.java
@@ -15,6 +15,7 @@
 class GeneratedCodeTest {
 
   private static final Path SCHEMAS = Path.of("src/main/resources/schema");
+  private static final Path SETTINGS_PAGE = Path.of("../docs/SETTINGS.md");
   private static final Path CODE = Path.of("src/generated/java");
 
   @Test
@@ -30,4 +31,13 @@
           .isEqualTo(file.getValue());
     }
   }
+
+  @Test
+  void settingsPageFollowsFromTheSchemas() throws IOException {
+    String expected = new GenerateCode(SCHEMAS).settingsPage();
+    if (Boolean.getBoolean("samphiredyke.schema.write")) {
+      Files.writeString(SETTINGS_PAGE, expected);
+    }
+    assertThat(SETTINGS_PAGE).hasContent(expected);
+  }
 }
--- a/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/RecordWriter.java
+++ b/samphiredyke-schema/src/test/java/io/samphiredyke/schema/generator/RecordWriter.java
@@ -13,9 +13,7 @@
       import com.fasterxml.jackson.annotation.JsonCreator;
       import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
       import io.samphiredyke.schema.settings.type.NamedKey;
-      import io.samphiredyke.schema.settings.type.Secret;
       import java.net.InetSocketAddress;
-      import java.net.URI;
       import java.nio.file.Path;
       import java.time.Duration;
       import java.util.Arrays;
@@ -69,22 +67,32 @@
   }
 
   private static String javadoc(JsonNode schema, List<Field> fields) {
-    return "/** %s\n *\n".formatted(html(schema.path("description").asText()))
+    return "/** %s\n *\n".formatted(html(summary(schema)))
         + join(fields, "", f -> " * @param %s %s\n".formatted(f.name(), html(f.description())))
         + " */\n";
   }
 
+  private static String summary(JsonNode schema) {
+    if (schema.has("x-program")) {
+      return "Settings of `" + schema.get("x-program").asText() + "`.";
+    }
+    return schema.path("description").asText();
+  }
+
   static String html(String markdown) {
     return markdown.replaceAll("`([^`]*)`", "{@code $1}");
   }
 
-  private static String constructor(String name, List<Field> fields) {
+  private String constructor(String name, List<Field> fields) {
     String body = join(fields, "", Field::normalisation);
     if (body.isEmpty()) {
       return "";
     }
-    return "/** Replaces absent values and copies lists. */\npublic %s {\n%s}\n"
-        .formatted(name, body);
+    String doc =
+        strict
+            ? "Checks that required values are present and copies lists."
+            : "Replaces absent values and copies lists.";
+    return "/** %s */\npublic %s {\n%s}\n".formatted(doc, name, body);
   }
 
   private String nestedType(Field field) {
@@ -100,7 +108,10 @@
 
   private String enumeration(JsonNode schema, Field field) {
     String name = field.javaType().replace("List<", "").replace(">", "");
-    String constants = String.join(", ", Field.texts(schema.path("enum")));
+    String constants =
+        Field.texts(schema.path("enum")).stream()
+            .map(Field::constant)
+            .collect(Collectors.joining(", "));
     String doc = "/** " + html(field.description()) + " */\n";
     if (strict) {
       return doc + "public enum %s { %s }\n".formatted(name, constants);
