HTTP server: keep the connection after answering a request without a body

A request without a body was taken as unread until its empty last part had been decoded, so an answer sent at once closed the connection, and the client, which had seen no Connection: close, lost its next request on it.

A request without a body now counts as read with its head, and an answer that is sent before a body was read says Connection: close.

HttpExchange gains connectionNumber() and abort(), which the stand-ins need to make open connections silent and to lose answers.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpExchange.java
@@ -41,6 +41,15 @@
   /** Returns a future that completes when the connection closes before the answer ended. */
   CompletableFuture<Void> disconnected();
 
+  /**
+   * Returns the connection's number, which is the same for all of its requests and larger than that
+   * of every connection made before in this process.
+   */
+  long connectionNumber();
+
+  /** Closes the connection without sending any more, so that the caller sees that it is cut. */
+  void abort();
+
   /** Sends a whole answer as JSON. */
   default void respondJson(int status, Object value) {
     respond(status, Map.of("content-type", "application/json"), Json.bytes(value));
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,6 +28,9 @@
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+  private static final AtomicLong CONNECTIONS = new AtomicLong();
+
+  private final long number = CONNECTIONS.incrementAndGet();
   private final HttpServerOptions options;
   private final HttpHandler handler;
   private @Nullable ServerExchange exchange;
@@ -57,7 +61,7 @@
       ctx.close();
       return;
     }
-    inputEnded = false;
+    inputEnded = !hasBody(request);
     ctx.channel().config().setAutoRead(false);
     long timeoutMillis = options.requestTimeout().toMillis();
     requestTimer =
@@ -74,6 +78,11 @@
     }
   }
 
+  private static boolean hasBody(HttpRequest request) {
+    return HttpUtil.isTransferEncodingChunked(request)
+        || HttpUtil.getContentLength(request, 0L) > 0;
+  }
+
   private void readContent(ChannelHandlerContext ctx, ByteBuf bytes, boolean last) {
     ServerExchange current = exchange;
     if (last) {
@@ -113,6 +122,16 @@
     ctx.close();
   }
 
+  /** Returns whether the current request has been read to its end. */
+  boolean isInputEnded() {
+    return inputEnded;
+  }
+
+  /** Returns the connection's number. */
+  long number() {
+    return number;
+  }
+
   /** Called when the answer of the current exchange has been sent. */
   void answered(ChannelHandlerContext ctx, boolean keepAlive) {
     if (!keepAlive || !inputEnded) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
@@ -82,6 +82,11 @@
     return ctx.channel().eventLoop();
   }
 
+  @Override
+  public long connectionNumber() {
+    return connection.number();
+  }
+
   @Override
   public CompletableFuture<byte[]> body() {
     onLoop(this::askForBody);
@@ -200,7 +205,7 @@
   }
 
   private void setConnection(HttpResponse response) {
-    if (!keepAlive) {
+    if (!keepAlive || !connection.isInputEnded()) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -10,7 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +48,34 @@
     server.stop().join();
   }
 
+  @Test
+  void answersRequestsWithoutBodyOverOneConnection() {
+    Set<Long> connections = ConcurrentHashMap.newKeySet();
+    HttpServer server =
+        serve(
+            exchange -> {
+              connections.add(exchange.connectionNumber());
+              exchange.respond(200, Map.of(), new byte[0]);
+            });
+    for (int i = 0; i < 50; i++) {
+      client.send(HttpRequest.get(server.address(), "/").build()).join();
+    }
+    assertThat(connections).hasSize(1);
+    server.stop().join();
+  }
+
+  @Test
+  void answerBeforeTheBodySaysThatTheConnectionCloses() {
+    HttpServer server = serve(exchange -> exchange.respond(421, Map.of(), new byte[0]));
+    for (int i = 0; i < 50; i++) {
+      HttpRequest request = HttpRequest.post(server.address(), "/", new byte[500]).build();
+      HttpResponse response = client.send(request).join();
+      assertThat(response.status()).isEqualTo(421);
+      assertThat(response.headers()).containsEntry("connection", "close");
+    }
+    server.stop().join();
+  }
+
   @Test
   void streamsChunksInOrder() {
     HttpServer server =
