Stand-ins: HTTP interfaces of engine, plain service, log, host list and weight store

Each stand-in serves one event loop and is started by a static start(runtime, address, ...), so that a test or one process may hold several; faults are typed and strict (an unknown switch is answered 400). The clock of a test is polled each millisecond, so that advancing it is enough.

Open connections go silent by their number: those up to the newest that the stand-in had served when the switch was set.

--- a/samphiredyke-standins/src/main/java/io/samphiredyke/standins/engine/EmittedToken.java
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/engine/EmittedToken.java
@@ -7,6 +7,8 @@
  * @param id the request id
  * @param offset the token's place in the answer, from 1
  * @param last whether the answer ends with it
+ * @param prefilledTokens the prompt tokens that the execution computed
  * @param time when it was made, nanoseconds of the engine's monotonic clock
  */
-public record EmittedToken(long execution, String id, int offset, boolean last, long time) {}
+public record EmittedToken(
+    long execution, String id, int offset, boolean last, long prefilledTokens, long time) {}
--- a/samphiredyke-standins/src/main/java/io/samphiredyke/standins/engine/EngineModel.java
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/engine/EngineModel.java
@@ -198,12 +198,6 @@
     return Collections.unmodifiableMap(counts);
   }
 
-  /** Returns the tokens that an unfinished execution has prefilled, 0 if there is none. */
-  public long prefilledTokens(long execution) {
-    Sequence sequence = active.get(execution);
-    return sequence == null ? 0 : sequence.prefilled;
-  }
-
   private void startStep(long now) {
     admit();
     if (batch.isEmpty()) {
@@ -270,7 +264,9 @@
       boolean last = sequence.decoded == sequence.request.answerTokens();
       String id = sequence.request.id();
       count(id, RequestCounts.decoded(1));
-      emitted.add(new EmittedToken(sequence.execution, id, sequence.decoded, last, ended.end()));
+      emitted.add(
+          new EmittedToken(
+              sequence.execution, id, sequence.decoded, last, sequence.prefilled, ended.end()));
       if (last) {
         active.remove(sequence.execution);
         batch.remove(sequence);
--- /dev/null
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/engine/WeightFetcher.java
@@ -0,0 +1,74 @@
+package io.samphiredyke.standins.engine;
+
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpClientOptions;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.StreamListener;
+import io.samphiredyke.standins.server.StandInRuntime;
+import io.samphiredyke.standins.server.Timers;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Fetches a model's weights from the weight store, or waits as long as that would take. */
+final class WeightFetcher {
+
+  private static final Duration SILENCE_LIMIT = Duration.ofSeconds(30);
+  private static final int STATUS_OK = 200;
+
+  private final EngineSettings settings;
+  private final StandInRuntime runtime;
+  private final Timers timers;
+  private final HttpClient client;
+
+  WeightFetcher(EngineSettings settings, StandInRuntime runtime, Timers timers) {
+    this.settings = settings;
+    this.runtime = runtime;
+    this.timers = timers;
+    this.client = new HttpClient(runtime.loop(), HttpClientOptions.defaults());
+  }
+
+  /** Returns whether the weights came whole; completes on the event loop. */
+  CompletableFuture<Boolean> fetch(Order order) {
+    CompletableFuture<Boolean> fetched = new CompletableFuture<>();
+    InetSocketAddress store = settings.weightStore();
+    if (store == null) {
+      timers.after(settings.loadTime().toNanos(), () -> fetched.complete(true));
+      return fetched;
+    }
+    String path = "/v1/weights/" + order.model() + "/" + order.versionOrDefault();
+    HttpRequest request = HttpRequest.get(store, path).timeout(SILENCE_LIMIT).build();
+    client.open(request, new Discarding(fetched));
+    return fetched.thenApplyAsync(whole -> whole, runtime.loop());
+  }
+
+  /** Reads the bytes and forgets them. */
+  private static final class Discarding implements StreamListener {
+
+    private final CompletableFuture<Boolean> fetched;
+    private int status;
+
+    Discarding(CompletableFuture<Boolean> fetched) {
+      this.fetched = fetched;
+    }
+
+    @Override
+    public void onHead(int status, Map<String, String> headers) {
+      this.status = status;
+    }
+
+    @Override
+    public void onChunk(byte[] bytes) {}
+
+    @Override
+    public void onEnd() {
+      fetched.complete(status == STATUS_OK);
+    }
+
+    @Override
+    public void onFailure(Throwable cause) {
+      fetched.complete(false);
+    }
+  }
+}
--- a/samphiredyke-standins/src/test/java/io/samphiredyke/standins/engine/EngineModelTest.java
+++ b/samphiredyke-standins/src/test/java/io/samphiredyke/standins/engine/EngineModelTest.java
@@ -30,8 +30,8 @@
     List<EmittedToken> tokens = model.tick(1_000 * MILLISECOND);
     assertThat(tokens)
         .containsExactly(
-            new EmittedToken(1, "a", 1, false, 160 * MILLISECOND),
-            new EmittedToken(1, "a", 2, true, 170 * MILLISECOND));
+            new EmittedToken(1, "a", 1, false, 150, 160 * MILLISECOND),
+            new EmittedToken(1, "a", 2, true, 150, 170 * MILLISECOND));
     assertThat(model.nextStepAt()).isEqualTo(EngineModel.IDLE);
     assertThat(model.totalCounts()).isEqualTo(new RequestCounts(1, 1, 0, 150, 0, 0, 2));
   }
--- /dev/null
+++ b/samphiredyke-standins/src/test/java/io/samphiredyke/standins/engine/EngineStandInTest.java
@@ -0,0 +1,205 @@
+package io.samphiredyke.standins.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.samphiredyke.net.http.ConnectionLostException;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpResponse;
+import io.samphiredyke.standins.server.StandInFixture;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class EngineStandInTest {
+
+  private static final String CHAT = "/v1/chat/completions";
+  private static final String PROMPT_TEXT = "user\nIs the ledge open?\n";
+  private static final Duration ENOUGH = Duration.ofSeconds(20);
+
+  private final StandInFixture fixture = new StandInFixture();
+  private final EngineStandIn engine =
+      EngineStandIn.start(
+              fixture.runtime(),
+              StandInFixture.ANY_PORT,
+              EngineSettings.builder()
+                  .models(List.of("m"))
+                  .options(EngineOptions.builder().blockTokens(2).build())
+                  .cacheEventLoss(0)
+                  .resumeWindow(Duration.ofMinutes(1))
+                  .loadTime(Duration.ofSeconds(5))
+                  .build())
+          .join();
+  private final InetSocketAddress address = engine.address();
+
+  @AfterEach
+  void stop() {
+    engine.stop().join();
+    fixture.close();
+  }
+
+  @Test
+  void streamsTheWholeAnswerAndEndsIt() throws Exception {
+    CompletableFuture<HttpResponse> response = chat("t.1", 3, true);
+    awaitExecutions(1);
+    fixture.advance(ENOUGH);
+    List<String> events = List.of(response.join().text().split("\n\n"));
+    assertThat(events).hasSize(4);
+    assertThat(events.get(0)).startsWith("id: 1\ndata: {\"id\":\"chatcmpl-t.1\"");
+    assertThat(events.get(2)).contains("\"finish_reason\":\"length\"");
+    assertThat(events.get(3)).isEqualTo("id: 4\ndata: [DONE]");
+  }
+
+  @Test
+  void wholeAnswerBelongsToItsRequest() throws Exception {
+    CompletableFuture<HttpResponse> response = chat("t.1", 5, false);
+    awaitExecutions(1);
+    fixture.advance(ENOUGH);
+    String text = response.join().json(JsonNode.class).at("/choices/0/message/content").textValue();
+    AnswerText answer = AnswerText.of("t.1", Prompt.digestOf(PROMPT_TEXT));
+    assertThat(answer.check(text)).isEqualTo(AnswerText.Verdict.WHOLE);
+  }
+
+  @Test
+  void cutStreamIsResumedByIdAndOffset() throws Exception {
+    setFaults("{\"cutAfterTokens\":2}");
+    CompletableFuture<HttpResponse> response = chat("t.1", 4, true);
+    awaitExecutions(1);
+    fixture.advance(ENOUGH);
+    assertThatThrownBy(response::join).hasCauseInstanceOf(ConnectionLostException.class);
+    setFaults("{}");
+    HttpRequest resume =
+        HttpRequest.get(address, "/v1/requests/t.1/stream").header("last-event-id", "2").build();
+    String rest = fixture.client().send(resume).join().text();
+    assertThat(rest.split("\n\n")).hasSize(3);
+    assertThat(rest).startsWith("id: 3\n").endsWith("id: 5\ndata: [DONE]\n\n");
+    assertThat(counts().at("/requests/t.1/executions").longValue()).isEqualTo(1);
+  }
+
+  @Test
+  void finishedAnswerThatNooneReadIsWastedAfterTheWindow() throws Exception {
+    setFaults("{\"cutAfterTokens\":1}");
+    CompletableFuture<HttpResponse> response = chat("t.1", 4, true);
+    awaitExecutions(1);
+    fixture.advance(ENOUGH);
+    assertThatThrownBy(response::join).hasCauseInstanceOf(ConnectionLostException.class);
+    fixture.advance(Duration.ofMinutes(2));
+    long prefilled = counts().at("/total/prefilledTokens").longValue();
+    awaitText("/control/counts", "\"wastedPrefillTokens\":" + prefilled);
+    assertThat(prefilled).isPositive();
+    assertThat(fixture.get(address, "/v1/requests/t.1/stream").join().status()).isEqualTo(404);
+  }
+
+  @Test
+  void openConnectionsGoSilentWhileNewOnesWork() throws Exception {
+    HttpRequest request = chatRequest("t.1", 3, true).timeout(Duration.ofMillis(300)).build();
+    CompletableFuture<HttpResponse> silent = fixture.client().send(request);
+    awaitExecutions(1);
+    setFaults("{\"silenceOpenConnections\":true}");
+    fixture.advance(ENOUGH);
+    assertThatThrownBy(silent::join).hasCauseInstanceOf(ConnectionLostException.class);
+    HttpRequest resume = HttpRequest.get(address, "/v1/requests/t.1/stream").build();
+    assertThat(fixture.newClient().send(resume).join().text()).endsWith("[DONE]\n\n");
+  }
+
+  @Test
+  void crashLosesStreams() throws Exception {
+    CompletableFuture<HttpResponse> response = chat("t.1", 1_000, true);
+    awaitExecutions(1);
+    setFaults("{\"crash\":true}");
+    assertThatThrownBy(response::join).hasCauseInstanceOf(ConnectionLostException.class);
+    assertThat(fixture.get(address, "/v1/requests/t.1/stream").join().status()).isEqualTo(404);
+    assertThat(counts().at("/total/cancelled").longValue()).isEqualTo(1);
+  }
+
+  @Test
+  void refusesWithoutExecuting() throws Exception {
+    setFaults("{\"rejectStatus\":503}");
+    assertThat(chat("t.1", 1, true).join().status()).isEqualTo(503);
+    assertThat(counts().at("/total/executions").longValue()).isZero();
+  }
+
+  @Test
+  void unknownFaultIsRefused() {
+    HttpResponse response = fixture.post(address, "/control/faults", "{\"slow\":2}").join();
+    assertThat(response.status()).isEqualTo(400);
+    assertThat(response.text()).contains("slow");
+  }
+
+  @Test
+  void oldFenceIsRefusedAndLoadTakesItsTime() throws Exception {
+    assertThat(order("load", "n", 7).status()).isEqualTo(202);
+    assertThat(order("load", "n", 6).status()).isEqualTo(409);
+    assertThat(order("load", "n", 7).text()).contains("\"status\":\"loading\"");
+    fixture.advance(Duration.ofSeconds(5));
+    awaitText("/v1/state", "{\"model\":\"n\",\"version\":\"1\",\"status\":\"loaded\"}");
+  }
+
+  @Test
+  void exportedBlocksCanBeImported() throws Exception {
+    CompletableFuture<HttpResponse> response = chat("t.1", 1, false);
+    awaitExecutions(1);
+    fixture.advance(ENOUGH);
+    response.join();
+    JsonNode events = json("/v1/cache/events?after=0").get("events");
+    String block = events.get(events.size() - 1).get("block").textValue();
+    CompletableFuture<HttpResponse> export = fixture.get(address, "/v1/cache/export/" + block);
+    assertThat(fixture.get(address, "/v1/cache/export/1").join().status()).isEqualTo(404);
+    fixture.advance(ENOUGH);
+    CompletableFuture<HttpResponse> imported =
+        fixture.post(address, "/v1/cache/import", export.join().text());
+    assertThat(fixture.get(address, "/v1/load").join().status()).isEqualTo(200);
+    fixture.advance(ENOUGH);
+    assertThat(imported.join().text()).isEqualTo("{\"blocks\":" + events.size() + "}");
+  }
+
+  private HttpResponse order(String kind, String model, long fence) {
+    String body = "{\"kind\":\"" + kind + "\",\"model\":\"" + model + "\",\"fence\":" + fence + "}";
+    return fixture.post(address, "/v1/orders", body).join();
+  }
+
+  private CompletableFuture<HttpResponse> chat(String id, int tokens, boolean stream) {
+    return fixture.client().send(chatRequest(id, tokens, stream).build());
+  }
+
+  private HttpRequest.Builder chatRequest(String id, int tokens, boolean stream) {
+    String body =
+        "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"Is the ledge open?\"}],"
+            + "\"max_tokens\":"
+            + tokens
+            + ",\"stream\":"
+            + stream
+            + "}";
+    return HttpRequest.post(address, CHAT, body.getBytes(StandardCharsets.UTF_8))
+        .header("idempotency-key", id);
+  }
+
+  private void setFaults(String json) {
+    assertThat(fixture.post(address, "/control/faults", json).join().status()).isEqualTo(200);
+  }
+
+  private JsonNode counts() throws Exception {
+    return json("/control/counts");
+  }
+
+  private JsonNode json(String path) throws Exception {
+    return fixture.get(address, path).join().json(JsonNode.class);
+  }
+
+  private void awaitExecutions(long executions) throws Exception {
+    while (counts().at("/total/executions").longValue() < executions) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private void awaitText(String path, String text) {
+    while (!fixture.get(address, path).join().text().contains(text)) {
+      Thread.onSpinWait();
+    }
+  }
+}
