Membership: SWIM probes with suspicion, refutation and anti-entropy

encodedSize() equals the codec's size in 200 random rounds of each type.

Own schema gossip.json is not used: maps with names would not fit the budget.

--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/MembershipBench.java
@@ -0,0 +1,83 @@
+package io.samphiredyke.bench.membership;
+
+import io.samphiredyke.core.membership.MembershipSettings;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** Command {@code membership}: measures the membership state machine on simulated time. */
+public final class MembershipBench {
+
+  private static final int BOUND_EXCEEDED = 1;
+  private static final int WRONG_USAGE = 2;
+
+  private MembershipBench() {}
+
+  /**
+   * Runs the command.
+   *
+   * @param args the flags
+   * @return 0 if all figures are within their bounds
+   */
+  public static int run(String[] args) {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("samphiredyke-bench membership")
+            .build()
+            .defaultHelp(true)
+            .description("Measures the membership state machine on simulated time.");
+    parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of all randomness");
+    parser.addArgument("--members").type(Integer.class).setDefault(340).help("number of hosts");
+    parser.addArgument("--crashes").type(Integer.class).setDefault(30).help("hosts that die");
+    parser
+        .addArgument("--only")
+        .setDefault("")
+        .help("runs only the scenarios whose command name contains this");
+    try {
+      return measure(parser.parseArgs(args));
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      return WRONG_USAGE;
+    }
+  }
+
+  private static int measure(Namespace flags) {
+    int members = flags.getInt("members");
+    Scenarios scenarios =
+        new Scenarios(members, flags.getLong("seed"), MembershipSettings.builder().build());
+    String only = flags.getString("only");
+    int crashes = flags.getInt("crashes");
+    for (NamedRun run : runs(scenarios, crashes)) {
+      if (run.name().contains(only)) {
+        int before = scenarios.figures().size();
+        run.action().run();
+        List<Figure> figures = scenarios.figures();
+        Scenarios.print(figures.subList(before, figures.size()));
+      }
+    }
+    boolean passes = scenarios.figures().stream().allMatch(Figure::passes);
+    System.out.println(passes ? "all bounds kept" : "bounds EXCEEDED");
+    return passes ? 0 : BOUND_EXCEEDED;
+  }
+
+  private record NamedRun(String name, Runnable action) {}
+
+  private static List<NamedRun> runs(Scenarios scenarios, int crashes) {
+    return List.of(
+        new NamedRun("cold-start", scenarios::coldStart),
+        new NamedRun("steady-0", () -> scenarios.steady(0)),
+        new NamedRun("steady-1", () -> scenarios.steady(1)),
+        new NamedRun("steady-5", () -> scenarios.steady(5)),
+        new NamedRun("crashes-0", () -> scenarios.crashes(0, crashes)),
+        new NamedRun("crashes-1", () -> scenarios.crashes(1, crashes)),
+        new NamedRun("crashes-5", () -> scenarios.crashes(5, crashes)),
+        new NamedRun("pause-1", () -> scenarios.pauses(1)),
+        new NamedRun("pause-10", () -> scenarios.pauses(10)),
+        new NamedRun("rack", scenarios::rack),
+        new NamedRun("data-centre", scenarios::dataCentre),
+        new NamedRun("regions", scenarios::regions),
+        new NamedRun("leave", scenarios::leaves),
+        new NamedRun("restarts", scenarios::restarts));
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/SimulatedGroup.java
@@ -0,0 +1,298 @@
+package io.samphiredyke.bench.membership;
+
+import io.samphiredyke.core.membership.GossipMessage;
+import io.samphiredyke.core.membership.IncarnationId;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberChange;
+import io.samphiredyke.core.membership.Membership;
+import io.samphiredyke.core.membership.MembershipSettings;
+import io.samphiredyke.core.membership.MembershipSink;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.random.RandomGenerator;
+
+/**
+ * Members over in-memory links on simulated time.
+ *
+ * <p>A message takes a time that depends on the two data centres and may be lost. All randomness
+ * comes from one seed.
+ */
+final class SimulatedGroup {
+
+  /** Receives each change of each member's view. */
+  interface Observer {
+    void changed(long now, SimulatedNode observer, MemberChange change);
+  }
+
+  private record Event(long time, long order, Runnable action) implements Comparable<Event> {
+
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(time, other.time);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  static final long MILLI = 1_000_000L;
+  static final long SECOND = 1000 * MILLI;
+
+  private static final int DATA_CENTRES = 8;
+  private static final int REGIONS = 2;
+  private static final long SAME_DATA_CENTRE_NANOS = 200_000;
+  private static final long SAME_REGION_NANOS = 500_000;
+  private static final long OTHER_REGION_NANOS = 20 * MILLI;
+  private static final long JITTER_NANOS = 300_000;
+
+  final List<SimulatedNode> nodes = new ArrayList<>();
+
+  private final MembershipSettings settings;
+  private final RandomGenerator random;
+  private final int overheadBytes;
+  private final Map<String, SimulatedNode> byAddress = new HashMap<>();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final List<String> hostList = new ArrayList<>();
+  private BiPredicate<SimulatedNode, SimulatedNode> blocked = (from, to) -> false;
+  private Observer observer = (now, node, change) -> {};
+  private double loss;
+  private long now;
+  private long order;
+  private long messages;
+
+  SimulatedGroup(int members, MembershipSettings settings, long seed, int overheadBytes) {
+    this.settings = settings;
+    this.random = new Random(seed);
+    this.overheadBytes = overheadBytes;
+    for (int i = 0; i < members; i++) {
+      SimulatedNode node = new SimulatedNode(i, DATA_CENTRES, REGIONS);
+      nodes.add(node);
+      byAddress.put(node.address, node);
+      hostList.add(node.address);
+    }
+  }
+
+  long now() {
+    return now;
+  }
+
+  long messages() {
+    return messages;
+  }
+
+  RandomGenerator random() {
+    return random;
+  }
+
+  void loss(double share) {
+    loss = share;
+  }
+
+  void observe(Observer newObserver) {
+    observer = newObserver;
+  }
+
+  void block(BiPredicate<SimulatedNode, SimulatedNode> links) {
+    blocked = links;
+  }
+
+  /** Starts a new process on a host. */
+  void start(SimulatedNode node) {
+    Member self =
+        Member.builder()
+            .name(node.name)
+            .address(node.address)
+            .incarnation(IncarnationId.random(random))
+            .dataCentre(node.dataCentre)
+            .generation(1_800_000_000L + now / SECOND)
+            .configurationOffset(100_000)
+            .build();
+    Membership membership =
+        new Membership(self, settings, new Random(random.nextLong()), sinkOf(node));
+    node.membership = membership;
+    node.paused = false;
+    node.startedAt = now;
+    node.buffered.clear();
+    membership.seed(hostList, now);
+    membership.start(now);
+    schedule(node);
+  }
+
+  private MembershipSink sinkOf(SimulatedNode node) {
+    return new MembershipSink() {
+      @Override
+      public void send(String address, GossipMessage message) {
+        transmit(node, address, message);
+      }
+
+      @Override
+      public void memberChanged(MemberChange change) {
+        observer.changed(now, node, change);
+      }
+    };
+  }
+
+  void stop(SimulatedNode node) {
+    node.membership = null;
+    node.scheduledTick = Long.MAX_VALUE;
+  }
+
+  void pause(SimulatedNode node, long nanos) {
+    node.paused = true;
+    Membership paused = node.membership;
+    at(
+        now + nanos,
+        () -> {
+          if (node.membership == paused) {
+            resume(node);
+          }
+        });
+  }
+
+  private void resume(SimulatedNode node) {
+    node.paused = false;
+    List<GossipMessage> waiting = new ArrayList<>(node.buffered);
+    node.buffered.clear();
+    waiting.forEach(message -> deliver(node, message));
+    tick(node);
+  }
+
+  /** Runs until a time. */
+  void runUntil(long end) {
+    while (!events.isEmpty() && events.peek().time() <= end) {
+      Event event = events.remove();
+      now = event.time();
+      event.action().run();
+    }
+    now = end;
+  }
+
+  void runFor(long nanos) {
+    runUntil(now + nanos);
+  }
+
+  /**
+   * Runs until all views are right.
+   *
+   * @return time taken, or -1 if the limit passed first
+   */
+  long runUntilConverged(long limit) {
+    long start = now;
+    while (!isConverged()) {
+      if (now - start >= limit) {
+        return -1;
+      }
+      runFor(100 * MILLI);
+    }
+    return now - start;
+  }
+
+  /** Whether each running process sees exactly the running processes as live. */
+  boolean isConverged() {
+    Set<IncarnationId> running = new HashSet<>();
+    for (SimulatedNode node : nodes) {
+      if (node.isUp()) {
+        running.add(node.member().incarnation());
+      }
+    }
+    for (SimulatedNode node : nodes) {
+      Membership view = node.membership;
+      if (view != null && !sees(view, running)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean sees(Membership view, Set<IncarnationId> running) {
+    List<Member> live = view.liveMembers();
+    if (live.size() != running.size()) {
+      return false;
+    }
+    for (Member member : live) {
+      if (!running.contains(member.incarnation())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void at(long time, Runnable action) {
+    events.add(new Event(time, order++, action));
+  }
+
+  private void transmit(SimulatedNode from, String address, GossipMessage message) {
+    int bytes = message.encodedSize() + overheadBytes;
+    from.bytes += bytes;
+    messages++;
+    SimulatedNode to = byAddress.get(address);
+    if (to == null || blocked.test(from, to) || random.nextDouble() < loss) {
+      return;
+    }
+    at(now + delay(from, to), () -> arrive(to, message, bytes));
+  }
+
+  private long delay(SimulatedNode from, SimulatedNode to) {
+    long base = SAME_DATA_CENTRE_NANOS;
+    if (from.region != to.region) {
+      base = OTHER_REGION_NANOS;
+    } else if (!from.dataCentre.equals(to.dataCentre)) {
+      base = SAME_REGION_NANOS;
+    }
+    return base + random.nextLong(JITTER_NANOS);
+  }
+
+  private void arrive(SimulatedNode to, GossipMessage message, int bytes) {
+    if (!to.isUp()) {
+      return;
+    }
+    to.bytes += bytes;
+    if (to.paused) {
+      to.buffer(message);
+    } else {
+      deliver(to, message);
+    }
+  }
+
+  private void deliver(SimulatedNode to, GossipMessage message) {
+    Membership membership = to.membership;
+    if (membership != null) {
+      membership.received(message, now);
+      schedule(to);
+    }
+  }
+
+  private void tick(SimulatedNode node) {
+    Membership membership = node.membership;
+    if (membership == null || node.paused) {
+      return;
+    }
+    membership.tick(now);
+    schedule(node);
+  }
+
+  void schedule(SimulatedNode node) {
+    Membership membership = node.membership;
+    if (membership == null) {
+      return;
+    }
+    long next = Math.max(now, membership.nextTick());
+    if (next == node.scheduledTick) {
+      return;
+    }
+    node.scheduledTick = next;
+    at(
+        next,
+        () -> {
+          if (node.scheduledTick == next) {
+            node.scheduledTick = Long.MAX_VALUE;
+            tick(node);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Measures the membership state machine with many members in one process on simulated time. */
+@NullMarked
+package io.samphiredyke.bench.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Member.java
@@ -0,0 +1,172 @@
+package io.samphiredyke.core.membership;
+
+import io.samphiredyke.core.membership.internal.MessagePackSize;
+
+/**
+ * What is known of one process of the group.
+ *
+ * <p>Members at one address are ordered by generation, then incarnation, then state; the highest
+ * wins everywhere, so that views converge whatever the order of arrival.
+ *
+ * @param name name of the host
+ * @param address address for peers, {@code ip:port}; at most one live member has it
+ * @param incarnation id of the run of the process
+ * @param dataCentre data centre of the host
+ * @param state state of the member
+ * @param generation version that only the member itself raises. A process starts with the seconds
+ *     of its wall clock, so that a restart usually outranks the run before it at once; a clock that
+ *     went backwards costs one more round trip and no correctness
+ * @param configurationOffset newest configuration offset known to be in force at the member; a hint
+ *     that is carried along and never raises the generation
+ * @param draining whether the member prepares a planned stop and takes no new work
+ */
+public record Member(
+    String name,
+    String address,
+    IncarnationId incarnation,
+    String dataCentre,
+    MemberState state,
+    long generation,
+    long configurationOffset,
+    boolean draining) {
+
+  private static final int FIELDS = 8;
+
+  /** Starts a member in state {@link MemberState#ALIVE}. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Identifies the incarnation in compact updates. */
+  public long shortId() {
+    return incarnation.high();
+  }
+
+  /** Whether this is newer than what is known of the same address. */
+  public boolean supersedes(Member other) {
+    if (generation != other.generation) {
+      return generation > other.generation;
+    }
+    if (!incarnation.equals(other.incarnation)) {
+      return outranks(incarnation, other.incarnation);
+    }
+    return state.compareTo(other.state) > 0;
+  }
+
+  private static boolean outranks(IncarnationId left, IncarnationId right) {
+    int high = Long.compareUnsigned(left.high(), right.high());
+    return high != 0 ? high > 0 : Long.compareUnsigned(left.low(), right.low()) > 0;
+  }
+
+  /** Returns this member with another state and generation. */
+  public Member with(MemberState newState, long newGeneration) {
+    return toBuilder().state(newState).generation(newGeneration).build();
+  }
+
+  /** Returns this member with another configuration offset. */
+  public Member withConfigurationOffset(long offset) {
+    return toBuilder().configurationOffset(offset).build();
+  }
+
+  /** Starts a copy. */
+  public Builder toBuilder() {
+    return new Builder()
+        .name(name)
+        .address(address)
+        .incarnation(incarnation)
+        .dataCentre(dataCentre)
+        .state(state)
+        .generation(generation)
+        .configurationOffset(configurationOffset)
+        .draining(draining);
+  }
+
+  /** Size of the encoded form, bytes. */
+  public int encodedSize() {
+    return MessagePackSize.ofArray(FIELDS)
+        + MessagePackSize.ofString(name)
+        + MessagePackSize.ofString(address)
+        + MessagePackSize.INCARNATION
+        + MessagePackSize.ofString(dataCentre)
+        + MessagePackSize.SMALL
+        + MessagePackSize.ofLong(generation)
+        + MessagePackSize.ofLong(configurationOffset)
+        + MessagePackSize.SMALL;
+  }
+
+  /** Builds a {@link Member}. */
+  public static final class Builder {
+
+    private String name = "";
+    private String address = "";
+    private IncarnationId incarnation = new IncarnationId(0, 0);
+    private String dataCentre = "";
+    private MemberState state = MemberState.ALIVE;
+    private long generation;
+    private long configurationOffset;
+    private boolean draining;
+
+    private Builder() {}
+
+    /** Sets the name of the host. */
+    public Builder name(String value) {
+      name = value;
+      return this;
+    }
+
+    /** Sets the address, {@code ip:port}. */
+    public Builder address(String value) {
+      address = value;
+      return this;
+    }
+
+    /** Sets the id of the run of the process. */
+    public Builder incarnation(IncarnationId value) {
+      incarnation = value;
+      return this;
+    }
+
+    /** Sets the data centre. */
+    public Builder dataCentre(String value) {
+      dataCentre = value;
+      return this;
+    }
+
+    /** Sets the state. */
+    public Builder state(MemberState value) {
+      state = value;
+      return this;
+    }
+
+    /** Sets the generation. */
+    public Builder generation(long value) {
+      generation = value;
+      return this;
+    }
+
+    /** Sets the configuration offset in force. */
+    public Builder configurationOffset(long value) {
+      configurationOffset = value;
+      return this;
+    }
+
+    /** Sets whether the member prepares a planned stop. */
+    public Builder draining(boolean value) {
+      draining = value;
+      return this;
+    }
+
+    /**
+     * Builds the member.
+     *
+     * @throws IllegalStateException if the address is missing
+     */
+    public Member build() {
+      if (address.isEmpty()) {
+        throw new IllegalStateException("a member needs an address");
+      }
+      return new Member(
+          name, address, incarnation, dataCentre, state, generation, configurationOffset, draining);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/MessagePackSize.java
@@ -0,0 +1,63 @@
+package io.samphiredyke.core.membership.internal;
+
+import java.nio.charset.StandardCharsets;
+
+/** Sizes of MessagePack values, bytes. */
+public final class MessagePackSize {
+
+  /** Boolean or integer below 128. */
+  public static final int SMALL = 1;
+
+  /** Incarnation id: binary of 16 bytes. */
+  public static final int INCARNATION = 18;
+
+  private static final int SHORT_ARRAY = 16;
+  private static final int SHORT_STRING = 32;
+  private static final int BYTE_STRING = 256;
+
+  private MessagePackSize() {}
+
+  /** Size of an array's header. */
+  public static int ofArray(int elements) {
+    return elements < SHORT_ARRAY ? 1 : 3;
+  }
+
+  /** Size of a string. */
+  public static int ofString(String text) {
+    int bytes = text.getBytes(StandardCharsets.UTF_8).length;
+    if (bytes < SHORT_STRING) {
+      return 1 + bytes;
+    }
+    return (bytes < BYTE_STRING ? 2 : 3) + bytes;
+  }
+
+  /** Size of an integer in its shortest form. */
+  public static int ofLong(long value) {
+    if (value < 0) {
+      return ofNegative(value);
+    }
+    if (value < 1L << 7) {
+      return 1;
+    }
+    if (value < 1L << 8) {
+      return 2;
+    }
+    if (value < 1L << 16) {
+      return 3;
+    }
+    return value < 1L << 32 ? 5 : 9;
+  }
+
+  private static int ofNegative(long value) {
+    if (value >= -32) {
+      return 1;
+    }
+    if (value >= Byte.MIN_VALUE) {
+      return 2;
+    }
+    if (value >= Short.MIN_VALUE) {
+      return 3;
+    }
+    return value >= Integer.MIN_VALUE ? 5 : 9;
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/ViewDigest.java
@@ -0,0 +1,56 @@
+package io.samphiredyke.core.membership.internal;
+
+import io.samphiredyke.core.membership.Member;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Digests of the live members by bucket, which are equal for equal views.
+ *
+ * <p>Suspects count as alive, so that a passing suspicion starts no exchange.
+ */
+public final class ViewDigest {
+
+  /** Number of buckets; fits the bits of an {@code int}. */
+  public static final int BUCKETS = 32;
+
+  private static final int BUCKET_SHIFT = Long.SIZE - 5;
+  private static final long MIX = 0x9E3779B97F4A7C15L;
+
+  private ViewDigest() {}
+
+  /** Bucket of a member. */
+  public static int bucketOf(Member member) {
+    return (int) (member.shortId() >>> BUCKET_SHIFT);
+  }
+
+  /** Digests of the members by bucket. */
+  public static List<Integer> of(List<Member> members) {
+    int[] digests = new int[BUCKETS];
+    for (Member member : members) {
+      digests[bucketOf(member)] += digest(member);
+    }
+    List<Integer> result = new ArrayList<>(BUCKETS);
+    for (int digest : digests) {
+      result.add(digest);
+    }
+    return result;
+  }
+
+  private static int digest(Member member) {
+    long mixed = (member.shortId() ^ (member.generation() * MIX)) * MIX;
+    return (int) (mixed >>> 32);
+  }
+
+  /** Bit set of the buckets whose digests differ. */
+  public static int differing(List<Integer> left, List<Integer> right) {
+    int buckets = 0;
+    for (int i = 0; i < BUCKETS; i++) {
+      boolean same = i < left.size() && i < right.size() && left.get(i).equals(right.get(i));
+      if (!same) {
+        buckets |= 1 << i;
+      }
+    }
+    return buckets;
+  }
+}
