Client: a running request or a host that isn't ready decides nothing

A 202 with ran=yes was taken as a failed answer, and a 503 with ran=unknown of a host without configuration as the final outcome. Problems within a stream are also read when wrapped in the member error.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Problem.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Problem.java
@@ -5,6 +5,7 @@
 import io.samphiredyke.net.codec.Json;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 
@@ -36,6 +37,19 @@
     }
   }
 
+  /** Reads the document in an event of a stream, which may hold it as its member error. */
+  public static Problem parseEvent(String data) {
+    byte[] bytes = data.getBytes(StandardCharsets.UTF_8);
+    try {
+      Problem inner = Json.read(bytes, ErrorEvent.class).error();
+      return inner == null ? parse(bytes) : inner;
+    } catch (IOException e) {
+      return NONE;
+    }
+  }
+
+  private record ErrorEvent(@Nullable Problem error) {}
+
   /** Returns whether the request ran, or null if that isn't stated. */
   public @Nullable Ran ran() {
     return Ran.parse(ranText);
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -194,7 +194,7 @@
 
   /** A stream may end with a problem document in place of a chunk, with or without an offset. */
   private void refused(SseEvent event, ResponseReader.Head head, Reception.Result taken) {
-    Problem problem = Problem.parse(event.data().getBytes(StandardCharsets.UTF_8));
+    Problem problem = Problem.parseEvent(event.data());
     if (problem.ran() != null) {
       judgeProblem(head, problem);
       return;
@@ -218,13 +218,17 @@
 
   /** Resumes the request on a fresh connection, after one that ended early or went silent. */
   private void cut() {
+    askAgain(0);
+  }
+
+  private void askAgain(long leastPauseNanos) {
     closeStream();
     failures++;
     if (route.cut()) {
       forgetLease();
       route.next();
     }
-    later(this::connect, pauseNanos());
+    later(this::connect, Math.max(pauseNanos(), leastPauseNanos));
   }
 
   private void forgetLease() {
@@ -264,11 +268,7 @@
       case UNKNOWN -> unknown(status, problem.message());
       case FAILED ->
           result.completeExceptionally(new AnswerFailedException(id, status, problem.message()));
-      default -> {
-        closeStream();
-        failures++;
-        later(this::connect, Math.max(pauseNanos(), head.retryAfterNanos()));
-      }
+      default -> askAgain(head.retryAfterNanos());
     }
   }
 
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Verdict.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/Verdict.java
@@ -26,6 +26,7 @@
   private static final int MISDIRECTED = 421;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVER_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
 
   /**
    * Judges an answer.
@@ -39,24 +40,26 @@
     if (status == MISDIRECTED) {
       return REDIRECTED;
     }
-    if (ran != null) {
-      return ofProblem(status, ran, hasRetryAfter);
-    }
     if (status == ACCEPTED) {
       return ASK_AGAIN;
     }
+    if (ran != null) {
+      return ofProblem(status, ran, hasRetryAfter);
+    }
     if (status == OK || kind == Call.Kind.PLAIN) {
       return ANSWER;
     }
     return status >= SERVER_ERROR || status == TOO_MANY_REQUESTS ? ASK_AGAIN : UNKNOWN;
   }
 
+  /** A host that is unavailable and knows nothing of the request doesn't speak for the others. */
   private static Verdict ofProblem(int status, Ran ran, boolean hasRetryAfter) {
     if (ran == Ran.NO) {
       boolean mayPass = status == TOO_MANY_REQUESTS || status == GONE || status >= SERVER_ERROR;
       return mayPass ? RETRY_AS_NEW : REFUSED;
     }
-    if (hasRetryAfter) {
+    boolean undecided = ran == Ran.UNKNOWN && status == UNAVAILABLE;
+    if (hasRetryAfter || undecided) {
       return ASK_AGAIN;
     }
     return ran == Ran.YES ? FAILED : UNKNOWN;
