Load generator with checks against the endpoints' own counts

samphiredyke-bench load makes a seeded open-loop load of mixed tiers, customers and lengths through the client library, prints goodput by tier with refused, unknown and failed requests and times to and between tokens, and compares what callers were told with the counts of the endpoints: lost, wrong, doubled, misplaced, told "not run" but ran. samphiredyke-bench overhead compares calls through the system with direct ones.

--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/EndpointCounts.java
@@ -0,0 +1,89 @@
+package io.samphiredyke.bench.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.samphiredyke.client.internal.HostPorts;
+import io.samphiredyke.net.codec.Json;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpResponse;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one endpoint counted.
+ *
+ * @param name its name
+ * @param dataCentre where it stands
+ * @param executions how often it executed each request id
+ * @param prefilledTokens prompt tokens that it computed
+ * @param wastedPrefillTokens those of them that came to nothing
+ */
+record EndpointCounts(
+    String name,
+    String dataCentre,
+    Map<String, Long> executions,
+    long prefilledTokens,
+    long wastedPrefillTokens) {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  /**
+   * The counts of all endpoints.
+   *
+   * @param endpoints the counts
+   * @param missing the names of endpoints that gave none
+   */
+  record All(List<EndpointCounts> endpoints, List<String> missing) {}
+
+  /** Reads the counts of all endpoints; blocks until they answered or didn't in time. */
+  static All readAll(HttpClient http, List<LoadPlan.Endpoint> endpoints) {
+    List<EndpointCounts> counts = new ArrayList<>();
+    List<String> missing = new ArrayList<>();
+    for (LoadPlan.Endpoint endpoint : endpoints) {
+      HttpRequest request =
+          HttpRequest.get(HostPorts.parse(endpoint.address()), "/control/counts?requests=true")
+              .timeout(TIMEOUT)
+              .build();
+      try {
+        HttpResponse response = http.send(request).join();
+        counts.add(parse(endpoint.name(), response.body()));
+      } catch (RuntimeException | IOException e) {
+        missing.add(endpoint.name() + " (" + e.getMessage() + ")");
+      }
+    }
+    return new All(counts, missing);
+  }
+
+  /**
+   * Reads the counts page of an engine or a plain service.
+   *
+   * @throws IOException if the page isn't of that form
+   */
+  static EndpointCounts parse(String name, byte[] page) throws IOException {
+    JsonNode root = Json.mapper().readTree(page);
+    JsonNode requests = root.path("requests");
+    if (!requests.isObject() || !root.path("dataCentre").isTextual()) {
+      throw new IOException("no counts by request");
+    }
+    Map<String, Long> executions = new HashMap<>();
+    requests
+        .properties()
+        .forEach(
+            entry -> {
+              JsonNode count = entry.getValue();
+              long times = count.isNumber() ? count.asLong() : count.path("executions").asLong();
+              executions.put(entry.getKey(), times);
+            });
+    JsonNode total = root.path("total");
+    return new EndpointCounts(
+        name,
+        root.path("dataCentre").asText(),
+        executions,
+        total.path("prefilledTokens").asLong(),
+        total.path("wastedPrefillTokens").asLong());
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/Observation.java
@@ -0,0 +1,160 @@
+package io.samphiredyke.bench.load;
+
+import io.samphiredyke.client.Answer;
+import io.samphiredyke.client.AnswerListener;
+import io.samphiredyke.client.Ran;
+import io.samphiredyke.client.RequestException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+
+/** What the caller of one request saw. Written on one event loop, read after the request ended. */
+final class Observation implements AnswerListener {
+
+  private static final int STATUS_OK = 200;
+
+  private final PlannedRequest request;
+  private final LongSupplier nanoTime;
+  private final List<String> ids = new ArrayList<>();
+  private final List<String> notRunIds = new ArrayList<>();
+  private final List<Long> tokenGaps = new ArrayList<>();
+  private long startNanos;
+  private long firstTokenNanos;
+  private long lastTokenNanos;
+  private long endNanos;
+  private int tokens;
+  private int connections;
+  private Outcome outcome = Outcome.UNKNOWN;
+  private String reason = "";
+
+  Observation(PlannedRequest request, LongSupplier nanoTime) {
+    this.request = request;
+    this.nanoTime = nanoTime;
+  }
+
+  /** Notes when the request was due, from which all its times count. */
+  void started(long dueNanos) {
+    startNanos = dueNanos;
+  }
+
+  @Override
+  public void onRequestId(String id) {
+    ids.add(id);
+  }
+
+  @Override
+  public void onNotRun(String id) {
+    notRunIds.add(id);
+  }
+
+  @Override
+  public void onText(long offset, String text) {
+    if (text.isEmpty()) {
+      return;
+    }
+    long now = nanoTime.getAsLong();
+    if (tokens == 0) {
+      firstTokenNanos = now - startNanos;
+    } else {
+      tokenGaps.add(now - lastTokenNanos);
+    }
+    lastTokenNanos = now;
+    tokens++;
+  }
+
+  void ended(@Nullable Answer answer, @Nullable Throwable failure) {
+    endNanos = nanoTime.getAsLong() - startNanos;
+    if (answer == null) {
+      failed(failure);
+      return;
+    }
+    connections = answer.attempts().connections();
+    if (answer.status() != STATUS_OK) {
+      outcome = Outcome.FAILED;
+      reason = "status " + answer.status() + ": " + answer.text();
+      return;
+    }
+    String fault = AnswerCheck.fault(request, answer);
+    if (fault != null) {
+      outcome = Outcome.WRONG;
+      reason = fault;
+      return;
+    }
+    outcome = isInTime() ? Outcome.GOOD : Outcome.LATE;
+  }
+
+  private boolean isInTime() {
+    LoadPlan.Service service = request.service();
+    boolean whole = endNanos <= TimeUnit.MILLISECONDS.toNanos(service.deadlineMillis());
+    boolean promptly =
+        service.firstTokenMillis() == 0
+            || tokens == 0
+            || firstTokenNanos <= TimeUnit.MILLISECONDS.toNanos(service.firstTokenMillis());
+    return whole && promptly;
+  }
+
+  private void failed(@Nullable Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    reason = String.valueOf(cause);
+    if (!(cause instanceof RequestException exception)) {
+      outcome = Outcome.UNKNOWN;
+      return;
+    }
+    outcome =
+        switch (exception.ran()) {
+          case NO -> Outcome.REFUSED;
+          case YES -> Outcome.FAILED;
+          case UNKNOWN -> Outcome.UNKNOWN;
+        };
+    boolean told = exception.ran() == Ran.NO && !exception.requestId().isEmpty();
+    if (told && !notRunIds.contains(exception.requestId())) {
+      notRunIds.add(exception.requestId());
+    }
+  }
+
+  PlannedRequest request() {
+    return request;
+  }
+
+  List<String> ids() {
+    return ids;
+  }
+
+  List<String> notRunIds() {
+    return notRunIds;
+  }
+
+  Outcome outcome() {
+    return outcome;
+  }
+
+  /** Returns whether the caller was given an answer as whole. */
+  boolean isToldSuccess() {
+    return outcome == Outcome.GOOD || outcome == Outcome.LATE || outcome == Outcome.WRONG;
+  }
+
+  String reason() {
+    return reason;
+  }
+
+  int connections() {
+    return connections;
+  }
+
+  /** Returns the time to the first token, in nanoseconds; 0 if there was none. */
+  long firstTokenNanos() {
+    return firstTokenNanos;
+  }
+
+  /** Returns the time to the end, in nanoseconds. */
+  long endNanos() {
+    return endNanos;
+  }
+
+  List<Long> tokenGaps() {
+    return tokenGaps;
+  }
+}
