--- /dev/null
+++ b/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/ForwardingEntry.java
@@ -0,0 +1,89 @@
+package io.samphiredyke.bench.load;
+
+import io.netty.channel.EventLoopGroup;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpClientOptions;
+import io.samphiredyke.net.http.HttpExchange;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpServer;
+import io.samphiredyke.net.http.HttpServerOptions;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * An entry that forwards each request to one engine or one plain service, with faults on demand.
+ */
+final class ForwardingEntry implements AutoCloseable {
+
+  private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+
+  private final HttpServer server;
+  private final HttpClient client;
+  private final InetSocketAddress engine;
+  private final InetSocketAddress plain;
+  private final AtomicInteger tickets = new AtomicInteger();
+  private volatile boolean sendsTwice;
+  private volatile boolean deniesAfterDispatch;
+
+  ForwardingEntry(EventLoopGroup group, InetSocketAddress engine, InetSocketAddress plain) {
+    this.engine = engine;
+    this.plain = plain;
+    client = new HttpClient(group, HttpClientOptions.defaults());
+    server = HttpServer.start(group, ANY_PORT, HttpServerOptions.defaults(), this::handle).join();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.address().getPort();
+  }
+
+  void sendTwice() {
+    sendsTwice = true;
+  }
+
+  void denyAfterDispatch() {
+    deniesAfterDispatch = true;
+  }
+
+  private void handle(HttpExchange exchange) {
+    if (exchange.path().equals("/v1/addresses")) {
+      String ticket = "t" + tickets.incrementAndGet();
+      exchange.respondJson(
+          200, Map.of("addresses", List.of(address()), "ticket", ticket, "expiresInSeconds", 60));
+      return;
+    }
+    boolean isChat = exchange.path().equals("/v1/chat/completions");
+    exchange.body().thenAccept(body -> forward(exchange, isChat ? engine : plain, body));
+  }
+
+  private void forward(HttpExchange exchange, InetSocketAddress target, byte[] body) {
+    HttpRequest request =
+        HttpRequest.post(target, exchange.path(), body)
+            .header("idempotency-key", String.valueOf(exchange.header("idempotency-key")))
+            .build();
+    CompletableFuture<?> before =
+        sendsTwice ? client.send(request) : CompletableFuture.completedFuture(null);
+    before
+        .thenCompose(done -> client.send(request))
+        .thenAccept(
+            response -> {
+              if (deniesAfterDispatch) {
+                exchange.respond(
+                    422,
+                    Map.of("content-type", "application/problem+json"),
+                    "{\"ran\":\"no\"}".getBytes(java.nio.charset.StandardCharsets.UTF_8));
+                return;
+              }
+              String type = response.headers().getOrDefault("content-type", "");
+              exchange.respond(response.status(), Map.of("content-type", type), response.body());
+            });
+  }
+
+  @Override
+  public void close() {
+    client.close();
+    server.stop().join();
+  }
+}
