--- /dev/null
+++ b/samphiredyke-cli/src/main/java/io/samphiredyke/cli/command/CheckCommand.java
@@ -0,0 +1,27 @@
+package io.samphiredyke.cli.command;
+
+import io.samphiredyke.cli.ExitCode;
+import io.samphiredyke.cli.files.ConfigurationFiles;
+import io.samphiredyke.cli.files.FileFinding;
+import io.samphiredyke.core.config.Configuration;
+
+/** Checks files and reports every finding. */
+final class CheckCommand {
+
+  private CheckCommand() {}
+
+  static ExitCode run(CommandContext context) throws CommandException {
+    boolean isAgainstLog = context.text("log") != null;
+    Configuration inForce =
+        isAgainstLog ? InForce.read(context).configuration() : Configuration.empty();
+    ConfigurationFiles files = context.files(inForce);
+    long errors = files.findings().stream().filter(FileFinding::isError).count();
+    long warnings = files.findings().size() - errors;
+    context
+        .out()
+        .printf(
+            "%d files, %d items, %d errors, %d warnings%n",
+            files.files().size(), files.items().size(), errors, warnings);
+    return errors == 0 ? ExitCode.OK : ExitCode.FINDINGS;
+  }
+}
--- /dev/null
+++ b/samphiredyke-cli/src/main/java/io/samphiredyke/cli/command/package-info.java
@@ -0,0 +1,5 @@
+/** The sub-commands of samphiredykectl. */
+@NullMarked
+package io.samphiredyke.cli.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-cli/src/main/java/io/samphiredyke/cli/files/Place.java
@@ -0,0 +1,16 @@
+package io.samphiredyke.cli.files;
+
+/**
+ * A place in a file.
+ *
+ * @param file the path of the file as found
+ * @param line the line, from 1
+ * @param column the column, from 1
+ */
+public record Place(String file, int line, int column) {
+
+  @Override
+  public String toString() {
+    return file + ":" + line + ":" + column;
+  }
+}
