--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -0,0 +1,398 @@
+package io.samphiredyke.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.core.broker.BrokerStatus;
+import io.samphiredyke.core.config.Endpoint;
+import io.samphiredyke.core.config.EndpointState;
+import io.samphiredyke.core.invariant.Invariants;
+import io.samphiredyke.core.membership.ChangeCause;
+import io.samphiredyke.core.membership.IncarnationId;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberChange;
+import io.samphiredyke.core.membership.MemberState;
+import io.samphiredyke.core.ownership.Incarnation;
+import io.samphiredyke.core.ownership.TicketCodec;
+import io.samphiredyke.daemon.admin.AdminApi;
+import io.samphiredyke.daemon.admin.Metrics;
+import io.samphiredyke.daemon.admin.StatusReport;
+import io.samphiredyke.daemon.broker.BrokerService;
+import io.samphiredyke.daemon.configuration.ConfigurationService;
+import io.samphiredyke.daemon.configuration.PeerRecords;
+import io.samphiredyke.daemon.control.Addresses;
+import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.daemon.control.Host;
+import io.samphiredyke.daemon.entry.CallerApi;
+import io.samphiredyke.daemon.entry.EntryContext;
+import io.samphiredyke.daemon.entry.EntryService;
+import io.samphiredyke.daemon.entry.Learned;
+import io.samphiredyke.daemon.membership.GossipCounters;
+import io.samphiredyke.daemon.membership.GossipTransport;
+import io.samphiredyke.daemon.membership.HostListPoller;
+import io.samphiredyke.daemon.membership.MembershipService;
+import io.samphiredyke.daemon.peer.MessageRouter;
+import io.samphiredyke.daemon.peer.PeerClient;
+import io.samphiredyke.daemon.witness.WitnessService;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpClientOptions;
+import io.samphiredyke.net.http.HttpExchange;
+import io.samphiredyke.net.http.HttpServer;
+import io.samphiredyke.net.http.HttpServerOptions;
+import io.samphiredyke.net.peer.PeerIdentity;
+import io.samphiredyke.net.peer.PeerKey;
+import io.samphiredyke.net.peer.PeerKeys;
+import io.samphiredyke.net.peer.PeerNode;
+import io.samphiredyke.net.peer.PeerOptions;
+import io.samphiredyke.schema.settings.DaemonSettings;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** One process of the system with all its roles: entry, witness, broker and control. */
+public final class Daemon {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration DRAIN_POLL = Duration.ofMillis(100);
+  private static final Duration LEAVE_SPREAD = Duration.ofSeconds(3);
+
+  private final DaemonSettings settings;
+  private final EventLoopGroup controlGroup;
+  private final EventLoopGroup traffic;
+  private final ControlLoop loop;
+  private final Host host;
+  private final Metrics metrics = new Metrics();
+  private final Invariants invariants;
+  private final HttpClient http;
+  private final ConfigurationService configuration;
+  private final HostListPoller hostList;
+  private final MessageRouter router;
+  private final GossipCounters gossipCounters = new GossipCounters();
+  private final List<Runnable> stops = new ArrayList<>();
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private Parts parts = Parts.NONE;
+
+  /** The parts that exist once the process has bound its addresses. */
+  private record Parts(
+      MembershipService membership,
+      WitnessService witness,
+      BrokerService brokers,
+      EntryService entry,
+      CallerApi callers,
+      AdminApi admin) {
+
+    @SuppressWarnings("NullAway")
+    static final Parts NONE = new Parts(null, null, null, null, null, null);
+  }
+
+  private Daemon(DaemonSettings settings, Clock clock) {
+    this.settings = settings;
+    this.controlGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.traffic =
+        new MultiThreadIoEventLoopGroup(settings.trafficThreads(), NioIoHandler.newFactory());
+    this.loop = new ControlLoop(controlGroup.next(), clock);
+    this.host = hostOf(settings);
+    this.invariants = new Invariants(new ViolationLog(metrics));
+    this.http = new HttpClient(traffic, HttpClientOptions.defaults());
+    this.configuration =
+        new ConfigurationService(
+            loop,
+            http,
+            host.name(),
+            settings.logAddresses(),
+            settings.configurationStream(),
+            new SecureRandom());
+    this.hostList = new HostListPoller(loop, http, settings.hostListAddresses());
+    this.router = new MessageRouter(loop);
+  }
+
+  private static Host hostOf(DaemonSettings settings) {
+    InetSocketAddress callers = orElse(settings.advertisedAddress(), settings.address());
+    InetSocketAddress peers = orElse(settings.advertisedPeerAddress(), settings.peerAddress());
+    return new Host(
+        settings.name(),
+        settings.dataCentre(),
+        Incarnation.random(new SecureRandom()),
+        Addresses.format(callers),
+        Addresses.format(peers));
+  }
+
+  private static InetSocketAddress orElse(
+      @org.jspecify.annotations.Nullable InetSocketAddress value, InetSocketAddress fallback) {
+    return value == null ? fallback : value;
+  }
+
+  /**
+   * Starts a process.
+   *
+   * @return the process once its addresses are bound; fails with {@link java.net.BindException}
+   *     when one is in use
+   */
+  public static CompletableFuture<Daemon> start(DaemonSettings settings) {
+    Daemon daemon = new Daemon(settings, Clock.systemUTC());
+    return daemon
+        .bind()
+        .handle(
+            (done, failure) -> {
+              if (failure != null) {
+                daemon.closeGroups();
+                throw new java.util.concurrent.CompletionException(failure);
+              }
+              return daemon;
+            });
+  }
+
+  private CompletableFuture<Void> bind() {
+    List<PeerKey> keys =
+        settings.peerKeys().stream().map(key -> new PeerKey(key.id(), key.secret())).toList();
+    PeerKeys peerKeys = new PeerKeys(keys);
+    PeerIdentity identity =
+        new PeerIdentity(
+            host.name(), host.incarnation().toString(), host.peerAddress(), host.dataCentre());
+    return PeerNode.start(
+            traffic, settings.peerAddress(), identity, peerKeys, PeerOptions.defaults(), router)
+        .thenCompose(node -> bindGossip(node, identity, peerKeys))
+        .thenCompose(done -> bindCallers());
+  }
+
+  private CompletableFuture<Void> bindGossip(
+      PeerNode node, PeerIdentity identity, PeerKeys keys) {
+    stops.add(node::stop);
+    return GossipTransport.start(
+            traffic,
+            settings.peerAddress(),
+            keys,
+            gossipCounters,
+            message -> loop.execute(() -> parts.membership().received(message)))
+        .thenCompose(gossip -> loop.supply(() -> assemble(node, identity, gossip)));
+  }
+
+  private Void assemble(PeerNode node, PeerIdentity identity, GossipTransport gossip) {
+    stops.add(gossip::stop);
+    SecureRandom random = new SecureRandom();
+    TicketCodec tickets = new TicketCodec(TicketKeys.of(settings.ticketKeys()));
+    MembershipService membership =
+        new MembershipService(loop, self(), random, gossip::send);
+    WitnessService witness =
+        new WitnessService(loop, tickets, host.incarnation(), invariants);
+    PeerClient peers = new PeerClient(host, identity, node, router, loop);
+    BrokerService brokers =
+        new BrokerService(
+            loop, peers, configuration::configuration, this::isLeaving, invariants);
+    EntryContext context =
+        new EntryContext(
+            host,
+            loop,
+            traffic,
+            http,
+            peers,
+            configuration::configuration,
+            membership,
+            witness,
+            tickets,
+            this::isLeaving,
+            invariants,
+            metrics,
+            new Learned(random),
+            settings.ticketLifetime(),
+            settings.resumeWindow());
+    EntryService entry = new EntryService(context);
+    CallerApi callers = new CallerApi(context, entry, random, this::isReady);
+    AdminApi admin =
+        new AdminApi(
+            metrics,
+            this::isReady,
+            () -> loop.supply(this::report),
+            id -> loop.supply(() -> entry.describe(id)),
+            () -> drain());
+    parts = new Parts(membership, witness, brokers, entry, callers, admin);
+    connect(new PeerRecords(loop, peers, membership, configuration));
+    return null;
+  }
+
+  private Member self() {
+    return Member.builder()
+        .name(host.name())
+        .address(host.peerAddress())
+        .callerAddress(host.callerAddress())
+        .incarnation(IncarnationId.parse(host.incarnation().toString()))
+        .dataCentre(host.dataCentre())
+        .state(MemberState.ALIVE)
+        .generation(loop.epochMillis() / 1000)
+        .build();
+  }
+
+  private void connect(PeerRecords records) {
+    parts.brokers().register(router);
+    parts.entry().register(router);
+    records.register(router);
+    configuration.peers(records);
+    configuration.onChange(this::configurationChanged);
+    hostList.onChange(this::hostListChanged);
+    parts.membership().onChange(this::memberChanged);
+    parts.membership().start();
+    parts.membership().seed(seeds());
+    parts.witness().start();
+    parts.entry().start();
+    configuration.start();
+    hostList.start(settings.pollInterval());
+  }
+
+  private List<String> seeds() {
+    List<String> seeds = new ArrayList<>(hostList.entryAddresses());
+    settings.peers().forEach(peer -> seeds.add(Addresses.format(peer)));
+    return seeds;
+  }
+
+  private void configurationChanged() {
+    parts.membership().configurationOffset(configuration.configuration().offset());
+    parts.brokers().refresh();
+  }
+
+  private void hostListChanged() {
+    parts.membership().seed(seeds());
+    parts.brokers().refresh();
+  }
+
+  private void memberChanged(MemberChange change) {
+    boolean isGone =
+        change.current() == MemberState.DEAD || change.cause() == ChangeCause.SUPERSEDED;
+    if (isGone) {
+      parts.brokers().entryLost(change.member().incarnation().toString());
+    }
+  }
+
+  private boolean isLeaving(Endpoint endpoint) {
+    return endpoint.state() == EndpointState.LEAVING || hostList.isLeaving(endpoint.address());
+  }
+
+  private boolean isReady() {
+    return configuration.isReady();
+  }
+
+  private CompletableFuture<Void> bindCallers() {
+    HttpServerOptions options =
+        HttpServerOptions.defaults().withMaxBodyBytes((int) settings.bodyLimit());
+    return HttpServer.start(traffic, settings.address(), options, this::handle)
+        .thenAccept(
+            server -> {
+              stops.add(server::stop);
+              logger.atInfo().log(
+                  "started host=%s dataCentre=%s incarnation=%s callers=%s peers=%s",
+                  host.name(),
+                  host.dataCentre(),
+                  host.incarnation(),
+                  host.callerAddress(),
+                  host.peerAddress());
+            });
+  }
+
+  private void handle(HttpExchange exchange) {
+    if (!parts.admin().handle(exchange) && !parts.callers().handle(exchange)) {
+      exchange.respondJson(404, java.util.Map.of("title", "no such page", "status", 404));
+    }
+  }
+
+  private StatusReport report() {
+    return new StatusReport(
+        host.name(),
+        host.dataCentre(),
+        host.incarnation().toString(),
+        isReady(),
+        parts.entry().isDraining(),
+        new StatusReport.ConfigurationStatus(
+            configuration.configuration().offset(),
+            configuration.configuration().digest(),
+            configuration.readiness(),
+            configuration.consecutiveFailures()),
+        new StatusReport.RequestsStatus(
+            parts.entry().activeRequests(),
+            parts.entry().knownRequests(),
+            parts.witness().size()),
+        parts.membership().liveMembers().stream().map(Daemon::line).toList(),
+        parts.brokers().status().stream().map(Daemon::line).toList(),
+        invariants.violations());
+  }
+
+  private static StatusReport.MemberStatus line(Member member) {
+    return new StatusReport.MemberStatus(
+        member.name(),
+        member.address(),
+        member.callerAddress(),
+        member.dataCentre(),
+        member.state().name(),
+        member.configurationOffset(),
+        member.draining());
+  }
+
+  private static StatusReport.BrokerLine line(BrokerStatus status) {
+    return new StatusReport.BrokerLine(
+        status.endpoint(),
+        status.leaving(),
+        status.inFlight(),
+        status.limit(),
+        status.queuedByTier());
+  }
+
+  /**
+   * Stops as planned: refuses new requests, lets those in flight end, then leaves.
+   *
+   * @return completes when the process has stopped
+   */
+  public CompletableFuture<Void> drain() {
+    loop.execute(this::startDrain);
+    return stopped;
+  }
+
+  private void startDrain() {
+    if (parts.entry().isDraining()) {
+      return;
+    }
+    logger.atInfo().log("draining host=%s", host.name());
+    parts.entry().drain();
+    parts.membership().drain();
+    long deadline = loop.now() + settings.drainTimeout().toNanos();
+    loop.schedule(() -> awaitIdle(deadline), LEAVE_SPREAD);
+  }
+
+  private void awaitIdle(long deadline) {
+    long active = parts.entry().activeRequests();
+    if (active > 0 && loop.now() < deadline) {
+      loop.schedule(() -> awaitIdle(deadline), DRAIN_POLL);
+      return;
+    }
+    logger.atInfo().log("leaving host=%s unfinished=%d", host.name(), active);
+    parts.membership().leave();
+    loop.schedule(this::stop, LEAVE_SPREAD);
+  }
+
+  /** Stops at once. */
+  public void stop() {
+    stops.forEach(Runnable::run);
+    http.close();
+    closeGroups();
+    stopped.complete(null);
+  }
+
+  private void closeGroups() {
+    controlGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    traffic.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** Returns a future that completes when the process has stopped. */
+  public CompletableFuture<Void> stopped() {
+    return stopped;
+  }
+
+  /** Returns the violations of invariants by name. */
+  public java.util.Map<String, Long> invariantViolations() {
+    return invariants.violations();
+  }
+
+}
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Main.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Main.java
@@ -1,14 +1,37 @@
 package io.samphiredyke.daemon;
 
-/** Starts the program. */
+import io.samphiredyke.schema.settings.DaemonSettings;
+import io.samphiredyke.schema.settings.loader.ExitCode;
+import io.samphiredyke.schema.settings.loader.SettingsLoader;
+import java.net.BindException;
+import java.util.concurrent.CompletionException;
+
+/** Starts the daemon from flags and environment variables. */
 public final class Main {
 
   private Main() {}
 
   /**
-   * Runs the program.
+   * Runs the daemon until it is told to stop. The first SIGTERM drains it.
    *
    * @param args the flags
    */
-  public static void main(String[] args) {}
+  public static void main(String[] args) {
+    DaemonSettings settings = SettingsLoader.of(DaemonSettings.class).loadOrExit(args);
+    Daemon daemon = startOrExit(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> daemon.drain().join(), "drain"));
+    daemon.stopped().join();
+  }
+
+  private static Daemon startOrExit(DaemonSettings settings) {
+    try {
+      return Daemon.start(settings).join();
+    } catch (CompletionException e) {
+      Throwable cause = e.getCause() == null ? e : e.getCause();
+      System.err.println("samphiredyked: cannot start: " + cause.getMessage());
+      ExitCode code = cause instanceof BindException ? ExitCode.CANNOT_BIND : ExitCode.FAILURE;
+      System.exit(code.code());
+      throw new IllegalStateException("unreachable", e);
+    }
+  }
 }
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/TicketKeys.java
@@ -0,0 +1,22 @@
+package io.samphiredyke.daemon;
+
+import io.samphiredyke.core.ownership.TicketKey;
+import io.samphiredyke.schema.settings.type.NamedKey;
+import java.util.List;
+
+/** Conversion of the keys in the settings to the keys of tickets. */
+final class TicketKeys {
+
+  private TicketKeys() {}
+
+  /**
+   * Returns the keys in the same order.
+   *
+   * @throws IllegalArgumentException if the id of a key is not a number from 0 to 255
+   */
+  static List<TicketKey> of(List<NamedKey> keys) {
+    return keys.stream()
+        .map(key -> new TicketKey(Integer.parseInt(key.id()), key.secret()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/ViolationLog.java
@@ -0,0 +1,29 @@
+package io.samphiredyke.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import io.samphiredyke.core.invariant.Invariant;
+import io.samphiredyke.core.invariant.InvariantHandler;
+import io.samphiredyke.daemon.admin.Metrics;
+
+/**
+ * Counts and logs violations of invariants; ends the process where going on would break a promise.
+ */
+final class ViolationLog implements InvariantHandler {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Metrics metrics;
+
+  ViolationLog(Metrics metrics) {
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void violated(Invariant invariant, String detail) {
+    metrics.count("invariant-violated-" + invariant.name());
+    logger.atSevere().log("invariant=%s violated detail=%s", invariant.name(), detail);
+    if (invariant.isFatal()) {
+      throw new IllegalStateException("invariant " + invariant.name() + " violated: " + detail);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
@@ -0,0 +1,105 @@
+package io.samphiredyke.daemon.admin;
+
+import com.google.common.flogger.FluentLogger;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.samphiredyke.net.http.HttpExchange;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/** The pages for operators: liveness, readiness, metrics, status, drain, explain. */
+public final class AdminApi {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String REQUESTS_PATH = "/v1/requests/";
+  private static final String EXPLAIN_SUFFIX = "/explain";
+
+  private final Metrics metrics;
+  private final BooleanSupplier isReady;
+  private final Supplier<CompletableFuture<StatusReport>> status;
+  private final Function<String, CompletableFuture<Optional<String>>> explain;
+  private final Runnable drain;
+
+  /**
+   * Creates the pages.
+   *
+   * @param isReady whether requests are taken
+   * @param status makes a report
+   * @param explain describes a request by its id
+   * @param drain starts a planned stop
+   */
+  public AdminApi(
+      Metrics metrics,
+      BooleanSupplier isReady,
+      Supplier<CompletableFuture<StatusReport>> status,
+      Function<String, CompletableFuture<Optional<String>>> explain,
+      Runnable drain) {
+    this.metrics = metrics;
+    this.isReady = isReady;
+    this.status = status;
+    this.explain = explain;
+    this.drain = drain;
+  }
+
+  /**
+   * Answers a request if its path is one of the pages.
+   *
+   * @return whether the path is known
+   */
+  public boolean handle(HttpExchange exchange) {
+    String page = exchange.method() + " " + exchange.path();
+    switch (page) {
+      case "GET /live" -> exchange.respondJson(200, Map.of("live", true));
+      case "GET /ready" -> {
+        boolean ready = isReady.getAsBoolean();
+        exchange.respondJson(ready ? 200 : 503, Map.of("ready", ready));
+      }
+      case "GET /metrics" -> sendMetrics(exchange);
+      case "GET /v1/status" -> status.get().thenAccept(report -> exchange.respondJson(200, report));
+      case "GET /v1/configuration" ->
+          status.get().thenAccept(report -> exchange.respondJson(200, report.configuration()));
+      case "POST /v1/drain" -> {
+        drain.run();
+        exchange.respondJson(202, Map.of("draining", true));
+      }
+      default -> {
+        return sendExplanation(exchange);
+      }
+    }
+    return true;
+  }
+
+  private boolean sendExplanation(HttpExchange exchange) {
+    String path = exchange.path();
+    if (!path.startsWith(REQUESTS_PATH) || !path.endsWith(EXPLAIN_SUFFIX)) {
+      return false;
+    }
+    String id =
+        path.substring(REQUESTS_PATH.length(), path.length() - EXPLAIN_SUFFIX.length());
+    explain
+        .apply(id)
+        .thenAccept(
+            text ->
+                exchange.respondJson(
+                    text.isPresent() ? 200 : 404, Map.of("state", text.orElse("not known here"))));
+    return true;
+  }
+
+  private void sendMetrics(HttpExchange exchange) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(out, metrics.registry().scrape());
+      exchange.respond(
+          200, Map.of("content-type", PrometheusTextFormatWriter.CONTENT_TYPE), out.toByteArray());
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("the metrics cannot be written");
+      exchange.respond(500, Map.of(), "no metrics".getBytes(StandardCharsets.UTF_8));
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/control/ControlLoop.java
@@ -0,0 +1,91 @@
+package io.samphiredyke.daemon.control;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/** The thread on which all control state of the process is read and changed. */
+public final class ControlLoop {
+
+  private final EventLoop loop;
+  private final Clock clock;
+
+  /**
+   * Wraps an event loop.
+   *
+   * @param loop the loop, which runs on one thread
+   * @param clock the wall clock, for times that are compared between processes
+   */
+  public ControlLoop(EventLoop loop, Clock clock) {
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  /** Runs an action on the loop, at once if called there. */
+  public void execute(Runnable action) {
+    if (loop.inEventLoop()) {
+      action.run();
+    } else {
+      loop.execute(action);
+    }
+  }
+
+  /** Computes a value on the loop. */
+  public <T> CompletableFuture<T> supply(Supplier<T> supplier) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    execute(
+        () -> {
+          try {
+            result.complete(supplier.get());
+          } catch (RuntimeException e) {
+            result.completeExceptionally(e);
+          }
+        });
+    return result;
+  }
+
+  /** Passes the result of a future to an action on the loop; one of value and failure is null. */
+  public <T> void whenDone(
+      CompletableFuture<T> future, Consumer<T> onValue, Consumer<Throwable> onFailure) {
+    future.whenComplete((value, failure) -> execute(() -> pass(value, failure, onValue, onFailure)));
+  }
+
+  private static <T> void pass(
+      @Nullable T value,
+      @Nullable Throwable failure,
+      Consumer<T> onValue,
+      Consumer<Throwable> onFailure) {
+    if (failure != null) {
+      onFailure.accept(failure);
+    } else if (value != null) {
+      onValue.accept(value);
+    }
+  }
+
+  /** Runs an action on the loop after a time. */
+  public Future<?> schedule(Runnable action, Duration delay) {
+    return loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs an action on the loop again and again. */
+  public Future<?> repeat(Runnable action, Duration interval) {
+    long nanos = interval.toNanos();
+    return loop.scheduleWithFixedDelay(action, nanos, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns the monotonic time in nanoseconds. */
+  public long now() {
+    return loop.ticker().nanoTime();
+  }
+
+  /** Returns the wall-clock time in milliseconds since 1970. */
+  public long epochMillis() {
+    return clock.millis();
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/control/Host.java
@@ -0,0 +1,19 @@
+package io.samphiredyke.daemon.control;
+
+import io.samphiredyke.core.ownership.Incarnation;
+
+/**
+ * This process as others see it.
+ *
+ * @param name the host's name
+ * @param dataCentre the host's data centre
+ * @param incarnation identity of this run of the process
+ * @param callerAddress where callers connect, {@code ip:port}
+ * @param peerAddress where other hosts connect, {@code ip:port}
+ */
+public record Host(
+    String name,
+    String dataCentre,
+    Incarnation incarnation,
+    String callerAddress,
+    String peerAddress) {}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
@@ -0,0 +1,132 @@
+package io.samphiredyke.daemon.entry;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.samphiredyke.core.config.Customer;
+import io.samphiredyke.core.config.Service;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberState;
+import io.samphiredyke.core.ownership.ChainMember;
+import io.samphiredyke.core.ownership.Incarnation;
+import io.samphiredyke.core.ownership.Ticket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the hosts for a customer's requests and issues tickets that name them.
+ *
+ * <p>The owner is a live host in a permitted data centre. Its successors are other hosts, permitted
+ * ones and other data centres first, so that the loss of one data centre leaves two of the three.
+ * All methods run on the control loop.
+ */
+final class AddressBook {
+
+  /**
+   * What a caller is told.
+   *
+   * @param addresses where to send requests, the first one first
+   * @param ticket the ticket for the ids of the requests
+   * @param expiresInSeconds how long the ticket is valid
+   */
+  record Answer(
+      @JsonProperty("addresses") List<String> addresses,
+      @JsonProperty("ticket") String ticket,
+      @JsonProperty("expiresInSeconds") long expiresInSeconds) {}
+
+  private final EntryContext context;
+  private final RandomGenerator random;
+
+  AddressBook(EntryContext context, RandomGenerator random) {
+    this.context = context;
+    this.random = random;
+  }
+
+  /** Returns addresses and a ticket, or null if no live host may take the service's payload. */
+  @Nullable Answer issue(Customer customer, Service service) {
+    List<Member> permitted = candidates(service, true);
+    if (permitted.isEmpty()) {
+      return null;
+    }
+    Member owner = permitted.get(random.nextInt(permitted.size()));
+    Ticket ticket = ticket(owner, customer, service);
+    String token = context.tickets().encode(ticket);
+    List<String> addresses = AnswerProblems.callerAddresses(context, ticket, Ticket.OWNER);
+    return new Answer(addresses, token, context.ticketLifetime().toSeconds());
+  }
+
+  /** Returns a ticket whose owner is this process. */
+  Ticket ownTicket(Customer customer, Service service) {
+    return ticket(self(), customer, service);
+  }
+
+  private Member self() {
+    return context
+        .membership()
+        .find(context.host().peerAddress())
+        .orElseThrow(() -> new IllegalStateException("a process knows itself"));
+  }
+
+  private Ticket ticket(Member owner, Customer customer, Service service) {
+    List<Member> chain = new ArrayList<>();
+    chain.add(owner);
+    addSuccessors(chain, candidates(service, true));
+    addSuccessors(chain, candidates(service, false));
+    List<ChainMember> members =
+        chain.stream().map(member -> chainMember(member, service)).toList();
+    long now = context.loop().epochMillis();
+    return new Ticket(
+        Incarnation.random(random),
+        members,
+        customer.name(),
+        service.name(),
+        now,
+        now + context.ticketLifetime().toMillis());
+  }
+
+  /** Adds successors until the chain is full, those in data centres not yet in the chain first. */
+  private void addSuccessors(List<Member> chain, List<Member> candidates) {
+    List<Member> shuffled = shuffled(candidates);
+    for (Member candidate : shuffled) {
+      boolean isElsewhere =
+          chain.stream().noneMatch(m -> m.dataCentre().equals(candidate.dataCentre()));
+      if (isElsewhere) {
+        addIfRoom(chain, candidate);
+      }
+    }
+    shuffled.forEach(candidate -> addIfRoom(chain, candidate));
+  }
+
+  private static void addIfRoom(List<Member> chain, Member candidate) {
+    boolean isKnown =
+        chain.stream().anyMatch(m -> m.incarnation().equals(candidate.incarnation()));
+    if (!isKnown && chain.size() < Ticket.MAX_CHAIN_MEMBERS) {
+      chain.add(candidate);
+    }
+  }
+
+  private List<Member> shuffled(List<Member> members) {
+    List<Member> shuffled = new ArrayList<>(members);
+    for (int i = shuffled.size() - 1; i > 0; i--) {
+      int j = random.nextInt(i + 1);
+      Member swapped = shuffled.get(i);
+      shuffled.set(i, shuffled.get(j));
+      shuffled.set(j, swapped);
+    }
+    return shuffled;
+  }
+
+  private List<Member> candidates(Service service, boolean permitted) {
+    return context.membership().liveMembers().stream()
+        .filter(member -> member.state() == MemberState.ALIVE && !member.draining())
+        .filter(member -> service.dataCentres().contains(member.dataCentre()) == permitted)
+        .toList();
+  }
+
+  private static ChainMember chainMember(Member member, Service service) {
+    return new ChainMember(
+        Incarnation.parse(member.incarnation().toString()),
+        member.address(),
+        service.dataCentres().contains(member.dataCentre()));
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AnswerProblems.java
@@ -0,0 +1,103 @@
+package io.samphiredyke.daemon.entry;
+
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.ownership.ChainMember;
+import io.samphiredyke.core.ownership.OwnershipAnswer;
+import io.samphiredyke.core.ownership.Ticket;
+import io.samphiredyke.core.routing.ClaimAction;
+import io.samphiredyke.daemon.answer.Problem;
+import io.samphiredyke.daemon.answer.Problem.Ran;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** The problem documents that tell callers what became of a request. */
+final class AnswerProblems {
+
+  private static final int ACCEPTED = 202;
+  private static final int MISDIRECTED = 421;
+  private static final int UNPROCESSABLE = 422;
+  private static final int TOO_MANY = 429;
+  private static final int BAD_GATEWAY = 502;
+  private static final int UNAVAILABLE = 503;
+  private static final int TIMEOUT = 504;
+
+  private final EntryContext context;
+  private final RequestIdentity request;
+
+  AnswerProblems(EntryContext context, RequestIdentity request) {
+    this.context = context;
+    this.request = request;
+  }
+
+  Problem shed(ClaimAction.Shed shed) {
+    String detail = "refused by all endpoints: " + shed.reasons();
+    Duration wait = Duration.ofNanos(Math.max(Duration.ofSeconds(1).toNanos(), shed.retryAfterNanos()));
+    return shed.isPressure()
+        ? Problem.notRun(TOO_MANY, "overloaded", detail).withRetryAfter(wait)
+        : Problem.notRun(UNAVAILABLE, "no endpoint", detail).withRetryAfter(wait);
+  }
+
+  Problem noEndpoint() {
+    return Problem.notRun(
+            UNAVAILABLE, "no endpoint", "no endpoint of the service takes new work at present")
+        .withRetryAfter(Duration.ofSeconds(1));
+  }
+
+  Problem deadline() {
+    return Problem.notRun(
+        TIMEOUT, "deadline passed", "the request could not start before its deadline");
+  }
+
+  /** Returns the document of an answer; a refusal gives the words for an answer of not run. */
+  Problem of(OwnershipAnswer answer, @Nullable Problem refusal) {
+    if (answer instanceof OwnershipAnswer.NotRun notRun) {
+      return refusal != null
+          ? refusal
+          : Problem.notRun(UNAVAILABLE, "not run", notRun.reason());
+    }
+    if (answer instanceof OwnershipAnswer.Running) {
+      return Problem.of(
+          ACCEPTED, "running", "the request runs; resume it with the same id", Ran.YES);
+    }
+    if (answer instanceof OwnershipAnswer.Ran) {
+      return Problem.of(BAD_GATEWAY, "answer lost", "the request ran, its answer is lost", Ran.YES);
+    }
+    if (answer instanceof OwnershipAnswer.Redirect redirect) {
+      return Problem.of(
+              MISDIRECTED, "misdirected", "another host decides about this request", Ran.UNKNOWN)
+          .withAddresses(addresses(redirect.place()));
+    }
+    if (answer instanceof OwnershipAnswer.Conflict) {
+      return Problem.of(
+          UNPROCESSABLE, "another body", "the id was used with another body", Ran.UNKNOWN);
+    }
+    String cause =
+        answer instanceof OwnershipAnswer.Unknown unknown ? unknown.cause().name() : "";
+    return Problem.of(
+        TIMEOUT, "unknown", "it cannot be decided whether the request ran: " + cause, Ran.UNKNOWN);
+  }
+
+  private List<String> addresses(int place) {
+    return callerAddresses(context, request.ticket(), place);
+  }
+
+  /** Returns the callers' addresses of a chain's members that take payload, one place first. */
+  static List<String> callerAddresses(EntryContext context, Ticket ticket, int firstPlace) {
+    List<String> addresses = new ArrayList<>();
+    for (int i = 0; i < ticket.chain().size(); i++) {
+      ChainMember member = ticket.chain().get((firstPlace + i) % ticket.chain().size());
+      if (!member.takesPayload()) {
+        continue;
+      }
+      context
+          .membership()
+          .find(member.address())
+          .map(Member::callerAddress)
+          .filter(address -> !address.isEmpty())
+          .ifPresent(addresses::add);
+    }
+    return addresses;
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
@@ -0,0 +1,220 @@
+package io.samphiredyke.daemon.entry;
+
+import io.samphiredyke.core.broker.ClaimKey;
+import io.samphiredyke.core.ownership.Incarnation;
+import io.samphiredyke.core.ownership.OwnerReply;
+import io.samphiredyke.core.ownership.RegisterOperation;
+import io.samphiredyke.core.ownership.RegisterRecord;
+import io.samphiredyke.core.ownership.RegisterReply;
+import io.samphiredyke.core.ownership.RequestId;
+import io.samphiredyke.core.ownership.Ticket;
+import io.samphiredyke.core.ownership.TicketException;
+import io.samphiredyke.daemon.answer.CallerStream;
+import io.samphiredyke.daemon.answer.Problem;
+import io.samphiredyke.daemon.peer.MessageRouter;
+import io.samphiredyke.daemon.peer.RegisterMessages;
+import io.samphiredyke.net.peer.PeerIdentity;
+import io.samphiredyke.schema.message.Acknowledgement;
+import io.samphiredyke.schema.message.Grant;
+import io.samphiredyke.schema.message.PeerMessage;
+import io.samphiredyke.schema.message.ReadRegister;
+import io.samphiredyke.schema.message.Refusal;
+import io.samphiredyke.schema.message.RequestStatus;
+import io.samphiredyke.schema.message.Withdraw;
+import io.samphiredyke.schema.message.WriteRegister;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** The requests that this entry knows. All methods run on the control loop. */
+public final class EntryService {
+
+  private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(5);
+
+  private final EntryContext context;
+  private final Map<String, RequestSession> sessions = new HashMap<>();
+  private boolean isDraining;
+
+  /** Creates an entry without requests. */
+  public EntryService(EntryContext context) {
+    this.context = context;
+  }
+
+  /** Adds the routes of the messages that brokers and other entries send. */
+  public void register(MessageRouter router) {
+    router.on(Grant.class, this::onGrant);
+    router.on(Refusal.class, this::onRefusal);
+    router.on(WriteRegister.class, this::onWriteRegister);
+    router.on(ReadRegister.class, this::onReadRegister);
+    router.on(RequestStatus.class, this::onRequestStatus);
+  }
+
+  /** Starts to forget the requests of expired tickets. */
+  public void start() {
+    context.loop().repeat(this::sweep, SWEEP_INTERVAL);
+    context.membership().onChange(change -> membersChanged());
+  }
+
+  /** Returns the requests that this entry still works on. */
+  public long activeRequests() {
+    return sessions.values().stream().filter(RequestSession::isActive).count();
+  }
+
+  /** Returns the number of requests that this entry remembers. */
+  public int knownRequests() {
+    return sessions.size();
+  }
+
+  /** Refuses new requests from now on. */
+  public void drain() {
+    isDraining = true;
+  }
+
+  /** Returns whether new requests are refused. */
+  public boolean isDraining() {
+    return isDraining;
+  }
+
+  /** Returns a request by its id. */
+  Optional<RequestSession> session(String id) {
+    return Optional.ofNullable(sessions.get(id));
+  }
+
+  /** Returns a description of a request's state, if it is known here. */
+  public Optional<String> describe(String id) {
+    return session(id).map(RequestSession::describe);
+  }
+
+  /**
+   * Takes a request, or a repetition of one.
+   *
+   * @param payload the body, or null to ask for what is known
+   * @param caller makes the delivery to the caller from the request's session
+   * @return the delivery, to be ended when the caller leaves
+   */
+  CallerStream submit(
+      RequestIdentity request,
+      @Nullable Payload payload,
+      java.util.function.Function<RequestSession, CallerStream> caller) {
+    RequestSession known = sessions.get(request.idText());
+    RequestSession session = known == null ? open(request) : known;
+    CallerStream delivery = caller.apply(session);
+    session.submit(payload, delivery);
+    if (known == null && isDraining) {
+      session.refuse(
+          Problem.notRun(503, "draining", "this host is being stopped")
+              .withAddresses(otherAddresses(request)));
+    }
+    return delivery;
+  }
+
+  private List<String> otherAddresses(RequestIdentity request) {
+    return AnswerProblems.callerAddresses(context, request.ticket(), Ticket.FIRST_SUCCESSOR);
+  }
+
+  void callerLeft(RequestIdentity request, CallerStream caller) {
+    session(request.idText()).ifPresent(session -> session.callerLeft(caller));
+  }
+
+  private RequestSession open(RequestIdentity request) {
+    RequestSession session = new RequestSession(context, request);
+    sessions.put(request.idText(), session);
+    return session;
+  }
+
+  private void onGrant(PeerIdentity from, Grant grant, Consumer<PeerMessage> reply) {
+    reply.accept(Acknowledgement.builder().build());
+    RequestSession session = sessions.get(grant.requestId());
+    if (session != null) {
+      session.onGrant(grant);
+      return;
+    }
+    ClaimKey key = new ClaimKey(grant.requestId(), grant.attempt());
+    Withdraw withdraw =
+        Withdraw.builder()
+            .requestId(key.requestId())
+            .attempt(key.attempt())
+            .endpoint(grant.endpoint())
+            .build();
+    context
+        .peers()
+        .deliver(from.address(), from.incarnation(), withdraw, Duration.ofMillis(500), 2);
+  }
+
+  private void onRefusal(PeerIdentity from, Refusal refusal, Consumer<PeerMessage> reply) {
+    reply.accept(Acknowledgement.builder().build());
+    session(refusal.requestId()).ifPresent(session -> session.onRefusal(refusal));
+  }
+
+  private void onWriteRegister(
+      PeerIdentity from, WriteRegister message, Consumer<PeerMessage> reply) {
+    Optional<RegisterOperation> operation = RegisterMessages.toOperation(message);
+    if (operation.isEmpty()) {
+      return;
+    }
+    Incarnation writer = Incarnation.parse(from.incarnation());
+    context
+        .witness()
+        .write(message.requestId(), writer, operation.get())
+        .map(answer -> RegisterMessages.toMessage(message.requestId(), answer))
+        .ifPresent(reply);
+  }
+
+  private void onReadRegister(
+      PeerIdentity from, ReadRegister message, Consumer<PeerMessage> reply) {
+    RequestId.parse(message.requestId())
+        .map(context.witness()::read)
+        .map(answer -> RegisterMessages.toMessage(message.requestId(), answer))
+        .ifPresent(reply);
+  }
+
+  private void onRequestStatus(
+      PeerIdentity from, RequestStatus message, Consumer<PeerMessage> reply) {
+    Optional<RequestId> id = RequestId.parse(message.requestId());
+    if (id.isEmpty()) {
+      return;
+    }
+    try {
+      Ticket ticket = context.tickets().decodeIgnoringExpiry(id.get().token());
+      Incarnation asker = Incarnation.parse(from.incarnation());
+      OwnerReply answer = status(id.get(), ticket, ticket.placeOf(asker));
+      reply.accept(RegisterMessages.toMessage(message.requestId(), answer));
+    } catch (TicketException e) {
+      context.metrics().count("forged-status-request");
+    }
+  }
+
+  private OwnerReply status(RequestId id, Ticket ticket, int askerPlace) {
+    RequestSession session = sessions.get(id.toString());
+    if (session != null) {
+      return session.status(askerPlace);
+    }
+    boolean isOwner = ticket.placeOf(context.host().incarnation()) == Ticket.OWNER;
+    Optional<RequestIdentity> request =
+        isOwner ? RequestIdentity.of(id, ticket, context.configuration().get()) : Optional.empty();
+    if (request.isPresent()) {
+      return open(request.get()).status(askerPlace);
+    }
+    RegisterReply recorded = context.witness().read(id);
+    RegisterRecord record = recorded.record();
+    return OwnerReply.ofRecord(record);
+  }
+
+  private void membersChanged() {
+    List.copyOf(sessions.values()).forEach(RequestSession::membersChanged);
+  }
+
+  private void sweep() {
+    long now = context.loop().epochMillis();
+    long contentKept = now - context.resumeWindow().toMillis();
+    sessions
+        .values()
+        .removeIf(
+            session -> !session.isActive() && session.request().ticket().isExpired(now));
+    sessions.values().forEach(session -> session.forgetContent(contentKept));
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
@@ -0,0 +1,92 @@
+package io.samphiredyke.daemon.entry;
+
+import io.samphiredyke.core.config.Endpoint;
+import io.samphiredyke.daemon.answer.AnswerBuffer;
+import io.samphiredyke.daemon.answer.AnswerHead;
+import io.samphiredyke.net.http.ConnectFailedException;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** A call to a plain service, whose answer comes as a whole. */
+final class PlainCall extends AbstractEndpointCall {
+
+  private static final int ACCEPTED = 202;
+  private static final int NOT_FOUND = 404;
+  private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
+
+  PlainCall(CallContext context, Endpoint endpoint, AnswerBuffer buffer, Listener listener) {
+    super(context, endpoint, buffer, listener);
+  }
+
+  @Override
+  public void dispatch() {
+    HttpRequest request =
+        HttpRequest.post(address, payload.path(), payload.body())
+            .header(ID_HEADER, requestId)
+            .timeout(SILENCE_TIMEOUT)
+            .build();
+    http.send(request)
+        .whenComplete(
+            (response, failure) -> {
+              if (isStopped()) {
+                return;
+              }
+              if (failure == null) {
+                answered(response);
+              } else if (failure instanceof ConnectFailedException) {
+                listener.onNotDispatched();
+              } else {
+                listener.onBroken();
+              }
+            });
+  }
+
+  private void answered(HttpResponse response) {
+    if (provesNotRun(response.status())) {
+      listener.onNotDispatched();
+      return;
+    }
+    keep(response);
+  }
+
+  private void keep(HttpResponse response) {
+    String contentType = response.headers().getOrDefault("content-type", "application/json");
+    buffer.head(new AnswerHead(response.status(), contentType, false));
+    buffer.add(1, response.body());
+    buffer.complete();
+    listener.onFirstPart();
+    listener.onEnded();
+  }
+
+  @Override
+  protected void sendResume() {
+    HttpRequest request =
+        HttpRequest.get(address, "/v1/results/" + requestId).timeout(SILENCE_TIMEOUT).build();
+    http.send(request)
+        .whenComplete(
+            (response, failure) -> {
+              if (isStopped()) {
+                return;
+              }
+              if (failure != null) {
+                resumeLater();
+              } else {
+                resumed(response);
+              }
+            });
+  }
+
+  private void resumed(HttpResponse response) {
+    if (response.status() == ACCEPTED) {
+      progressed();
+      loop.schedule(this::resume, POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    } else if (response.status() == NOT_FOUND) {
+      listener.onMissing();
+    } else {
+      keep(response);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -0,0 +1,436 @@
+package io.samphiredyke.daemon.entry;
+
+import io.samphiredyke.core.broker.Release;
+import io.samphiredyke.core.config.Endpoint;
+import io.samphiredyke.core.config.ServiceKind;
+import io.samphiredyke.core.invariant.Invariant;
+import io.samphiredyke.core.ownership.OwnerReply;
+import io.samphiredyke.core.ownership.OwnershipAnswer;
+import io.samphiredyke.core.ownership.OwnershipDecision;
+import io.samphiredyke.core.ownership.OwnershipEvent;
+import io.samphiredyke.core.ownership.OwnershipMachine;
+import io.samphiredyke.core.ownership.OwnershipPhase;
+import io.samphiredyke.core.routing.ClaimAction;
+import io.samphiredyke.core.routing.PromptFingerprint;
+import io.samphiredyke.core.routing.RequestEstimate;
+import io.samphiredyke.daemon.answer.AnswerBuffer;
+import io.samphiredyke.daemon.answer.CallerStream;
+import io.samphiredyke.daemon.answer.Problem;
+import io.samphiredyke.schema.message.Grant;
+import io.samphiredyke.schema.message.Refusal;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request at this entry, from its first caller until its ticket expires.
+ *
+ * <p>Feeds the decisions of {@link OwnershipMachine} with what happens and carries them out. All
+ * methods run on the control loop.
+ */
+final class RequestSession implements ClaimDriver.Listener {
+
+  /** A request goes only to endpoints in data centres that its service permits. */
+  static final Invariant ENDPOINT_IS_PERMITTED = Invariant.fatal("endpoint-is-permitted");
+
+  private final EntryContext context;
+  private final RequestIdentity request;
+  private final OwnershipMachine machine;
+  private final RegisterDriver registers;
+  private final AnswerProblems problems;
+  private final SessionTimes times;
+  private final List<CallerStream> callers = new ArrayList<>();
+  private final Deque<OwnershipEvent> events = new ArrayDeque<>();
+  private AnswerBuffer buffer = new AnswerBuffer();
+  private @Nullable Payload payload;
+  private @Nullable ClaimDriver claims;
+  private @Nullable EndpointCall call;
+  private @Nullable Endpoint calledEndpoint;
+  private @Nullable Problem refusal;
+  private boolean isHandling;
+  private boolean isSettled;
+  private long settledAtEpochMillis;
+
+  RequestSession(EntryContext context, RequestIdentity request) {
+    this.context = context;
+    this.request = request;
+    this.machine =
+        new OwnershipMachine(
+            request.ticket(), context.host().incarnation(), context.invariants());
+    this.registers = new RegisterDriver(context, request, this::handle);
+    this.problems = new AnswerProblems(context, request);
+    this.times = new SessionTimes(context, request);
+  }
+
+  RequestIdentity request() {
+    return request;
+  }
+
+  AnswerBuffer buffer() {
+    return buffer;
+  }
+
+  /** Returns whether the request has its final outcome here. */
+  boolean isSettled() {
+    return isSettled;
+  }
+
+  /** Returns whether this entry still works on the request. */
+  boolean isActive() {
+    OwnershipPhase phase = machine.state().phase();
+    return switch (phase) {
+      case IDLE, CLOSED, TAKEN_AWAY, FINISHED, UNKNOWN -> !callers.isEmpty() && !isSettled;
+      default -> true;
+    };
+  }
+
+  /** Returns a description of the state for operators. */
+  String describe() {
+    return machine.state().toString();
+  }
+
+  OwnershipPhase phase() {
+    return machine.state().phase();
+  }
+
+  @Nullable Endpoint calledEndpoint() {
+    return calledEndpoint;
+  }
+
+  /** Adds a caller; a null payload asks only for what is known. */
+  void submit(@Nullable Payload sent, CallerStream caller) {
+    if (sent != null && isOtherBody(sent)) {
+      caller.fail(problems.of(new OwnershipAnswer.Conflict(), null));
+      return;
+    }
+    if (payload == null && sent != null) {
+      payload = sent;
+    }
+    caller.start();
+    if (buffer.isComplete()) {
+      return;
+    }
+    callers.add(caller);
+    handle(new OwnershipEvent.Submitted(sent == null ? null : sent.digest()));
+  }
+
+  private boolean isOtherBody(Payload sent) {
+    String known = machine.state().bodyDigest();
+    return known != null && !known.equals(sent.digest());
+  }
+
+  /** Refuses the request as not run as soon as this is proven. */
+  void refuse(Problem problem) {
+    if (refusal == null) {
+      refusal = problem;
+    }
+    handle(new OwnershipEvent.Refuse(problem.title()));
+  }
+
+  /** Learns that a caller's connection is gone. */
+  void callerLeft(CallerStream caller) {
+    caller.stop();
+    callers.remove(caller);
+    if (callers.isEmpty()) {
+      handle(new OwnershipEvent.CallerLeft());
+    }
+  }
+
+  OwnerReply status(int askerPlace) {
+    handle(new OwnershipEvent.Asked(askerPlace));
+    return machine.ownerReply();
+  }
+
+  void onGrant(Grant grant) {
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.onGrant(grant);
+    }
+  }
+
+  void onRefusal(Refusal message) {
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.onRefusal(message);
+    }
+  }
+
+  void membersChanged() {
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.membersChanged();
+    }
+  }
+
+  private void handle(OwnershipEvent event) {
+    events.add(event);
+    if (isHandling) {
+      return;
+    }
+    isHandling = true;
+    try {
+      while (!events.isEmpty()) {
+        machine.handle(events.remove()).forEach(this::carryOut);
+      }
+    } finally {
+      isHandling = false;
+    }
+  }
+
+  private void carryOut(OwnershipDecision decision) {
+    if (decision instanceof OwnershipDecision.Claim) {
+      claim();
+    } else if (decision instanceof OwnershipDecision.WithdrawClaim) {
+      withdrawClaims();
+    } else if (decision instanceof OwnershipDecision.ReleaseGrant) {
+      releaseUnused();
+    } else if (decision instanceof OwnershipDecision.WriteRegister write) {
+      registers.write(write.place(), write.operation());
+    } else if (decision instanceof OwnershipDecision.ReadRegister read) {
+      registers.read(read.place());
+    } else if (decision instanceof OwnershipDecision.AskMember ask) {
+      registers.ask(ask.place());
+    } else if (decision instanceof OwnershipDecision.Dispatch dispatch) {
+      dispatch(dispatch.endpoint(), dispatch.attempt());
+    } else if (decision instanceof OwnershipDecision.ResumeFrom resume) {
+      resume(resume.endpoint(), resume.attempt());
+    } else if (decision instanceof OwnershipDecision.Tell tell) {
+      tell(tell.answer());
+    }
+  }
+
+  private void claim() {
+    Payload sent = payload;
+    Problem wanted = refusal;
+    if (sent == null || wanted != null) {
+      handle(new OwnershipEvent.Refuse(wanted == null ? "no body" : wanted.title()));
+      return;
+    }
+    ClaimDriver driver = claims;
+    if (driver == null) {
+      driver = newClaims(sent);
+      claims = driver;
+      scheduleDeadline();
+    }
+    driver.start();
+  }
+
+  private ClaimDriver newClaims(Payload sent) {
+    RequestEstimate estimate = times.estimate(sent);
+    PromptFingerprint fingerprint = PromptFingerprint.of(sent.prompt());
+    return new ClaimDriver(
+        context, request, estimate, fingerprint, times.receivedAt(), times.deadline(), this);
+  }
+
+  private void scheduleDeadline() {
+    Duration left = Duration.ofNanos(Math.max(0, times.deadline() - context.loop().now()));
+    context.loop().schedule(this::onDeadline, left);
+  }
+
+  private void onDeadline() {
+    OwnershipPhase phase = machine.state().phase();
+    if (phase == OwnershipPhase.OWNING || phase == OwnershipPhase.INTENT_PENDING) {
+      refuse(problems.deadline());
+    }
+  }
+
+  @Override
+  public void onGranted(String endpoint) {
+    handle(new OwnershipEvent.Granted(endpoint));
+  }
+
+  @Override
+  public void onShed(ClaimAction.Shed shed) {
+    refuse(problems.shed(shed));
+  }
+
+  @Override
+  public void onNoEndpoint() {
+    refuse(problems.noEndpoint());
+  }
+
+  private void withdrawClaims() {
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.close();
+    }
+  }
+
+  private void releaseUnused() {
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.release(Release.Outcome.UNUSED, 0, 0, 0);
+    }
+  }
+
+  private void dispatch(String name, int attempt) {
+    Optional<Endpoint> endpoint = servingEndpoint(name);
+    Payload sent = payload;
+    if (endpoint.isEmpty() || sent == null) {
+      handle(new OwnershipEvent.NotDispatched(attempt));
+      return;
+    }
+    boolean isPermitted =
+        request.service().dataCentres().contains(endpoint.get().dataCentre());
+    context
+        .invariants()
+        .check(ENDPOINT_IS_PERMITTED, isPermitted, () -> name + " for " + request.service());
+    times.dispatched();
+    openCall(endpoint.get(), attempt, sent).dispatch();
+  }
+
+  /** Returns the endpoint if it may still get the request: a second check after the grant. */
+  private Optional<Endpoint> servingEndpoint(String name) {
+    return context.configuration().get().endpointsFor(request.service().name()).stream()
+        .filter(endpoint -> endpoint.name().equals(name))
+        .filter(endpoint -> !context.isLeaving().test(endpoint))
+        .findFirst();
+  }
+
+  private void resume(String name, int attempt) {
+    Optional<Endpoint> endpoint = context.configuration().get().endpoint(name);
+    if (endpoint.isEmpty()) {
+      handle(new OwnershipEvent.ResumeUnreachable(attempt));
+      return;
+    }
+    Payload sent = payload;
+    Payload known = sent == null ? Payload.ofCall("/", new byte[0]) : sent;
+    openCall(endpoint.get(), attempt, known).resume();
+  }
+
+  private EndpointCall openCall(Endpoint endpoint, int attempt, Payload sent) {
+    EndpointCall old = call;
+    if (old != null) {
+      old.stop();
+    }
+    CallContext callContext =
+        new CallContext(context.http(), context.traffic().next(), request.idText(), sent);
+    EndpointCall.Listener listener = new CallListener(endpoint, attempt);
+    boolean isModel = request.service().kind() == ServiceKind.MODEL;
+    EndpointCall opened =
+        isModel
+            ? new ModelCall(callContext, endpoint, buffer, listener)
+            : new PlainCall(callContext, endpoint, buffer, listener);
+    call = opened;
+    calledEndpoint = endpoint;
+    return opened;
+  }
+
+  private final class CallListener implements EndpointCall.Listener {
+
+    private final Endpoint endpoint;
+    private final int attempt;
+
+    CallListener(Endpoint endpoint, int attempt) {
+      this.endpoint = endpoint;
+      this.attempt = attempt;
+    }
+
+    @Override
+    public void onFirstPart() {
+      context.loop().execute(RequestSession.this::firstPart);
+    }
+
+    @Override
+    public void onEnded() {
+      context.loop().execute(() -> ended(endpoint, attempt));
+    }
+
+    @Override
+    public void onNotDispatched() {
+      context.loop().execute(() -> notDispatched(endpoint, attempt));
+    }
+
+    @Override
+    public void onBroken() {
+      context.metrics().count("endpoint-connection-lost");
+      report(new OwnershipEvent.StreamBroken(attempt));
+    }
+
+    @Override
+    public void onMissing() {
+      report(new OwnershipEvent.ResumeMissing(attempt));
+    }
+
+    @Override
+    public void onUnreachable() {
+      report(new OwnershipEvent.ResumeUnreachable(attempt));
+    }
+
+    private void report(OwnershipEvent event) {
+      context.loop().execute(() -> handle(event));
+    }
+  }
+
+  private void firstPart() {
+    times.firstPart();
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.firstToken(times.firstTokenNanos());
+    }
+  }
+
+  private void ended(Endpoint endpoint, int attempt) {
+    context.learned().circuit(endpoint.name()).succeeded();
+    times.ended(buffer, payload);
+    release(Release.Outcome.COMPLETED);
+    settle("answered");
+    callers.clear();
+    handle(new OwnershipEvent.Ended(attempt));
+  }
+
+  private void notDispatched(Endpoint endpoint, int attempt) {
+    context.learned().circuit(endpoint.name()).failed(context.loop().now());
+    context.metrics().count("endpoint-not-reached");
+    release(Release.Outcome.UNUSED);
+    handle(new OwnershipEvent.NotDispatched(attempt));
+  }
+
+  private void release(Release.Outcome outcome) {
+    ClaimDriver driver = claims;
+    if (driver != null) {
+      driver.release(
+          outcome, times.firstTokenNanos(), times.intervalNanos(), times.outputTokens());
+    }
+  }
+
+  private void tell(OwnershipAnswer answer) {
+    Problem problem = problems.of(answer, refusal);
+    if (answer instanceof OwnershipAnswer.Conflict) {
+      callers.remove(callers.size() - 1).fail(problem);
+      return;
+    }
+    List<CallerStream> told = List.copyOf(callers);
+    callers.clear();
+    told.forEach(caller -> caller.fail(problem));
+    context.metrics().count("told-" + answer.getClass().getSimpleName());
+    if (answer instanceof OwnershipAnswer.NotRun) {
+      withdrawClaims();
+      settle("not-run");
+    } else if (answer instanceof OwnershipAnswer.Unknown) {
+      release(Release.Outcome.FAILED);
+      settle("unknown");
+    }
+  }
+
+  private void settle(String outcome) {
+    if (!isSettled) {
+      isSettled = true;
+      settledAtEpochMillis = context.loop().epochMillis();
+      times.settled(outcome);
+    }
+  }
+
+  /** Drops the body and the answer of a request that was settled before a time. */
+  void forgetContent(long settledBeforeEpochMillis) {
+    if (!isSettled || isActive() || settledAtEpochMillis > settledBeforeEpochMillis) {
+      return;
+    }
+    payload = null;
+    buffer = new AnswerBuffer();
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SessionTimes.java
@@ -0,0 +1,109 @@
+package io.samphiredyke.daemon.entry;
+
+import io.samphiredyke.core.config.Service;
+import io.samphiredyke.core.routing.LengthEstimator;
+import io.samphiredyke.core.routing.RequestEstimate;
+import io.samphiredyke.daemon.answer.AnswerBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/** Times and lengths of one request, for estimates, brokers and histograms. */
+final class SessionTimes {
+
+  private static final double ESTIMATE_DEVIATIONS = 0.5;
+  private static final int MAX_OUTPUT_TOKENS = 32_768;
+
+  private final EntryContext context;
+  private final RequestIdentity request;
+  private final long receivedAt;
+  private long dispatchedAt;
+  private long firstPartAt;
+  private long endedAt;
+  private int outputTokens;
+
+  SessionTimes(EntryContext context, RequestIdentity request) {
+    this.context = context;
+    this.request = request;
+    this.receivedAt = context.loop().now();
+  }
+
+  long receivedAt() {
+    return receivedAt;
+  }
+
+  /** Returns the time by which the answer is due, on the monotonic clock. */
+  long deadline() {
+    return receivedAt + Duration.ofMillis(request.service().deadlineMillis()).toNanos();
+  }
+
+  RequestEstimate estimate(Payload payload) {
+    Service service = request.service();
+    LengthEstimator lengths = context.learned().lengths();
+    int bytes = payload.prompt().getBytes(StandardCharsets.UTF_8).length;
+    int most = payload.maxTokens() > 0 ? payload.maxTokens() : MAX_OUTPUT_TOKENS;
+    int output =
+        lengths.outputTokens(
+            service.name(), request.customer().name(), ESTIMATE_DEVIATIONS, most);
+    return new RequestEstimate(
+        request.tierRank(), lengths.promptTokens(service.name(), bytes), output);
+  }
+
+  void dispatched() {
+    dispatchedAt = context.loop().now();
+    context
+        .metrics()
+        .waited(request.service().tier(), request.customer().name(), dispatchedAt - receivedAt);
+  }
+
+  void firstPart() {
+    if (firstPartAt != 0) {
+      return;
+    }
+    firstPartAt = context.loop().now();
+    context
+        .metrics()
+        .firstToken(
+            request.service().tier(), request.customer().name(), firstPartAt - receivedAt);
+  }
+
+  /** Returns the time from dispatch to the first token in nanoseconds, 0 if there was none. */
+  long firstTokenNanos() {
+    return firstPartAt == 0 || dispatchedAt == 0 ? 0 : firstPartAt - dispatchedAt;
+  }
+
+  void ended(AnswerBuffer buffer, @Nullable Payload payload) {
+    endedAt = context.loop().now();
+    outputTokens = (int) Math.max(0, buffer.lastNumber() - 1);
+    if (payload == null || payload.prompt().isEmpty()) {
+      return;
+    }
+    String customer = request.customer().name();
+    context
+        .learned()
+        .lengths()
+        .observeOutput(request.service().name(), customer, Math.max(1, outputTokens));
+    if (intervalNanos() > 0) {
+      context.metrics().betweenTokens(request.service().tier(), customer, intervalNanos());
+    }
+  }
+
+  /** Returns the mean time between tokens in nanoseconds, 0 if there were fewer than two. */
+  long intervalNanos() {
+    if (outputTokens < 2 || firstPartAt == 0) {
+      return 0;
+    }
+    return (endedAt - firstPartAt) / (outputTokens - 1);
+  }
+
+  int outputTokens() {
+    return outputTokens;
+  }
+
+  void settled(String outcome) {
+    long nanos = context.loop().now() - receivedAt;
+    context
+        .metrics()
+        .ended(request.service().tier(), request.customer().name(), outcome, nanos);
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
@@ -0,0 +1,150 @@
+package io.samphiredyke.daemon.membership;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.Future;
+import io.samphiredyke.core.config.Endpoint;
+import io.samphiredyke.core.membership.BrokerAssignment;
+import io.samphiredyke.core.membership.GossipMessage;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberChange;
+import io.samphiredyke.core.membership.MemberState;
+import io.samphiredyke.core.membership.Membership;
+import io.samphiredyke.core.membership.MembershipSettings;
+import io.samphiredyke.core.membership.MembershipSink;
+import io.samphiredyke.daemon.control.ControlLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/** Drives the membership of this process. All methods run on the control loop. */
+public final class MembershipService implements MembershipSink {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ControlLoop loop;
+  private final Membership membership;
+  private final BiConsumer<String, GossipMessage> transport;
+  private final List<Consumer<MemberChange>> listeners = new ArrayList<>();
+  private @Nullable Future<?> timer;
+  private List<Member> assignedOver = List.of();
+  private BrokerAssignment assignment = BrokerAssignment.over(List.of());
+
+  /**
+   * Creates the membership of a process that knows nobody.
+   *
+   * @param transport sends a message to an address
+   */
+  public MembershipService(
+      ControlLoop loop,
+      Member self,
+      RandomGenerator random,
+      BiConsumer<String, GossipMessage> transport) {
+    this.loop = loop;
+    this.transport = transport;
+    this.membership = new Membership(self, MembershipSettings.builder().build(), random, this);
+  }
+
+  /** Adds an action that learns of each change of a member. */
+  public void onChange(Consumer<MemberChange> listener) {
+    listeners.add(listener);
+  }
+
+  /** Starts to probe. */
+  public void start() {
+    membership.start(loop.now());
+    schedule();
+  }
+
+  /** Replaces the addresses that are worth a contact. */
+  public void seed(Collection<String> addresses) {
+    membership.seed(addresses, loop.now());
+    schedule();
+  }
+
+  /** Takes a message of another process. */
+  public void received(GossipMessage message) {
+    membership.received(message, loop.now());
+    schedule();
+  }
+
+  /** Returns the members that are alive, this process included. */
+  public List<Member> liveMembers() {
+    return membership.liveMembers();
+  }
+
+  /** Returns what is known of an address. */
+  public Optional<Member> find(String peerAddress) {
+    return Optional.ofNullable(membership.find(peerAddress));
+  }
+
+  /** Returns the member that brokers an endpoint; it always exists while this process lives. */
+  public Optional<Member> broker(Endpoint endpoint) {
+    List<Member> live = liveMembers();
+    if (live != assignedOver) {
+      assignedOver = live;
+      assignment = BrokerAssignment.over(live);
+    }
+    return assignment
+        .brokers(endpoint.name(), endpoint.dataCentre())
+        .map(BrokerAssignment.Brokers::primary);
+  }
+
+  /** Tells the others which configuration is in force here. */
+  public void configurationOffset(long offset) {
+    membership.configurationOffset(offset);
+  }
+
+  /** Tells the others that this process takes no new work. */
+  public void drain() {
+    membership.draining(true);
+  }
+
+  /** Announces the planned leave. */
+  public void leave() {
+    membership.leave(loop.now());
+    schedule();
+  }
+
+  @Override
+  public void send(String address, GossipMessage message) {
+    transport.accept(address, message);
+  }
+
+  @Override
+  public void memberChanged(MemberChange change) {
+    boolean isNews = change.old() != change.current() && change.current() != MemberState.SUSPECT;
+    if (isNews && change.old() != MemberState.SUSPECT) {
+      logger.atInfo().log(
+          "member name=%s address=%s state=%s cause=%s",
+          change.member().name(),
+          change.member().address(),
+          change.current(),
+          change.cause());
+    }
+    listeners.forEach(listener -> listener.accept(change));
+  }
+
+  private void schedule() {
+    Future<?> pending = timer;
+    if (pending != null) {
+      pending.cancel(false);
+    }
+    long next = membership.nextTick();
+    if (next == Long.MAX_VALUE) {
+      return;
+    }
+    Duration delay = Duration.ofNanos(Math.max(0, next - loop.now()));
+    timer = loop.schedule(this::tick, delay);
+  }
+
+  private void tick() {
+    membership.tick(loop.now());
+    schedule();
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/MessageRouter.java
@@ -0,0 +1,42 @@
+package io.samphiredyke.daemon.peer;
+
+import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.net.peer.PeerHandler;
+import io.samphiredyke.net.peer.PeerIdentity;
+import io.samphiredyke.schema.message.PeerMessage;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Hands the messages of peers to the parts of the process, on the control loop. */
+public final class MessageRouter implements PeerHandler {
+
+  /** Handles messages of one type. */
+  @FunctionalInterface
+  public interface Route<M extends PeerMessage> {
+
+    /** Handles a message and replies to it at most once. */
+    void handle(PeerIdentity from, M message, Consumer<PeerMessage> reply);
+  }
+
+  private final ControlLoop loop;
+  private final Map<Class<?>, Route<PeerMessage>> routes = new HashMap<>();
+
+  /** Creates a router without routes. */
+  public MessageRouter(ControlLoop loop) {
+    this.loop = loop;
+  }
+
+  /** Adds the route of a type of message. All routes are added before the first message. */
+  public <M extends PeerMessage> void on(Class<M> type, Route<M> route) {
+    routes.put(type, (from, message, reply) -> route.handle(from, type.cast(message), reply));
+  }
+
+  @Override
+  public void handle(PeerIdentity from, PeerMessage message, Consumer<PeerMessage> reply) {
+    Route<PeerMessage> route = routes.get(message.getClass());
+    if (route != null) {
+      loop.execute(() -> route.handle(from, message, reply));
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/witness/WitnessService.java
@@ -0,0 +1,72 @@
+package io.samphiredyke.daemon.witness;
+
+import io.samphiredyke.core.invariant.Invariants;
+import io.samphiredyke.core.ownership.Incarnation;
+import io.samphiredyke.core.ownership.RegisterLimits;
+import io.samphiredyke.core.ownership.RegisterOperation;
+import io.samphiredyke.core.ownership.RegisterReply;
+import io.samphiredyke.core.ownership.RequestId;
+import io.samphiredyke.core.ownership.Ticket;
+import io.samphiredyke.core.ownership.TicketCodec;
+import io.samphiredyke.core.ownership.TicketException;
+import io.samphiredyke.core.ownership.WitnessRegister;
+import io.samphiredyke.daemon.control.ControlLoop;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The registers that this host keeps for requests in whose chain it is a successor.
+ *
+ * <p>All methods run on the control loop.
+ */
+public final class WitnessService {
+
+  private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(10);
+
+  private final ControlLoop loop;
+  private final TicketCodec tickets;
+  private final WitnessRegister register;
+
+  /** Creates empty registers. */
+  public WitnessService(
+      ControlLoop loop, TicketCodec tickets, Incarnation self, Invariants invariants) {
+    this.loop = loop;
+    this.tickets = tickets;
+    this.register = new WitnessRegister(self, RegisterLimits.defaults(), invariants);
+  }
+
+  /** Starts to drop records of expired tickets. */
+  public void start() {
+    loop.repeat(() -> register.expire(loop.epochMillis()), EXPIRY_INTERVAL);
+  }
+
+  /**
+   * Applies a write of an authenticated process.
+   *
+   * @return the answer, or empty if the request's id is not valid
+   */
+  public Optional<RegisterReply> write(
+      String requestId, Incarnation writer, RegisterOperation operation) {
+    Optional<RequestId> id = RequestId.parse(requestId);
+    if (id.isEmpty()) {
+      return Optional.empty();
+    }
+    try {
+      Ticket ticket = tickets.decodeIgnoringExpiry(id.get().token());
+      return Optional.of(
+          register.apply(id.get(), ticket, writer, operation, loop.epochMillis()));
+    } catch (TicketException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns what is recorded for a request. */
+  public RegisterReply read(RequestId id) {
+    return register.read(id);
+  }
+
+  /** Returns the number of requests held. */
+  public int size() {
+    return register.size();
+  }
+}
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerKeys.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerKeys.java
@@ -1,7 +1,9 @@
 package io.samphiredyke.net.peer;
 
+import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import javax.crypto.Mac;
@@ -14,6 +16,9 @@
  */
 public final class PeerKeys {
 
+  /** Length of the authentication code of a datagram, in bytes. */
+  public static final int CODE_BYTES = 16;
+
   private static final String ALGORITHM = "HmacSHA256";
 
   private final List<PeerKey> keys;
@@ -52,15 +57,34 @@
     return false;
   }
 
-  private static byte[] bytes(String text) {
-    return text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+  /** Returns the authentication code of a datagram under the signing key. */
+  public byte[] code(byte[] payload) {
+    return Arrays.copyOf(mac(keys.get(0), payload), CODE_BYTES);
+  }
+
+  /** Returns whether a code was made from the payload with one of the keys. */
+  public boolean isAuthentic(byte[] payload, byte[] code) {
+    boolean matches = false;
+    for (PeerKey key : keys) {
+      byte[] expected = Arrays.copyOf(mac(key, payload), CODE_BYTES);
+      matches |= MessageDigest.isEqual(expected, code);
+    }
+    return matches;
   }
 
   private static byte[] mac(PeerKey key, String text) {
+    return mac(key, bytes(text));
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static byte[] mac(PeerKey key, byte[] payload) {
     try {
       Mac mac = Mac.getInstance(ALGORITHM);
       mac.init(new SecretKeySpec(key.secret(), ALGORITHM));
-      return mac.doFinal(bytes(text));
+      return mac.doFinal(payload);
     } catch (GeneralSecurityException e) {
       throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
     }
