--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Member.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Member.java
@@ -19,6 +19,7 @@
  * @param configurationOffset newest configuration offset known to be in force at the member; a hint
  *     that is carried along and never raises the generation
  * @param draining whether the member prepares a planned stop and takes no new work
+ * @param callerAddress address for callers, {@code ip:port}, empty if it serves none
  */
 public record Member(
     String name,
@@ -28,9 +29,10 @@
     MemberState state,
     long generation,
     long configurationOffset,
-    boolean draining) {
+    boolean draining,
+    String callerAddress) {
 
-  private static final int FIELDS = 8;
+  private static final int FIELDS = 9;
 
   /** Starts a member in state {@link MemberState#ALIVE}. */
   public static Builder builder() {
@@ -78,7 +80,8 @@
         .state(state)
         .generation(generation)
         .configurationOffset(configurationOffset)
-        .draining(draining);
+        .draining(draining)
+        .callerAddress(callerAddress);
   }
 
   /** Size of the encoded form, bytes. */
@@ -91,7 +94,8 @@
         + MessagePackSize.SMALL
         + MessagePackSize.ofLong(generation)
         + MessagePackSize.ofLong(configurationOffset)
-        + MessagePackSize.SMALL;
+        + MessagePackSize.SMALL
+        + MessagePackSize.ofString(callerAddress);
   }
 
   /** Builds a {@link Member}. */
@@ -105,6 +109,7 @@
     private long generation;
     private long configurationOffset;
     private boolean draining;
+    private String callerAddress = "";
 
     private Builder() {}
 
@@ -156,6 +161,12 @@
       return this;
     }
 
+    /** Sets the address for callers, {@code ip:port}. */
+    public Builder callerAddress(String value) {
+      callerAddress = value;
+      return this;
+    }
+
     /**
      * Builds the member.
      *
@@ -166,7 +177,15 @@
         throw new IllegalStateException("a member needs an address");
       }
       return new Member(
-          name, address, incarnation, dataCentre, state, generation, configurationOffset, draining);
+          name,
+          address,
+          incarnation,
+          dataCentre,
+          state,
+          generation,
+          configurationOffset,
+          draining,
+          callerAddress);
     }
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -150,7 +150,7 @@
 
   private CompletableFuture<Void> bind() {
     List<PeerKey> keys =
-        settings.peerKeys().stream().map(key -> new PeerKey(key.id(), key.secret())).toList();
+        settings.peerKeys().stream().map(key -> new PeerKey(key.id(), key.bytes())).toList();
     PeerKeys peerKeys = new PeerKeys(keys);
     PeerIdentity identity =
         new PeerIdentity(
@@ -161,8 +161,7 @@
         .thenCompose(done -> bindCallers());
   }
 
-  private CompletableFuture<Void> bindGossip(
-      PeerNode node, PeerIdentity identity, PeerKeys keys) {
+  private CompletableFuture<Void> bindGossip(PeerNode node, PeerIdentity identity, PeerKeys keys) {
     stops.add(node::stop);
     return GossipTransport.start(
             traffic,
@@ -177,14 +176,11 @@
     stops.add(gossip::stop);
     SecureRandom random = new SecureRandom();
     TicketCodec tickets = new TicketCodec(TicketKeys.of(settings.ticketKeys()));
-    MembershipService membership =
-        new MembershipService(loop, self(), random, gossip::send);
-    WitnessService witness =
-        new WitnessService(loop, tickets, host.incarnation(), invariants);
+    MembershipService membership = new MembershipService(loop, self(), random, gossip::send);
+    WitnessService witness = new WitnessService(loop, tickets, host.incarnation(), invariants);
     PeerClient peers = new PeerClient(host, identity, node, router, loop);
     BrokerService brokers =
-        new BrokerService(
-            loop, peers, configuration::configuration, this::isLeaving, invariants);
+        new BrokerService(loop, peers, configuration::configuration, this::isLeaving, invariants);
     EntryContext context =
         new EntryContext(
             host,
@@ -312,9 +308,7 @@
             configuration.readiness(),
             configuration.consecutiveFailures()),
         new StatusReport.RequestsStatus(
-            parts.entry().activeRequests(),
-            parts.entry().knownRequests(),
-            parts.witness().size()),
+            parts.entry().activeRequests(), parts.entry().knownRequests(), parts.witness().size()),
         parts.membership().liveMembers().stream().map(Daemon::line).toList(),
         parts.brokers().status().stream().map(Daemon::line).toList(),
         invariants.violations());
@@ -394,5 +388,4 @@
   public java.util.Map<String, Long> invariantViolations() {
     return invariants.violations();
   }
-
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Main.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Main.java
@@ -29,7 +29,8 @@
     } catch (CompletionException e) {
       Throwable cause = e.getCause() == null ? e : e.getCause();
       System.err.println("samphiredyked: cannot start: " + cause.getMessage());
-      ExitCode code = cause instanceof BindException ? ExitCode.CANNOT_BIND : ExitCode.FAILURE;
+      ExitCode code =
+          cause instanceof BindException ? ExitCode.CANNOT_BIND : ExitCode.INTERNAL_ERROR;
       System.exit(code.code());
       throw new IllegalStateException("unreachable", e);
     }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/TicketKeys.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/TicketKeys.java
@@ -16,7 +16,7 @@
    */
   static List<TicketKey> of(List<NamedKey> keys) {
     return keys.stream()
-        .map(key -> new TicketKey(Integer.parseInt(key.id()), key.secret()))
+        .map(key -> new TicketKey(Integer.parseInt(key.id()), key.bytes()))
         .toList();
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/ViolationLog.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/ViolationLog.java
@@ -22,7 +22,7 @@
   public void violated(Invariant invariant, String detail) {
     metrics.count("invariant-violated-" + invariant.name());
     logger.atSevere().log("invariant=%s violated detail=%s", invariant.name(), detail);
-    if (invariant.isFatal()) {
+    if (invariant.severity() == Invariant.Severity.FATAL) {
       throw new IllegalStateException("invariant " + invariant.name() + " violated: " + detail);
     }
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
@@ -80,8 +80,7 @@
     if (!path.startsWith(REQUESTS_PATH) || !path.endsWith(EXPLAIN_SUFFIX)) {
       return false;
     }
-    String id =
-        path.substring(REQUESTS_PATH.length(), path.length() - EXPLAIN_SUFFIX.length());
+    String id = path.substring(REQUESTS_PATH.length(), path.length() - EXPLAIN_SUFFIX.length());
     explain
         .apply(id)
         .thenAccept(
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CallerStream.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CallerStream.java
@@ -99,8 +99,7 @@
       return;
     }
     byte[] body = buffer.part(1);
-    exchange.respond(
-        head.status(), headers(head.contentType()), body == null ? new byte[0] : body);
+    exchange.respond(head.status(), headers(head.contentType()), body == null ? new byte[0] : body);
   }
 
   private Map<String, String> headers(String contentType) {
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/broker/BrokerService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/broker/BrokerService.java
@@ -8,8 +8,8 @@
 import io.samphiredyke.core.broker.ClaimKey;
 import io.samphiredyke.core.broker.EndpointBroker;
 import io.samphiredyke.core.broker.Held;
-import io.samphiredyke.core.broker.Refuse;
 import io.samphiredyke.core.broker.RefusalReason;
+import io.samphiredyke.core.broker.Refuse;
 import io.samphiredyke.core.broker.StreamSample;
 import io.samphiredyke.core.config.Configuration;
 import io.samphiredyke.core.config.Endpoint;
@@ -39,9 +39,9 @@
 /**
  * The brokers that this host runs, made when the first claim for an endpoint arrives.
  *
- * <p>Which host brokers an endpoint is decided by the entries from their view of the live hosts; two
- * brokers of one endpoint at a time admit a little more than the limit and break no promise. All
- * methods run on the control loop.
+ * <p>Which host brokers an endpoint is decided by the entries from their view of the live hosts;
+ * two brokers of one endpoint at a time admit a little more than the limit and break no promise.
+ * All methods run on the control loop.
  */
 public final class BrokerService {
 
@@ -260,8 +260,7 @@
     }
     brokered.timerAt = next;
     brokered.timer =
-        loop.schedule(
-            () -> tick(brokered), Duration.ofNanos(Math.max(0, next - loop.now())));
+        loop.schedule(() -> tick(brokered), Duration.ofNanos(Math.max(0, next - loop.now())));
   }
 
   private void tick(Brokered brokered) {
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/configuration/ConfigurationService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/configuration/ConfigurationService.java
@@ -72,8 +72,7 @@
     this.http = http;
     this.logAddresses = List.copyOf(logAddresses);
     this.path = "/v1/streams/" + stream + "/records";
-    this.follower =
-        new LogFollower(host, LogFollowerOptions.builder().build(), random, loop.now());
+    this.follower = new LogFollower(host, LogFollowerOptions.builder().build(), random, loop.now());
   }
 
   /** Adds an action that runs after each change of the configuration in force. */
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/control/ControlLoop.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/control/ControlLoop.java
@@ -53,7 +53,8 @@
   /** Passes the result of a future to an action on the loop; one of value and failure is null. */
   public <T> void whenDone(
       CompletableFuture<T> future, Consumer<T> onValue, Consumer<Throwable> onFailure) {
-    future.whenComplete((value, failure) -> execute(() -> pass(value, failure, onValue, onFailure)));
+    future.whenComplete(
+        (value, failure) -> execute(() -> pass(value, failure, onValue, onFailure)));
   }
 
   private static <T> void pass(
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
@@ -72,8 +72,7 @@
     chain.add(owner);
     addSuccessors(chain, candidates(service, true));
     addSuccessors(chain, candidates(service, false));
-    List<ChainMember> members =
-        chain.stream().map(member -> chainMember(member, service)).toList();
+    List<ChainMember> members = chain.stream().map(member -> chainMember(member, service)).toList();
     long now = context.loop().epochMillis();
     return new Ticket(
         Incarnation.random(random),
@@ -98,8 +97,7 @@
   }
 
   private static void addIfRoom(List<Member> chain, Member candidate) {
-    boolean isKnown =
-        chain.stream().anyMatch(m -> m.incarnation().equals(candidate.incarnation()));
+    boolean isKnown = chain.stream().anyMatch(m -> m.incarnation().equals(candidate.incarnation()));
     if (!isKnown && chain.size() < Ticket.MAX_CHAIN_MEMBERS) {
       chain.add(candidate);
     }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AnswerProblems.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AnswerProblems.java
@@ -33,7 +33,8 @@
 
   Problem shed(ClaimAction.Shed shed) {
     String detail = "refused by all endpoints: " + shed.reasons();
-    Duration wait = Duration.ofNanos(Math.max(Duration.ofSeconds(1).toNanos(), shed.retryAfterNanos()));
+    Duration wait =
+        Duration.ofNanos(Math.max(Duration.ofSeconds(1).toNanos(), shed.retryAfterNanos()));
     return shed.isPressure()
         ? Problem.notRun(TOO_MANY, "overloaded", detail).withRetryAfter(wait)
         : Problem.notRun(UNAVAILABLE, "no endpoint", detail).withRetryAfter(wait);
@@ -53,9 +54,7 @@
   /** Returns the document of an answer; a refusal gives the words for an answer of not run. */
   Problem of(OwnershipAnswer answer, @Nullable Problem refusal) {
     if (answer instanceof OwnershipAnswer.NotRun notRun) {
-      return refusal != null
-          ? refusal
-          : Problem.notRun(UNAVAILABLE, "not run", notRun.reason());
+      return refusal != null ? refusal : Problem.notRun(UNAVAILABLE, "not run", notRun.reason());
     }
     if (answer instanceof OwnershipAnswer.Running) {
       return Problem.of(
@@ -73,8 +72,7 @@
       return Problem.of(
           UNPROCESSABLE, "another body", "the id was used with another body", Ran.UNKNOWN);
     }
-    String cause =
-        answer instanceof OwnershipAnswer.Unknown unknown ? unknown.cause().name() : "";
+    String cause = answer instanceof OwnershipAnswer.Unknown unknown ? unknown.cause().name() : "";
     return Problem.of(
         TIMEOUT, "unknown", "it cannot be decided whether the request ran: " + cause, Ran.UNKNOWN);
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
@@ -14,9 +14,9 @@
 import io.samphiredyke.daemon.answer.Problem.Ran;
 import io.samphiredyke.net.http.HttpException;
 import io.samphiredyke.net.http.HttpExchange;
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -27,8 +27,8 @@
 /**
  * The pages for callers: addresses, chat completions, calls to plain services, requests by id.
  *
- * <p>Requests are refused by their head where that is possible, before the body is read: wrong keys,
- * wrong hosts, services that may not run here.
+ * <p>Requests are refused by their head where that is possible, before the body is read: wrong
+ * keys, wrong hosts, services that may not run here.
  */
 public final class CallerApi {
 
@@ -50,10 +50,7 @@
    * @param isReady whether this process has a complete configuration
    */
   public CallerApi(
-      EntryContext context,
-      EntryService entry,
-      RandomGenerator random,
-      BooleanSupplier isReady) {
+      EntryContext context, EntryService entry, RandomGenerator random, BooleanSupplier isReady) {
     this.context = context;
     this.entry = entry;
     this.addresses = new AddressBook(context, random);
@@ -134,7 +131,8 @@
         .body()
         .whenComplete(
             (body, failure) ->
-                continueWith(exchange, failure, () -> chat(exchange, customer, ticket, known, body)));
+                continueWith(
+                    exchange, failure, () -> chat(exchange, customer, ticket, known, body)));
   }
 
   private void chat(
@@ -171,17 +169,14 @@
                 continueWith(
                     exchange,
                     failure,
-                    () ->
-                        submit(
-                            exchange, customer, service, ticket, Payload.ofCall(path, body))));
+                    () -> submit(exchange, customer, service, ticket, Payload.ofCall(path, body))));
   }
 
   private void showRequest(HttpExchange exchange) {
     Customer customer = customer(exchange);
     String rest = exchange.path().substring(REQUESTS_PATH.length());
     boolean wantsStream = rest.endsWith(STREAM_SUFFIX);
-    String text =
-        wantsStream ? rest.substring(0, rest.length() - STREAM_SUFFIX.length()) : rest;
+    String text = wantsStream ? rest.substring(0, rest.length() - STREAM_SUFFIX.length()) : rest;
     RequestTicket ticket = ticket(text, customer);
     Service service = openService(customer, ticket.ticket().service());
     requirePermitted(service, Optional.of(ticket));
@@ -221,8 +216,7 @@
             });
   }
 
-  private void deliver(
-      HttpExchange exchange, RequestIdentity request, @Nullable Payload payload) {
+  private void deliver(HttpExchange exchange, RequestIdentity request, @Nullable Payload payload) {
     long after = lastEventId(exchange);
     boolean wantsStream =
         payload == null ? exchange.path().endsWith(STREAM_SUFFIX) : payload.wantsStream();
@@ -231,8 +225,7 @@
             request,
             payload,
             session ->
-                new CallerStream(
-                    exchange, session.buffer(), request.idText(), after, wantsStream));
+                new CallerStream(exchange, session.buffer(), request.idText(), after, wantsStream));
     exchange
         .disconnected()
         .thenRun(() -> context.loop().execute(() -> entry.callerLeft(request, caller)));
@@ -359,8 +352,7 @@
   }
 
   private static void requireService(Optional<RequestTicket> ticket, Service service) {
-    boolean isOther =
-        ticket.isPresent() && !ticket.get().ticket().service().equals(service.name());
+    boolean isOther = ticket.isPresent() && !ticket.get().ticket().service().equals(service.name());
     if (isOther) {
       throw new HttpException(400, "the ticket of the id is for another service");
     }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ClaimDriver.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ClaimDriver.java
@@ -294,8 +294,7 @@
     }
     Member now = broker(held.endpoint()).orElse(null);
     Member before = boundBroker;
-    boolean same =
-        now != null && before != null && now.incarnation().equals(before.incarnation());
+    boolean same = now != null && before != null && now.incarnation().equals(before.incarnation());
     if (same || now == null) {
       return;
     }
@@ -328,10 +327,6 @@
   }
 
   private Optional<Member> broker(String endpoint) {
-    return context
-        .configuration()
-        .get()
-        .endpoint(endpoint)
-        .flatMap(context.membership()::broker);
+    return context.configuration().get().endpoint(endpoint).flatMap(context.membership()::broker);
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
@@ -213,8 +213,7 @@
     long contentKept = now - context.resumeWindow().toMillis();
     sessions
         .values()
-        .removeIf(
-            session -> !session.isActive() && session.request().ticket().isExpired(now));
+        .removeIf(session -> !session.isActive() && session.request().ticket().isExpired(now));
     sessions.values().forEach(session -> session.forgetContent(contentKept));
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RegisterDriver.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RegisterDriver.java
@@ -25,8 +25,7 @@
   private final RequestIdentity request;
   private final Consumer<OwnershipEvent> events;
 
-  RegisterDriver(
-      EntryContext context, RequestIdentity request, Consumer<OwnershipEvent> events) {
+  RegisterDriver(EntryContext context, RequestIdentity request, Consumer<OwnershipEvent> events) {
     this.context = context;
     this.request = request;
     this.events = events;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestIdentity.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestIdentity.java
@@ -20,8 +20,7 @@
     RequestId id, Ticket ticket, Customer customer, Service service, int tierRank) {
 
   /** Returns the identity by the configuration in force, if customer and service still exist. */
-  static Optional<RequestIdentity> of(
-      RequestId id, Ticket ticket, Configuration configuration) {
+  static Optional<RequestIdentity> of(RequestId id, Ticket ticket, Configuration configuration) {
     Optional<Customer> customer = configuration.customer(ticket.customer());
     Optional<Service> service = configuration.service(ticket.service());
     if (customer.isEmpty() || service.isEmpty()) {
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -59,8 +59,7 @@
     this.context = context;
     this.request = request;
     this.machine =
-        new OwnershipMachine(
-            request.ticket(), context.host().incarnation(), context.invariants());
+        new OwnershipMachine(request.ticket(), context.host().incarnation(), context.invariants());
     this.registers = new RegisterDriver(context, request, this::handle);
     this.problems = new AnswerProblems(context, request);
     this.times = new SessionTimes(context, request);
@@ -274,8 +273,7 @@
       handle(new OwnershipEvent.NotDispatched(attempt));
       return;
     }
-    boolean isPermitted =
-        request.service().dataCentres().contains(endpoint.get().dataCentre());
+    boolean isPermitted = request.service().dataCentres().contains(endpoint.get().dataCentre());
     context
         .invariants()
         .check(ENDPOINT_IS_PERMITTED, isPermitted, () -> name + " for " + request.service());
@@ -393,8 +391,7 @@
   private void release(Release.Outcome outcome) {
     ClaimDriver driver = claims;
     if (driver != null) {
-      driver.release(
-          outcome, times.firstTokenNanos(), times.intervalNanos(), times.outputTokens());
+      driver.release(outcome, times.firstTokenNanos(), times.intervalNanos(), times.outputTokens());
     }
   }
 
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SessionTimes.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SessionTimes.java
@@ -43,8 +43,7 @@
     int bytes = payload.prompt().getBytes(StandardCharsets.UTF_8).length;
     int most = payload.maxTokens() > 0 ? payload.maxTokens() : MAX_OUTPUT_TOKENS;
     int output =
-        lengths.outputTokens(
-            service.name(), request.customer().name(), ESTIMATE_DEVIATIONS, most);
+        lengths.outputTokens(service.name(), request.customer().name(), ESTIMATE_DEVIATIONS, most);
     return new RequestEstimate(
         request.tierRank(), lengths.promptTokens(service.name(), bytes), output);
   }
@@ -63,8 +62,7 @@
     firstPartAt = context.loop().now();
     context
         .metrics()
-        .firstToken(
-            request.service().tier(), request.customer().name(), firstPartAt - receivedAt);
+        .firstToken(request.service().tier(), request.customer().name(), firstPartAt - receivedAt);
   }
 
   /** Returns the time from dispatch to the first token in nanoseconds, 0 if there was none. */
@@ -102,8 +100,6 @@
 
   void settled(String outcome) {
     long nanos = context.loop().now() - receivedAt;
-    context
-        .metrics()
-        .ended(request.service().tier(), request.customer().name(), outcome, nanos);
+    context.metrics().ended(request.service().tier(), request.customer().name(), outcome, nanos);
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
@@ -122,10 +122,7 @@
     if (isNews && change.old() != MemberState.SUSPECT) {
       logger.atInfo().log(
           "member name=%s address=%s state=%s cause=%s",
-          change.member().name(),
-          change.member().address(),
-          change.current(),
-          change.cause());
+          change.member().name(), change.member().address(), change.current(), change.cause());
     }
     listeners.forEach(listener -> listener.accept(change));
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/ClaimMessages.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/ClaimMessages.java
@@ -45,8 +45,7 @@
   }
 
   /** Returns the claim that an entry makes with a message. */
-  public static io.samphiredyke.core.broker.Claim toClaim(
-      Claim message, String entry, long now) {
+  public static io.samphiredyke.core.broker.Claim toClaim(Claim message, String entry, long now) {
     return io.samphiredyke.core.broker.Claim.builder()
         .requestId(message.requestId())
         .attempt(message.attempt())
@@ -66,8 +65,7 @@
   }
 
   /** Returns the granted claim that an entry tells a new broker about. */
-  public static io.samphiredyke.core.broker.Claim toClaim(
-      Adopt message, String entry, long now) {
+  public static io.samphiredyke.core.broker.Claim toClaim(Adopt message, String entry, long now) {
     return io.samphiredyke.core.broker.Claim.builder()
         .requestId(message.requestId())
         .attempt(message.attempt())
@@ -173,14 +171,12 @@
   }
 
   /** Returns the message that gives a grant back. */
-  public static io.samphiredyke.schema.message.Release toMessage(
-      String endpoint, Release release) {
+  public static io.samphiredyke.schema.message.Release toMessage(String endpoint, Release release) {
     return io.samphiredyke.schema.message.Release.builder()
         .requestId(release.key().requestId())
         .attempt(release.key().attempt())
         .endpoint(endpoint)
-        .outcome(
-            io.samphiredyke.schema.message.Release.Outcome.of(release.outcome().name()))
+        .outcome(io.samphiredyke.schema.message.Release.Outcome.of(release.outcome().name()))
         .firstTokenMicros(micros(release.firstTokenNanos()))
         .meanTokenIntervalMicros(micros(release.meanTokenIntervalNanos()))
         .outputTokens(release.outputTokens())
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/RegisterMessages.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/RegisterMessages.java
@@ -56,8 +56,7 @@
       String requestId, RegisterReply reply) {
     return io.samphiredyke.schema.message.RegisterReply.builder()
         .requestId(requestId)
-        .status(
-            io.samphiredyke.schema.message.RegisterReply.Status.of(reply.status().name()))
+        .status(io.samphiredyke.schema.message.RegisterReply.Status.of(reply.status().name()))
         .record(toHeld(reply.record()))
         .build();
   }
@@ -69,8 +68,7 @@
     }
     return io.samphiredyke.schema.message.RegisterReply.Held.builder()
         .holder(record.holder().toString())
-        .state(
-            io.samphiredyke.schema.message.RegisterReply.Held.State.of(record.status().name()))
+        .state(io.samphiredyke.schema.message.RegisterReply.Held.State.of(record.status().name()))
         .attempt(record.attempt())
         .endpoint(record.endpoint())
         .detail(record.detail())
@@ -91,8 +89,7 @@
     }
   }
 
-  private static RegisterRecord toRecord(
-      io.samphiredyke.schema.message.RegisterReply.Held held) {
+  private static RegisterRecord toRecord(io.samphiredyke.schema.message.RegisterReply.Held held) {
     return new RegisterRecord(
         Incarnation.parse(held.holder()),
         RegisterRecord.Status.valueOf(held.state().name()),
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/witness/WitnessService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/witness/WitnessService.java
@@ -32,7 +32,7 @@
       ControlLoop loop, TicketCodec tickets, Incarnation self, Invariants invariants) {
     this.loop = loop;
     this.tickets = tickets;
-    this.register = new WitnessRegister(self, RegisterLimits.defaults(), invariants);
+    this.register = new WitnessRegister(self, RegisterLimits.DEFAULT, invariants);
   }
 
   /** Starts to drop records of expired tickets. */
@@ -53,8 +53,7 @@
     }
     try {
       Ticket ticket = tickets.decodeIgnoringExpiry(id.get().token());
-      return Optional.of(
-          register.apply(id.get(), ticket, writer, operation, loop.epochMillis()));
+      return Optional.of(register.apply(id.get(), ticket, writer, operation, loop.epochMillis()));
     } catch (TicketException e) {
       return Optional.empty();
     }
