Entry: new connection for each dispatch, idle requests don't hold up a drain

Cause: a request written to a kept connection that the endpoint had closed or forgotten ended as unknown, because nothing tells whether it arrived; a request whose caller had left while it waited counted as active for good and held a planned stop until its timeout. Change: dispatches use a connection of their own; waiting without a caller is not active; an overloaded endpoint's answer is reported to its broker as such.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -70,6 +70,7 @@
   private final Metrics metrics = new Metrics();
   private final Invariants invariants;
   private final HttpClient http;
+  private final HttpClient endpoints;
   private final ConfigurationService configuration;
   private final HostListPoller hostList;
   private final MessageRouter router;
@@ -100,6 +101,7 @@
     this.host = hostOf(settings);
     this.invariants = new Invariants(new ViolationLog(metrics));
     this.http = new HttpClient(traffic, HttpClientOptions.defaults());
+    this.endpoints = new HttpClient(traffic, HttpClientOptions.defaults().withoutIdle());
     this.configuration =
         new ConfigurationService(
             loop,
@@ -186,7 +188,7 @@
             host,
             loop,
             traffic,
-            http,
+            endpoints,
             peers,
             configuration::configuration,
             membership,
@@ -370,6 +372,7 @@
   public void stop() {
     stops.forEach(Runnable::run);
     http.close();
+    endpoints.close();
     closeGroups();
     stopped.complete(null);
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -14,6 +14,7 @@
 import io.samphiredyke.core.routing.PromptFingerprint;
 import io.samphiredyke.core.routing.RequestEstimate;
 import io.samphiredyke.daemon.answer.AnswerBuffer;
+import io.samphiredyke.daemon.answer.AnswerHead;
 import io.samphiredyke.daemon.answer.CallerStream;
 import io.samphiredyke.daemon.answer.Problem;
 import io.samphiredyke.schema.message.Grant;
@@ -37,6 +38,9 @@
   /** A request goes only to endpoints in data centres that its service permits. */
   static final Invariant ENDPOINT_IS_PERMITTED = Invariant.fatal("endpoint-is-permitted");
 
+  private static final int TOO_MANY = 429;
+  private static final int UNAVAILABLE = 503;
+
   private final EntryContext context;
   private final RequestIdentity request;
   private final OwnershipMachine machine;
@@ -80,10 +84,10 @@
 
   /** Returns whether this entry still works on the request. */
   boolean isActive() {
-    OwnershipPhase phase = machine.state().phase();
-    return switch (phase) {
+    return switch (machine.state().phase()) {
       case IDLE, CLOSED, TAKEN_AWAY, FINISHED, UNKNOWN -> !callers.isEmpty() && !isSettled;
-      default -> true;
+      case OWNING, CLOSING -> !callers.isEmpty();
+      case INTENT_PENDING, DISPATCHED, ASKING, TAKING_OVER, CONSULTING, RECOVERING -> true;
     };
   }
 
@@ -375,12 +379,17 @@
   private void ended(Endpoint endpoint, int attempt) {
     context.learned().circuit(endpoint.name()).succeeded();
     times.ended(buffer, payload);
-    release(Release.Outcome.COMPLETED);
+    release(isOverloaded() ? Release.Outcome.OVERLOADED : Release.Outcome.COMPLETED);
     settle("answered");
     callers.clear();
     handle(new OwnershipEvent.Ended(attempt));
   }
 
+  private boolean isOverloaded() {
+    AnswerHead head = buffer.head();
+    return head != null && (head.status() == TOO_MANY || head.status() == UNAVAILABLE);
+  }
+
   private void notDispatched(Endpoint endpoint, int attempt) {
     context.learned().circuit(endpoint.name()).failed(context.loop().now());
     context.metrics().count("endpoint-not-reached");
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClientOptions.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClientOptions.java
@@ -30,6 +30,16 @@
         Duration.ofSeconds(1), DEFAULT_BODY_BYTES, DEFAULT_IDLE, Duration.ofSeconds(10), null);
   }
 
+  /**
+   * Returns the same limits with a new connection for each request.
+   *
+   * <p>A request that must not be sent twice needs this: on a kept connection that the other end
+   * has forgotten, it could not be known whether the request arrived.
+   */
+  public HttpClientOptions withoutIdle() {
+    return new HttpClientOptions(connectTimeout, maxBodyBytes, 0, maxIdleTime, tls);
+  }
+
   /** Returns the same limits with TLS. */
   public HttpClientOptions withTls(SslContext context) {
     return new HttpClientOptions(
