--- /dev/null
+++ b/samphiredyke-standins/src/main/java/io/samphiredyke/standins/CommandLine.java
@@ -0,0 +1,279 @@
+package io.samphiredyke.standins;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.net.codec.Json;
+import io.samphiredyke.standins.engine.EngineOptions;
+import io.samphiredyke.standins.engine.EngineSettings;
+import io.samphiredyke.standins.engine.EngineStandIn;
+import io.samphiredyke.standins.hosts.HostEntry;
+import io.samphiredyke.standins.hosts.HostList;
+import io.samphiredyke.standins.hosts.HostListStandIn;
+import io.samphiredyke.standins.log.LogOptions;
+import io.samphiredyke.standins.log.LogStandIn;
+import io.samphiredyke.standins.plain.PlainSettings;
+import io.samphiredyke.standins.plain.PlainStandIn;
+import io.samphiredyke.standins.server.AbstractStandIn;
+import io.samphiredyke.standins.server.StandInRuntime;
+import io.samphiredyke.standins.weights.WeightSettings;
+import io.samphiredyke.standins.weights.WeightStandIn;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The flags of {@code samphiredyke-standin}. */
+final class CommandLine {
+
+  private static final String KIND = "kind";
+
+  private final ArgumentParser parser =
+      ArgumentParsers.newFor("samphiredyke-standin")
+          .build()
+          .defaultHelp(true)
+          .description("Runs a small stand-in of one outside system.");
+
+  CommandLine() {
+    Subparsers kinds = parser.addSubparsers().dest(KIND).metavar("KIND");
+    addEngine(kinds);
+    addService(kinds);
+    addLog(kinds);
+    addHosts(kinds);
+    addWeights(kinds);
+  }
+
+  /**
+   * Reads the arguments.
+   *
+   * @throws ArgumentParserException if they are wrong, or ask for help
+   */
+  StandInStarter parse(String... args) throws ArgumentParserException {
+    Namespace flags = parser.parseArgs(args);
+    try {
+      return starter(flags);
+    } catch (IllegalArgumentException e) {
+      throw new ArgumentParserException(e.getMessage(), e, parser);
+    }
+  }
+
+  /** Prints what is wrong; returns whether it was a request for help. */
+  boolean report(ArgumentParserException failure) {
+    parser.handleError(failure, new PrintWriter(System.err, true, StandardCharsets.UTF_8));
+    return failure instanceof HelpScreenException;
+  }
+
+  private static StandInStarter starter(Namespace flags) {
+    InetSocketAddress address = flags.get("address");
+    return switch (flags.getString(KIND)) {
+      case "engine" -> engine(flags, address);
+      case "service" -> service(flags, address);
+      case "log" -> log(flags, address);
+      case "hosts" -> hosts(flags, address);
+      case "weights" -> weights(flags, address);
+      default -> throw new IllegalArgumentException("unknown kind " + flags.getString(KIND));
+    };
+  }
+
+  private static StandInRuntime runtime() {
+    return StandInRuntime.system(
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next());
+  }
+
+  private static CompletableFuture<String> announce(
+      String kind, CompletableFuture<? extends AbstractStandIn<?>> started) {
+    return started.thenApply(standIn -> kind + " listens on " + standIn.address());
+  }
+
+  private static Subparser add(Subparsers kinds, String kind, String help) {
+    Subparser subparser = kinds.addParser(kind).help(help).description(help).defaultHelp(true);
+    subparser
+        .addArgument("--address")
+        .metavar("IP:PORT")
+        .required(true)
+        .type(FlagTypes::address)
+        .help("where to listen; port 0 takes a free one");
+    return subparser;
+  }
+
+  private static void addPlace(Subparser subparser, String name) {
+    subparser.addArgument("--name").setDefault(name).help("its name in counts and state");
+    subparser.addArgument("--data-centre").setDefault("dc1").help("where it stands");
+  }
+
+  private static void addEngine(Subparsers kinds) {
+    Subparser engine = add(kinds, "engine", "a model engine");
+    addPlace(engine, "engine");
+    engine.addArgument("--model").action(Arguments.append()).help("NAME[@VERSION] loaded at start");
+    engine.addArgument("--role").setDefault("mixed").help("role at start");
+    integer(engine, "--batch-limit", 16, "the most sequences that run at once");
+    number(engine, "--prefill-rate", 8_000, "tokens prefilled per second");
+    number(engine, "--decode-rate", 50, "tokens per second of a lone sequence");
+    number(engine, "--batch-slowdown", 0.02, "longer step for each further sequence, as a part");
+    integer(engine, "--prefill-chunk", 512, "the most tokens prefilled in one step");
+    integer(engine, "--block-tokens", 16, "tokens in one cache block");
+    integer(engine, "--cache-blocks", 4_096, "the most blocks in the prefix cache");
+    integer(engine, "--load-lag-millis", 1_000, "age of the load report");
+    integer(engine, "--cache-event-lag-millis", 2_000, "how late cache events are published");
+    number(engine, "--cache-event-loss", 0.05, "part of the cache events that is never published");
+    integer(engine, "--resume-window-millis", 30_000, "how long an unread answer is kept");
+    integer(engine, "--load-millis", 2_000, "how long a load takes without a weight store");
+    engine
+        .addArgument("--fence")
+        .choices("check", "ignore")
+        .setDefault("check")
+        .help("whether orders with an old fencing number are refused");
+    engine
+        .addArgument("--early-stop")
+        .action(Arguments.storeTrue())
+        .help("answers end by themselves between a quarter of max_tokens and max_tokens");
+    engine
+        .addArgument("--weights")
+        .metavar("IP:PORT")
+        .type(FlagTypes::address)
+        .help("the weight store to load from");
+  }
+
+  private static StandInStarter engine(Namespace flags, InetSocketAddress address) {
+    List<String> models = flags.getList("model");
+    EngineOptions options =
+        EngineOptions.builder()
+            .batchLimit(flags.getInt("batch_limit"))
+            .prefillRate(flags.getDouble("prefill_rate"))
+            .decodeRate(flags.getDouble("decode_rate"))
+            .batchSlowdown(flags.getDouble("batch_slowdown"))
+            .prefillChunk(flags.getInt("prefill_chunk"))
+            .blockTokens(flags.getInt("block_tokens"))
+            .cacheBlocks(flags.getInt("cache_blocks"))
+            .loadLag(millis(flags, "load_lag_millis"))
+            .build();
+    EngineSettings settings =
+        EngineSettings.builder()
+            .name(flags.getString("name"))
+            .dataCentre(flags.getString("data_centre"))
+            .options(options)
+            .models(models == null ? List.of() : models)
+            .role(flags.getString("role"))
+            .checkFence(flags.getString("fence").equals("check"))
+            .resumeWindow(millis(flags, "resume_window_millis"))
+            .cacheEventLag(millis(flags, "cache_event_lag_millis"))
+            .cacheEventLoss(flags.getDouble("cache_event_loss"))
+            .earlyStop(flags.getBoolean("early_stop"))
+            .loadTime(millis(flags, "load_millis"))
+            .weightStore(flags.get("weights"))
+            .build();
+    return () -> announce("engine", EngineStandIn.start(runtime(), address, settings));
+  }
+
+  private static void addService(Subparsers kinds) {
+    Subparser service = add(kinds, "service", "a plain service");
+    addPlace(service, "service");
+    integer(service, "--latency-millis", 20, "how long a call takes");
+    integer(service, "--concurrency", 8, "the most calls that run at once");
+  }
+
+  private static StandInStarter service(Namespace flags, InetSocketAddress address) {
+    PlainSettings settings =
+        new PlainSettings(
+            flags.getString("name"),
+            flags.getString("data_centre"),
+            millis(flags, "latency_millis"),
+            flags.getInt("concurrency"));
+    return () -> announce("service", PlainStandIn.start(runtime(), address, settings));
+  }
+
+  private static void addLog(Subparsers kinds) {
+    Subparser log = add(kinds, "log", "the append-only log");
+    integer(log, "--retention-records", 100_000, "the most records kept in each stream");
+    integer(log, "--retention-millis", 86_400_000, "how long a record is kept");
+    number(log, "--appends-per-second", 300, "the most appends per second");
+  }
+
+  private static StandInStarter log(Namespace flags, InetSocketAddress address) {
+    LogOptions options =
+        new LogOptions(
+            flags.getInt("retention_records"),
+            millis(flags, "retention_millis"),
+            flags.getDouble("appends_per_second"));
+    return () -> announce("log", LogStandIn.start(runtime(), address, options));
+  }
+
+  private static void addHosts(Subparsers kinds) {
+    Subparser hosts = add(kinds, "hosts", "the host list");
+    hosts
+        .addArgument("--file")
+        .type(Arguments.fileType().verifyCanRead())
+        .help("a JSON file in the form of GET /v1/hosts");
+    hosts
+        .addArgument("--host")
+        .metavar("NAME,IP:PORT,KIND,DATA-CENTRE[,STATE]")
+        .action(Arguments.append())
+        .type(FlagTypes::host)
+        .help("a further host");
+    integer(hosts, "--lag-millis", 1_000, "how long a change takes to be published");
+  }
+
+  private static StandInStarter hosts(Namespace flags, InetSocketAddress address) {
+    List<HostEntry> entries = new ArrayList<>();
+    File file = flags.get("file");
+    if (file != null) {
+      entries.addAll(readHosts(file));
+    }
+    List<HostEntry> further = flags.getList("host");
+    if (further != null) {
+      entries.addAll(further);
+    }
+    Duration lag = millis(flags, "lag_millis");
+    return () -> announce("hosts", HostListStandIn.start(runtime(), address, entries, lag));
+  }
+
+  private static List<HostEntry> readHosts(File file) {
+    try {
+      List<HostEntry> hosts = Json.read(Files.readAllBytes(file.toPath()), HostList.class).hosts();
+      if (hosts == null) {
+        throw new IllegalArgumentException(file + ": no member \"hosts\"");
+      }
+      return hosts;
+    } catch (IOException e) {
+      throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+    }
+  }
+
+  private static void addWeights(Subparsers kinds) {
+    Subparser weights = add(kinds, "weights", "the weight store");
+    integer(weights, "--bytes-per-second", 50_000_000, "the rate of all downloads together");
+    integer(weights, "--bytes", 10_000_000, "the size of each model's weights");
+  }
+
+  private static StandInStarter weights(Namespace flags, InetSocketAddress address) {
+    WeightSettings settings =
+        new WeightSettings(flags.getInt("bytes_per_second"), flags.getInt("bytes"), Map.of());
+    return () -> announce("weights", WeightStandIn.start(runtime(), address, settings));
+  }
+
+  private static void integer(Subparser parser, String flag, int standard, String help) {
+    parser.addArgument(flag).type(Integer.class).setDefault(standard).help(help);
+  }
+
+  private static void number(Subparser parser, String flag, double standard, String help) {
+    parser.addArgument(flag).type(Double.class).setDefault(standard).help(help);
+  }
+
+  private static Duration millis(Namespace flags, String name) {
+    return Duration.ofMillis(flags.getInt(name));
+  }
+}
