Model check of the ownership protocol; two faults that it found

The exploration drives the production machines and registers: callers that ask at any member, leave and are refused, messages that come late, repeated, in any order or never, silence reported at any time, and in a second mode deaths with exact silence, which shows when unknown may be told.

Found and mended: - A repeated acknowledgement of a take was handled again by a successor that already waited for a grant, and failed on a missing endpoint (focused test). - An owner that had yielded told unknown after one death, when its successor died before any dispatch. It now closes the request at the second register, whose acknowledgement a dispatch of the successor would need (focused test). A first try numbered this closing 0 and was refused as stale where the owner already held the register; the number is now above all attempts.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/HoldingSteps.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/HoldingSteps.java
@@ -36,7 +36,7 @@
       close(NO_DISPATCH_HERE);
       return;
     }
-    context.enter(OwnershipPhase.OWNING);
+    context.update(state().toBuilder().phase(OwnershipPhase.OWNING).awaited(null));
     claimIfWanted();
   }
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/OwnershipMachine.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/OwnershipMachine.java
@@ -187,7 +187,12 @@
       holding.replied(event.place(), event.reply(), operation);
       return;
     }
-    if (recovery.takeReplied(event.place(), event.reply())) {
+    if (!recovery.takeReplied(event.place(), event.reply())) {
+      return;
+    }
+    if (context.isOwner()) {
+      holding.closed(event.place());
+    } else {
       holding.own();
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/RecoverySteps.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/RecoverySteps.java
@@ -4,6 +4,7 @@
 import io.samphiredyke.core.ownership.OwnershipDecision.AskMember;
 import io.samphiredyke.core.ownership.OwnershipDecision.ReadRegister;
 import io.samphiredyke.core.ownership.OwnershipDecision.ResumeFrom;
+import io.samphiredyke.core.ownership.RegisterOperation.Close;
 import io.samphiredyke.core.ownership.RegisterOperation.Take;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
@@ -11,6 +12,10 @@
 /** Steps of a process to which a request comes that another one owned first. */
 final class RecoverySteps {
 
+  /** Attempt of an owner that makes no further one, above all that it may have made. */
+  private static final int LAST_ATTEMPT = Integer.MAX_VALUE;
+
+  private static final String SUCCESSOR_BARRED = "not dispatched before its successor was lost";
   private static final String CLOSED_ELSEWHERE = "closed by its owner";
 
   private final OwnershipContext context;
@@ -67,10 +72,25 @@
       ask(Ticket.FIRST_SUCCESSOR);
       return;
     }
+    if (context.isOwner() && context.chainLength() == Ticket.MAX_CHAIN_MEMBERS) {
+      bar();
+      return;
+    }
     context.markTried(Ticket.FIRST_SUCCESSOR);
     consultNext(UnknownCause.REGISTERS_UNREACHABLE);
   }
 
+  /**
+   * Keeps the first successor from dispatching, after the owner has yielded to it.
+   *
+   * <p>The owner itself never dispatches any more, and the first successor needs the second
+   * register for its intent: if the owner comes first there, the request never runs.
+   */
+  private void bar() {
+    context.update(state().toBuilder().phase(OwnershipPhase.TAKING_OVER).reason(SUCCESSOR_BARRED));
+    context.write(Ticket.SECOND_SUCCESSOR, new Close(LAST_ATTEMPT, SUCCESSOR_BARRED));
+  }
+
   private void redirect(int member) {
     context.rest();
     context.tell(new OwnershipAnswer.Redirect(member));
@@ -82,9 +102,9 @@
   }
 
   /**
-   * Handles the answer to a take.
+   * Handles the answer to a take, or to the bar of an owner that has yielded.
    *
-   * @return whether this process now owns the request
+   * @return whether this process alone may now decide
    */
   boolean takeReplied(int register, RegisterReply reply) {
     if (reply.status() == RegisterReply.Status.HELD_BY_OTHER) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/WitnessRegister.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/WitnessRegister.java
@@ -131,6 +131,11 @@
     return before - records;
   }
 
+  /** Puts a record back, for checks that explore from a given state. */
+  void restore(RequestId id, Ticket ticket, RegisterRecord record) {
+    store(id, ticket, record);
+  }
+
   /** Returns the number of requests held. */
   public int size() {
     return records;
--- /dev/null
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/ModelWorld.java
@@ -0,0 +1,72 @@
+package io.samphiredyke.core.ownership;
+
+import java.util.Arrays;
+
+/**
+ * One state of the whole system, in numbers that {@link OwnershipModel} assigns to the states of
+ * machines, records and messages.
+ */
+final class ModelWorld {
+
+  static final int NODES = 4;
+  static final int REGISTER_OFFSET = NODES;
+  static final int FLAGS = REGISTER_OFFSET + Ticket.MAX_CHAIN_MEMBERS;
+  static final int PENDING = FLAGS + 1;
+  static final int EXECUTED = PENDING + 1;
+  static final int MESSAGE_WORDS = 3;
+  static final int MESSAGES = EXECUTED + 1;
+
+  private static final int WORD_BITS = 32;
+
+  final int[] cells;
+
+  ModelWorld() {
+    this.cells = new int[MESSAGES + MESSAGE_WORDS];
+  }
+
+  private ModelWorld(int[] cells) {
+    this.cells = cells;
+  }
+
+  ModelWorld copy() {
+    return new ModelWorld(cells.clone());
+  }
+
+  boolean hasFlag(int flag) {
+    return (cells[FLAGS] & flag) != 0;
+  }
+
+  void addFlag(int flag) {
+    cells[FLAGS] |= flag;
+  }
+
+  boolean hasMessage(int message) {
+    return (cells[MESSAGES + message / WORD_BITS] & (1 << (message % WORD_BITS))) != 0;
+  }
+
+  void addMessage(int message) {
+    if (message >= MESSAGE_WORDS * WORD_BITS) {
+      throw new IllegalStateException("too many distinct messages");
+    }
+    cells[MESSAGES + message / WORD_BITS] |= 1 << (message % WORD_BITS);
+  }
+
+  int dispatches() {
+    return Integer.bitCount(cells[PENDING] | cells[EXECUTED]);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ModelWorld world && Arrays.equals(cells, world.cells);
+  }
+
+  @Override
+  public int hashCode() {
+    int hash = 0;
+    for (int cell : cells) {
+      hash = (hash ^ cell) * 0x9E3779B1;
+      hash ^= hash >>> 15;
+    }
+    return hash;
+  }
+}
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/OwnershipMachineTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/OwnershipMachineTest.java
@@ -32,6 +32,7 @@
 import io.samphiredyke.core.ownership.RegisterOperation.Intent;
 import io.samphiredyke.core.ownership.RegisterOperation.Outcome;
 import io.samphiredyke.core.ownership.RegisterOperation.Take;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class OwnershipMachineTest {
@@ -121,6 +122,26 @@
     assertThat(first.handle(accepted(2, TO_A))).containsExactly(new Dispatch("a", 1));
   }
 
+  @Test
+  void repeatedAcknowledgementOfATakeChangesNothing() {
+    first.handle(new Submitted("body"));
+    first.handle(new OwnerUnreachable(0));
+    first.handle(accepted(1, new Take(0)));
+    first.handle(accepted(2, new Take(0)));
+    assertThat(first.handle(accepted(2, new Take(0)))).isEmpty();
+    assertThat(first.state().phase()).isEqualTo(OwnershipPhase.OWNING);
+  }
+
+  @Test
+  void ownerThatYieldedBarsItsLostSuccessorAtTheSecondRegister() {
+    owner.handle(new Asked(Ticket.FIRST_SUCCESSOR));
+    owner.handle(new Submitted("body"));
+    List<OwnershipDecision> decisions = owner.handle(new OwnerUnreachable(1));
+    assertThat(decisions).hasSize(1);
+    Close bar = (Close) ((WriteRegister) decisions.get(0)).operation();
+    assertThat(owner.handle(accepted(2, bar))).containsExactly(new Tell(new NotRun(bar.reason())));
+  }
+
   @Test
   void successorWithoutThePayloadClosesWhatItTook() {
     first.handle(new Submitted(null));
