Test that a follower stays behind until peers cover the whole gap

Cause: closing the gap without covering it (a trial that took the check out of LogReplay.bridge) left the random run of LogFollowerTest green, as offsets are checked again at apply and peers repaired it later. This test is red with that trial and green without.

--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/config/LogFollowerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/config/LogFollowerTest.java
@@ -241,4 +241,21 @@
     assertThat(follower.readiness()).isEqualTo(Readiness.READY);
     assertThat(follower.configuration().items()).hasSize(3);
   }
+
+  @Test
+  void staysBehindUntilPeersCoverTheWholeGap() {
+    LogFollower follower = follower();
+    follower.pageRead(new LogPage(0, 3, changes(0, 3)), 0);
+    follower.pageRead(new LogPage(0, 3, List.of()), 0);
+    follower.expired(10, 1);
+    follower.pageRead(new LogPage(10, 12, changes(10, 12)), 2);
+
+    follower.peerAnswered(new PeerAnswer(5, changes(3, 5), null, 0));
+    assertThat(follower.isBehind()).isTrue();
+    assertThat(follower.configuration().nextOffset()).isEqualTo(5);
+
+    follower.peerAnswered(new PeerAnswer(10, changes(5, 10), null, 0));
+    assertThat(follower.isBehind()).isFalse();
+    assertThat(follower.configuration().nextOffset()).isEqualTo(12);
+  }
 }
