Tickets name hosts of one region first

Cause: an owner drawn from all permitted hosts may be in the other region, which adds latency and leaves requests undecided while regions are apart. Change: owner and successors are drawn from the asked host's region first, other data centres inside it before the same one.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.samphiredyke.core.config.Customer;
+import io.samphiredyke.core.config.DataCentre;
 import io.samphiredyke.core.config.Service;
 import io.samphiredyke.core.membership.Member;
 import io.samphiredyke.core.membership.MemberState;
@@ -16,9 +17,10 @@
 /**
  * Chooses the hosts for a customer's requests and issues tickets that name them.
  *
- * <p>The owner is a live host in a permitted data centre. Its successors are other hosts, permitted
- * ones and other data centres first, so that the loss of one data centre leaves two of the three.
- * All methods run on the control loop.
+ * <p>The owner is a live host in a permitted data centre, in the region of the host that was asked
+ * if there is one. Its successors are other hosts, permitted ones, the same region and other data
+ * centres first, so that the loss of one data centre leaves two of the three and regions that lose
+ * each other go on by themselves. All methods run on the control loop.
  */
 final class AddressBook {
 
@@ -48,7 +50,9 @@
     if (permitted.isEmpty()) {
       return null;
     }
-    Member owner = permitted.get(random.nextInt(permitted.size()));
+    List<Member> near = inOwnRegion(permitted);
+    List<Member> owners = near.isEmpty() ? permitted : near;
+    Member owner = owners.get(random.nextInt(owners.size()));
     Ticket ticket = ticket(owner, customer, service);
     String token = context.tickets().encode(ticket);
     List<String> addresses = AnswerProblems.callerAddresses(context, ticket, Ticket.OWNER);
@@ -70,7 +74,9 @@
   private Ticket ticket(Member owner, Customer customer, Service service) {
     List<Member> chain = new ArrayList<>();
     chain.add(owner);
+    addSuccessors(chain, inOwnRegion(candidates(service, true)));
     addSuccessors(chain, candidates(service, true));
+    addSuccessors(chain, inOwnRegion(candidates(service, false)));
     addSuccessors(chain, candidates(service, false));
     List<ChainMember> members = chain.stream().map(member -> chainMember(member, service)).toList();
     long now = context.loop().epochMillis();
@@ -103,6 +109,21 @@
     }
   }
 
+  /** Returns the members in the region of this host; a region that is cut off decides alone. */
+  private List<Member> inOwnRegion(List<Member> members) {
+    String own = region(context.host().dataCentre());
+    return members.stream().filter(member -> region(member.dataCentre()).equals(own)).toList();
+  }
+
+  private String region(String dataCentre) {
+    return context
+        .configuration()
+        .get()
+        .dataCentre(dataCentre)
+        .map(DataCentre::region)
+        .orElse(dataCentre);
+  }
+
   private List<Member> shuffled(List<Member> members) {
     List<Member> shuffled = new ArrayList<>(members);
     for (int i = shuffled.size() - 1; i > 0; i--) {
