Status and explanation pages in the form that samphiredykectl reads

Cause: the daemon's status page had a form of its own, so the tool could not show it. Change: the pages give the records of net.admin; each request keeps its first 64 steps, refusals and candidates included, and requests are counted by tier.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -17,7 +17,6 @@
 import io.samphiredyke.core.ownership.TicketCodec;
 import io.samphiredyke.daemon.admin.AdminApi;
 import io.samphiredyke.daemon.admin.Metrics;
-import io.samphiredyke.daemon.admin.StatusReport;
 import io.samphiredyke.daemon.broker.BrokerService;
 import io.samphiredyke.daemon.configuration.ConfigurationService;
 import io.samphiredyke.daemon.configuration.PeerRecords;
@@ -35,6 +34,10 @@
 import io.samphiredyke.daemon.peer.MessageRouter;
 import io.samphiredyke.daemon.peer.PeerClient;
 import io.samphiredyke.daemon.witness.WitnessService;
+import io.samphiredyke.net.admin.ConfigurationStatus;
+import io.samphiredyke.net.admin.DrainStatus;
+import io.samphiredyke.net.admin.EndpointStatus;
+import io.samphiredyke.net.admin.HostStatus;
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpClientOptions;
 import io.samphiredyke.net.http.HttpExchange;
@@ -46,6 +49,7 @@
 import io.samphiredyke.net.peer.PeerNode;
 import io.samphiredyke.net.peer.PeerOptions;
 import io.samphiredyke.schema.settings.DaemonSettings;
+import io.samphiredyke.schema.settings.loader.SettingsLoader;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Clock;
@@ -206,9 +210,9 @@
         new AdminApi(
             metrics,
             this::isReady,
-            () -> loop.supply(this::report),
-            id -> loop.supply(() -> entry.describe(id)),
-            () -> drain());
+            () -> loop.supply(this::status),
+            id -> loop.supply(() -> entry.explain(id)),
+            () -> loop.supply(this::drainStatus));
     parts = new Parts(membership, witness, brokers, entry, callers, admin);
     connect(new PeerRecords(loop, peers, membership, configuration));
     return null;
@@ -297,43 +301,38 @@
     }
   }
 
-  private StatusReport report() {
-    return new StatusReport(
+  private HostStatus status() {
+    return new HostStatus(
         host.name(),
         host.dataCentre(),
-        host.incarnation().toString(),
-        isReady(),
+        host.callerAddress(),
+        SettingsLoader.version(),
         parts.entry().isDraining(),
-        new StatusReport.ConfigurationStatus(
-            configuration.configuration().offset(),
-            configuration.configuration().digest(),
-            configuration.readiness(),
-            configuration.consecutiveFailures()),
-        new StatusReport.RequestsStatus(
-            parts.entry().activeRequests(), parts.entry().knownRequests(), parts.witness().size()),
-        parts.membership().liveMembers().stream().map(Daemon::line).toList(),
+        configurationStatus(),
         parts.brokers().status().stream().map(Daemon::line).toList(),
-        invariants.violations());
+        parts.entry().tiers());
   }
 
-  private static StatusReport.MemberStatus line(Member member) {
-    return new StatusReport.MemberStatus(
-        member.name(),
-        member.address(),
-        member.callerAddress(),
-        member.dataCentre(),
-        member.state().name(),
-        member.configurationOffset(),
-        member.draining());
+  private ConfigurationStatus configurationStatus() {
+    return new ConfigurationStatus(
+        host.name(),
+        configuration.configuration().offset(),
+        configuration.configuration().digest(),
+        configuration.readiness(),
+        configuration.isBehind(),
+        configuration.consecutiveFailures());
+  }
+
+  private static EndpointStatus line(BrokerStatus status) {
+    EndpointState state = status.leaving() ? EndpointState.LEAVING : EndpointState.ACTIVE;
+    int queued = status.queuedByTier().stream().mapToInt(Integer::intValue).sum();
+    return new EndpointStatus(
+        status.endpoint(), state.name(), status.inFlight(), status.limit(), queued);
   }
 
-  private static StatusReport.BrokerLine line(BrokerStatus status) {
-    return new StatusReport.BrokerLine(
-        status.endpoint(),
-        status.leaving(),
-        status.inFlight(),
-        status.limit(),
-        status.queuedByTier());
+  private DrainStatus drainStatus() {
+    startDrain();
+    return new DrainStatus(host.name(), (int) parts.entry().activeRequests());
   }
 
   /**
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.samphiredyke.net.admin.DrainStatus;
+import io.samphiredyke.net.admin.HostStatus;
+import io.samphiredyke.net.admin.RequestExplanation;
 import io.samphiredyke.net.http.HttpExchange;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -22,9 +25,9 @@
 
   private final Metrics metrics;
   private final BooleanSupplier isReady;
-  private final Supplier<CompletableFuture<StatusReport>> status;
-  private final Function<String, CompletableFuture<Optional<String>>> explain;
-  private final Runnable drain;
+  private final Supplier<CompletableFuture<HostStatus>> status;
+  private final Function<String, CompletableFuture<Optional<RequestExplanation>>> explain;
+  private final Supplier<CompletableFuture<DrainStatus>> drain;
 
   /**
    * Creates the pages.
@@ -37,9 +40,9 @@
   public AdminApi(
       Metrics metrics,
       BooleanSupplier isReady,
-      Supplier<CompletableFuture<StatusReport>> status,
-      Function<String, CompletableFuture<Optional<String>>> explain,
-      Runnable drain) {
+      Supplier<CompletableFuture<HostStatus>> status,
+      Function<String, CompletableFuture<Optional<RequestExplanation>>> explain,
+      Supplier<CompletableFuture<DrainStatus>> drain) {
     this.metrics = metrics;
     this.isReady = isReady;
     this.status = status;
@@ -65,8 +68,7 @@
       case "GET /v1/configuration" ->
           status.get().thenAccept(report -> exchange.respondJson(200, report.configuration()));
       case "POST /v1/drain" -> {
-        drain.run();
-        exchange.respondJson(202, Map.of("draining", true));
+        drain.get().thenAccept(progress -> exchange.respondJson(202, progress));
       }
       default -> {
         return sendExplanation(exchange);
@@ -84,9 +86,10 @@
     explain
         .apply(id)
         .thenAccept(
-            text ->
-                exchange.respondJson(
-                    text.isPresent() ? 200 : 404, Map.of("state", text.orElse("not known here"))));
+            known ->
+                known.ifPresentOrElse(
+                    found -> exchange.respondJson(200, found),
+                    () -> exchange.respondJson(404, Map.of("title", "not known here"))));
     return true;
   }
 
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/configuration/ConfigurationService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/configuration/ConfigurationService.java
@@ -106,6 +106,11 @@
     return readiness.name();
   }
 
+  /** Returns whether records are known to be missing. */
+  public boolean isBehind() {
+    return follower.isBehind();
+  }
+
   /** Returns how many polls of the log have failed since the last that succeeded. */
   public int consecutiveFailures() {
     return follower.consecutiveFailures();
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ClaimDriver.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ClaimDriver.java
@@ -55,6 +55,7 @@
   private final PromptFingerprint fingerprint;
   private final long receivedAt;
   private final long deadline;
+  private final SessionHistory history;
   private final Listener listener;
   private @Nullable ClaimSet claims;
   private @Nullable Claim bound;
@@ -70,6 +71,7 @@
       PromptFingerprint fingerprint,
       long receivedAt,
       long deadline,
+      SessionHistory history,
       Listener listener) {
     this.context = context;
     this.request = request;
@@ -77,6 +79,7 @@
     this.fingerprint = fingerprint;
     this.receivedAt = receivedAt;
     this.deadline = deadline;
+    this.history = history;
     this.listener = listener;
   }
 
@@ -88,6 +91,7 @@
     }
     List<EndpointOption> options =
         context.learned().choice().choose(candidates, estimate, fingerprint);
+    history.add("Candidates", options.toString());
     Claim template =
         Claim.builder()
             .requestId(request.idText())
@@ -237,6 +241,7 @@
   private void onRefusal(ClaimSet set, Claim claim, Refusal refusal) {
     context.learned().choice().hint(ClaimMessages.hint(refusal));
     long retryAfter = TimeUnit.MICROSECONDS.toNanos(refusal.retryAfterMicros());
+    history.add("Refused", claim.endpoint() + " " + refusal.reason());
     Refuse refuse = new Refuse(claim, ClaimMessages.reason(refusal), retryAfter);
     carryOut(set, set.refused(refuse, context.loop().now()));
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
@@ -13,6 +13,8 @@
 import io.samphiredyke.daemon.answer.Problem;
 import io.samphiredyke.daemon.peer.MessageRouter;
 import io.samphiredyke.daemon.peer.RegisterMessages;
+import io.samphiredyke.net.admin.RequestExplanation;
+import io.samphiredyke.net.admin.TierStatus;
 import io.samphiredyke.net.peer.PeerIdentity;
 import io.samphiredyke.schema.message.Acknowledgement;
 import io.samphiredyke.schema.message.Grant;
@@ -37,6 +39,7 @@
 
   private final EntryContext context;
   private final Map<String, RequestSession> sessions = new HashMap<>();
+  private final TierCounts counts = new TierCounts();
   private boolean isDraining;
 
   /** Creates an entry without requests. */
@@ -84,9 +87,14 @@
     return Optional.ofNullable(sessions.get(id));
   }
 
-  /** Returns a description of a request's state, if it is known here. */
-  public Optional<String> describe(String id) {
-    return session(id).map(RequestSession::describe);
+  /** Returns what is known of a request, if it is known here. */
+  public Optional<RequestExplanation> explain(String id) {
+    return session(id).map(RequestSession::explain);
+  }
+
+  /** Returns the requests of each tier. */
+  public List<TierStatus> tiers() {
+    return counts.status(context.configuration().get(), sessions.values());
   }
 
   /**
@@ -121,7 +129,7 @@
   }
 
   private RequestSession open(RequestIdentity request) {
-    RequestSession session = new RequestSession(context, request);
+    RequestSession session = new RequestSession(context, request, counts);
     sessions.put(request.idText(), session);
     return session;
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -17,6 +17,7 @@
 import io.samphiredyke.daemon.answer.AnswerHead;
 import io.samphiredyke.daemon.answer.CallerStream;
 import io.samphiredyke.daemon.answer.Problem;
+import io.samphiredyke.net.admin.RequestExplanation;
 import io.samphiredyke.schema.message.Grant;
 import io.samphiredyke.schema.message.Refusal;
 import java.time.Duration;
@@ -24,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +40,7 @@
   /** A request goes only to endpoints in data centres that its service permits. */
   static final Invariant ENDPOINT_IS_PERMITTED = Invariant.fatal("endpoint-is-permitted");
 
+  private static final String ANSWERED = "answered";
   private static final int TOO_MANY = 429;
   private static final int UNAVAILABLE = 503;
 
@@ -47,19 +50,20 @@
   private final RegisterDriver registers;
   private final AnswerProblems problems;
   private final SessionTimes times;
+  private final SessionHistory history;
+  private final TierCounts counts;
   private final List<CallerStream> callers = new ArrayList<>();
   private final Deque<OwnershipEvent> events = new ArrayDeque<>();
   private AnswerBuffer buffer = new AnswerBuffer();
   private @Nullable Payload payload;
   private @Nullable ClaimDriver claims;
   private @Nullable EndpointCall call;
-  private @Nullable Endpoint calledEndpoint;
   private @Nullable Problem refusal;
   private boolean isHandling;
   private boolean isSettled;
   private long settledAtEpochMillis;
 
-  RequestSession(EntryContext context, RequestIdentity request) {
+  RequestSession(EntryContext context, RequestIdentity request, TierCounts counts) {
     this.context = context;
     this.request = request;
     this.machine =
@@ -67,6 +71,8 @@
     this.registers = new RegisterDriver(context, request, this::handle);
     this.problems = new AnswerProblems(context, request);
     this.times = new SessionTimes(context, request);
+    this.history = new SessionHistory(context.loop());
+    this.counts = counts;
   }
 
   RequestIdentity request() {
@@ -91,17 +97,29 @@
     };
   }
 
-  /** Returns a description of the state for operators. */
-  String describe() {
-    return machine.state().toString();
+  /** Returns whether the request is at an endpoint. */
+  boolean isDispatched() {
+    OwnershipPhase phase = machine.state().phase();
+    return phase == OwnershipPhase.DISPATCHED || phase == OwnershipPhase.RECOVERING;
   }
 
-  OwnershipPhase phase() {
-    return machine.state().phase();
+  /** Returns what operators are told about the request. */
+  RequestExplanation explain() {
+    return new RequestExplanation(
+        request.idText(),
+        machine.state().phase().name().toLowerCase(Locale.ROOT),
+        ran(),
+        request.customer().name(),
+        request.service().name(),
+        history.steps());
   }
 
-  @Nullable Endpoint calledEndpoint() {
-    return calledEndpoint;
+  private String ran() {
+    return switch (machine.state().phase()) {
+      case DISPATCHED, FINISHED -> Problem.Ran.YES.text();
+      case OWNING, CLOSED -> Problem.Ran.NO.text();
+      default -> Problem.Ran.UNKNOWN.text();
+    };
   }
 
   /** Adds a caller; a null payload asks only for what is known. */
@@ -185,6 +203,7 @@
   }
 
   private void carryOut(OwnershipDecision decision) {
+    history.add(decision.getClass().getSimpleName(), decision.toString());
     if (decision instanceof OwnershipDecision.Claim) {
       claim();
     } else if (decision instanceof OwnershipDecision.WithdrawClaim) {
@@ -226,7 +245,14 @@
     RequestEstimate estimate = times.estimate(sent);
     PromptFingerprint fingerprint = PromptFingerprint.of(sent.prompt());
     return new ClaimDriver(
-        context, request, estimate, fingerprint, times.receivedAt(), times.deadline(), this);
+        context,
+        request,
+        estimate,
+        fingerprint,
+        times.receivedAt(),
+        times.deadline(),
+        history,
+        this);
   }
 
   private void scheduleDeadline() {
@@ -318,7 +344,6 @@
             ? new ModelCall(callContext, endpoint, buffer, listener)
             : new PlainCall(callContext, endpoint, buffer, listener);
     call = opened;
-    calledEndpoint = endpoint;
     return opened;
   }
 
@@ -369,6 +394,7 @@
   }
 
   private void firstPart() {
+    history.add("FirstPart", "");
     times.firstPart();
     ClaimDriver driver = claims;
     if (driver != null) {
@@ -379,8 +405,9 @@
   private void ended(Endpoint endpoint, int attempt) {
     context.learned().circuit(endpoint.name()).succeeded();
     times.ended(buffer, payload);
+    history.add("Ended", endpoint.name());
     release(isOverloaded() ? Release.Outcome.OVERLOADED : Release.Outcome.COMPLETED);
-    settle("answered");
+    settle(ANSWERED);
     callers.clear();
     handle(new OwnershipEvent.Ended(attempt));
   }
@@ -393,6 +420,7 @@
   private void notDispatched(Endpoint endpoint, int attempt) {
     context.learned().circuit(endpoint.name()).failed(context.loop().now());
     context.metrics().count("endpoint-not-reached");
+    history.add("NotDispatched", endpoint.name());
     release(Release.Outcome.UNUSED);
     handle(new OwnershipEvent.NotDispatched(attempt));
   }
@@ -428,6 +456,7 @@
       isSettled = true;
       settledAtEpochMillis = context.loop().epochMillis();
       times.settled(outcome);
+      counts.settled(request.service().tier(), outcome.equals(ANSWERED));
     }
   }
 
--- /dev/null
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SessionHistory.java
@@ -0,0 +1,29 @@
+package io.samphiredyke.daemon.entry;
+
+import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.net.admin.RequestExplanation;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What happened to one request, for operators. Keeps the first and drops further steps. */
+final class SessionHistory {
+
+  private static final int MAX_STEPS = 64;
+
+  private final ControlLoop loop;
+  private final List<RequestExplanation.Step> steps = new ArrayList<>();
+
+  SessionHistory(ControlLoop loop) {
+    this.loop = loop;
+  }
+
+  void add(String event, String detail) {
+    if (steps.size() < MAX_STEPS) {
+      steps.add(new RequestExplanation.Step(loop.epochMillis(), event, detail));
+    }
+  }
+
+  List<RequestExplanation.Step> steps() {
+    return List.copyOf(steps);
+  }
+}
