Ways to dispatch at most once weighed; a needless unknown mended

The model check with a third member asked found: the second successor told unknown when the owner had yielded and the first successor died, though the owner could bar it.

--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/ownership/ChainTrial.java
@@ -0,0 +1,267 @@
+package io.samphiredyke.bench.ownership;
+
+import io.samphiredyke.core.invariant.Invariants;
+import io.samphiredyke.core.ownership.ChainMember;
+import io.samphiredyke.core.ownership.Incarnation;
+import io.samphiredyke.core.ownership.OwnershipAnswer;
+import io.samphiredyke.core.ownership.OwnershipDecision;
+import io.samphiredyke.core.ownership.OwnershipEvent;
+import io.samphiredyke.core.ownership.OwnershipMachine;
+import io.samphiredyke.core.ownership.OwnershipPhase;
+import io.samphiredyke.core.ownership.RegisterLimits;
+import io.samphiredyke.core.ownership.RegisterOperation;
+import io.samphiredyke.core.ownership.RegisterReply;
+import io.samphiredyke.core.ownership.RequestId;
+import io.samphiredyke.core.ownership.Ticket;
+import io.samphiredyke.core.ownership.WitnessRegister;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request through the production machines and registers of a chain of three, with one fault.
+ *
+ * <p>Messages are delivered at once or not at all. What a paused process receives is kept and
+ * delivered when it wakes.
+ */
+final class ChainTrial {
+
+  private static final int MEMBERS = 3;
+  private static final long NOW = 0;
+  private static final long EXPIRY = 1_000_000;
+  private static final String ENDPOINT = "10.0.9.1:80";
+  private static final String BODY = "body";
+
+  private record Delivery(int node, OwnershipEvent event) {}
+
+  private final OwnershipFault fault;
+  private final LifeMoment moment;
+  private final Ticket ticket = ticket();
+  private final RequestId id = new RequestId("ticket", 1);
+  private final List<OwnershipMachine> machines = new ArrayList<>();
+  private final List<WitnessRegister> registers = new ArrayList<>();
+  private final ArrayDeque<Delivery> queue = new ArrayDeque<>();
+  private final ArrayDeque<Delivery> heldBack = new ArrayDeque<>();
+  private boolean isStruck;
+  private boolean isAwake = true;
+  private boolean endpointHasWork;
+  private int executions;
+  private int messages;
+  private boolean notRunTold;
+  private @Nullable OwnershipAnswer lastAnswer;
+  private int lastSpeaker;
+
+  ChainTrial(OwnershipFault fault, LifeMoment moment, Invariants invariants) {
+    this.fault = fault;
+    this.moment = moment;
+    for (int place = 0; place < MEMBERS; place++) {
+      Incarnation self = ticket.chain().get(place).incarnation();
+      machines.add(new OwnershipMachine(ticket, self, invariants));
+      registers.add(new WitnessRegister(self, RegisterLimits.DEFAULT, invariants));
+    }
+  }
+
+  /** Runs the request, the fault and the retries of the caller. */
+  FaultOutcome run() {
+    submit(Ticket.OWNER);
+    if (fault != OwnershipFault.NONE && !isStruck) {
+      strike();
+    }
+    for (int tries = 0; tries < MEMBERS && !isAnswered(); tries++) {
+      submit(nextAddress());
+    }
+    if (fault == OwnershipFault.ENTRY_PAUSED) {
+      wake();
+    }
+    boolean isUnknown = lastAnswer instanceof OwnershipAnswer.Unknown;
+    return new FaultOutcome(executions, isUnknown, notRunTold && executions > 0, false);
+  }
+
+  /** Returns the messages between processes of the chain. */
+  int messages() {
+    return messages;
+  }
+
+  private void submit(int place) {
+    lastAnswer = null;
+    queue.add(new Delivery(place, new OwnershipEvent.Submitted(BODY)));
+    drain();
+  }
+
+  private int nextAddress() {
+    if (lastAnswer instanceof OwnershipAnswer.Redirect redirect && isUp(redirect.place())) {
+      return redirect.place();
+    }
+    for (int place = 0; place < MEMBERS; place++) {
+      if (isUp(place) && !(lastAnswer != null && place == lastSpeaker)) {
+        return place;
+      }
+    }
+    return Ticket.SECOND_SUCCESSOR;
+  }
+
+  private boolean isAnswered() {
+    if (lastAnswer != null) {
+      return lastAnswer instanceof OwnershipAnswer.NotRun
+          || lastAnswer instanceof OwnershipAnswer.Unknown;
+    }
+    for (int place = 0; place < MEMBERS; place++) {
+      if (isUp(place) && machines.get(place).state().phase() == OwnershipPhase.FINISHED) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void wake() {
+    isAwake = true;
+    queue.addAll(heldBack);
+    heldBack.clear();
+    drain();
+  }
+
+  private void drain() {
+    while (!queue.isEmpty()) {
+      Delivery delivery = queue.remove();
+      int node = delivery.node();
+      if (!isUp(node)) {
+        heldBack.add(delivery);
+        continue;
+      }
+      for (OwnershipDecision decision : machines.get(node).handle(delivery.event())) {
+        carryOut(node, decision);
+      }
+    }
+  }
+
+  private void carryOut(int node, OwnershipDecision decision) {
+    if (decision instanceof OwnershipDecision.Claim) {
+      strikeAt(LifeMoment.QUEUED);
+      queue.add(new Delivery(node, new OwnershipEvent.Granted(ENDPOINT)));
+    } else if (decision instanceof OwnershipDecision.WriteRegister write) {
+      write(node, write.place(), write.operation());
+    } else if (decision instanceof OwnershipDecision.ReadRegister read) {
+      read(node, read.place());
+    } else if (decision instanceof OwnershipDecision.AskMember ask) {
+      ask(node, ask.place());
+    } else if (decision instanceof OwnershipDecision.Dispatch dispatch) {
+      dispatch(node, dispatch.attempt());
+    } else if (decision instanceof OwnershipDecision.ResumeFrom resume) {
+      resume(node, resume.attempt());
+    } else if (decision instanceof OwnershipDecision.Tell tell) {
+      lastAnswer = tell.answer();
+      lastSpeaker = node;
+      notRunTold |= lastAnswer instanceof OwnershipAnswer.NotRun;
+    }
+  }
+
+  private void write(int node, int place, RegisterOperation operation) {
+    strikeAt(LifeMoment.INTENT_SENT);
+    messages += node == place ? 0 : 1;
+    if (!isReachable(node, place)) {
+      queue.add(new Delivery(node, new OwnershipEvent.RegisterUnreachable(place, operation, true)));
+      return;
+    }
+    Incarnation writer = ticket.chain().get(node).incarnation();
+    RegisterReply reply = registers.get(place).apply(id, ticket, writer, operation, NOW);
+    strikeAt(LifeMoment.INTENT_RECORDED);
+    boolean isAnswerNeeded = !(operation instanceof RegisterOperation.Outcome);
+    messages += node == place || !isAnswerNeeded ? 0 : 1;
+    if (!isReachable(place, node) && isUp(node)) {
+      queue.add(new Delivery(node, new OwnershipEvent.RegisterUnreachable(place, operation, true)));
+      return;
+    }
+    queue.add(new Delivery(node, new OwnershipEvent.RegisterReplied(place, operation, reply)));
+  }
+
+  private void read(int node, int place) {
+    if (!isReachable(node, place)) {
+      queue.add(new Delivery(node, new OwnershipEvent.RegisterUnreachable(place, null, true)));
+      return;
+    }
+    RegisterReply reply = registers.get(place).read(id);
+    queue.add(new Delivery(node, new OwnershipEvent.RegisterReplied(place, null, reply)));
+  }
+
+  private void ask(int node, int place) {
+    if (!isReachable(node, place)) {
+      queue.add(new Delivery(node, new OwnershipEvent.OwnerUnreachable(place)));
+      return;
+    }
+    OwnershipMachine machine = machines.get(place);
+    for (OwnershipDecision decision : machine.handle(new OwnershipEvent.Asked(node))) {
+      carryOut(place, decision);
+    }
+    queue.add(new Delivery(node, new OwnershipEvent.OwnerReplied(place, machine.ownerReply())));
+  }
+
+  private void dispatch(int node, int attempt) {
+    boolean isLostOnTheWay = strikeAt(LifeMoment.DISPATCHED) && fault.cutsEndpoint();
+    if (!isLostOnTheWay) {
+      executions++;
+      endpointHasWork = true;
+    }
+    boolean isStruckRunning = strikeAt(LifeMoment.RUNNING) && fault.cutsEndpoint();
+    if (isUp(node)) {
+      boolean isBroken = isLostOnTheWay || isStruckRunning;
+      queue.add(
+          new Delivery(
+              node,
+              isBroken
+                  ? new OwnershipEvent.StreamBroken(attempt)
+                  : new OwnershipEvent.Ended(attempt)));
+    }
+  }
+
+  private void resume(int node, int attempt) {
+    queue.add(
+        new Delivery(
+            node,
+            endpointHasWork
+                ? new OwnershipEvent.Ended(attempt)
+                : new OwnershipEvent.ResumeMissing(attempt)));
+  }
+
+  private boolean strikeAt(LifeMoment reached) {
+    if (isStruck || reached != moment || fault == OwnershipFault.NONE) {
+      return false;
+    }
+    strike();
+    return true;
+  }
+
+  private void strike() {
+    isStruck = true;
+    isAwake = fault != OwnershipFault.ENTRY_PAUSED;
+    if (fault == OwnershipFault.ENDPOINT_DIES) {
+      endpointHasWork = false;
+    }
+  }
+
+  private boolean isReachable(int from, int to) {
+    boolean isCut =
+        isStruck && fault == OwnershipFault.ENTRY_CUT_FROM_WITNESS && from + to == 1 && from != to;
+    return isUp(from) && isUp(to) && !isCut;
+  }
+
+  private boolean isUp(int place) {
+    if (!isStruck) {
+      return true;
+    }
+    return switch (fault) {
+      case ENTRY_DIES -> place != Ticket.OWNER;
+      case ENTRY_AND_WITNESS_DIE -> place == Ticket.SECOND_SUCCESSOR;
+      case ENTRY_PAUSED -> place != Ticket.OWNER || isAwake;
+      default -> true;
+    };
+  }
+
+  private static Ticket ticket() {
+    List<ChainMember> chain = new ArrayList<>();
+    for (int place = 0; place < MEMBERS; place++) {
+      chain.add(new ChainMember(new Incarnation(0, place + 1), "10.0." + place + ".1:80", true));
+    }
+    return new Ticket(new Incarnation(1, 1), chain, "customer", "service", NOW, EXPIRY);
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/ownership/OwnershipComparison.java
@@ -0,0 +1,150 @@
+package io.samphiredyke.bench.ownership;
+
+import io.samphiredyke.core.invariant.Invariants;
+import java.util.Random;
+import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Weighs three ways to dispatch at most once: registers of a chain of three, intents on the log in
+ * group commits, and ownership by hash with leases.
+ *
+ * <p>The chain runs the production machines and registers; the other two are small models of their
+ * rules. No time passes: all moments are drawn from a seeded generator.
+ */
+public final class OwnershipComparison {
+
+  private static final long DEFAULT_SEED = 1;
+  private static final int REQUESTS_PER_FAULT = 200_000;
+  private static final int LATENCY_SAMPLES = 1_000_000;
+  private static final double ONE_WAY_MICROS = 500;
+  private static final double JITTER_MICROS = 50;
+  private static final double APPENDS_PER_SECOND = 400;
+  private static final double RUN_SECONDS = 60;
+  private static final double LOST_ANSWERS = 0.01;
+  private static final double MICROS_PER_MILLI = 1_000;
+  private static final double PERCENT = 100;
+
+  private OwnershipComparison() {}
+
+  /**
+   * Prints the figures as Markdown tables.
+   *
+   * @param args the seed, optional
+   * @return the exit status: 1 if the chain ran a request twice or told "not run" of one that ran
+   */
+  public static int run(String[] args) {
+    long seed = args.length > 0 ? Long.parseLong(args[0]) : DEFAULT_SEED;
+    System.out.println("seed " + seed + "\n");
+    printLatency(new Random(seed));
+    return printFaults(seed) ? 0 : 1;
+  }
+
+  private static void printLatency(RandomGenerator random) {
+    System.out.println("| way | hosts | requests/s | median ms | p99 ms |");
+    System.out.println("|---|---|---|---|---|");
+    print("chain of three", 6, 300, chainLatency(random));
+    print("chain of three", 340, 18_000, chainLatency(random));
+    for (double lost : new double[] {0, LOST_ANSWERS}) {
+      String name = "log, " + lost * PERCENT + " % answers lost";
+      print(name, 6, 300, new LogQueue(6, 300, APPENDS_PER_SECOND, lost, random).run(RUN_SECONDS));
+      print(
+          name,
+          6,
+          18_000,
+          new LogQueue(6, 18_000, APPENDS_PER_SECOND, lost, random).run(RUN_SECONDS));
+      print(
+          name,
+          340,
+          18_000,
+          new LogQueue(340, 18_000, APPENDS_PER_SECOND, lost, random).run(RUN_SECONDS));
+    }
+    System.out.println("| hash with leases | any | any | 0 | 0 |\n");
+  }
+
+  private static Histogram chainLatency(RandomGenerator random) {
+    Histogram latencies = new Histogram(3);
+    for (int i = 0; i < LATENCY_SAMPLES; i++) {
+      double jitter = (random.nextExponential() + random.nextExponential()) * JITTER_MICROS;
+      latencies.recordValue((long) (2 * ONE_WAY_MICROS + jitter));
+    }
+    return latencies;
+  }
+
+  private static void print(String name, int hosts, int rate, Histogram latencies) {
+    System.out.printf(
+        "| %s | %d | %d | %.2f | %.2f |%n",
+        name,
+        hosts,
+        rate,
+        latencies.getValueAtPercentile(50) / MICROS_PER_MILLI,
+        latencies.getValueAtPercentile(99) / MICROS_PER_MILLI);
+  }
+
+  private static boolean printFaults(long seed) {
+    Invariants invariants = Invariants.throwing();
+    boolean isSafe = true;
+    System.out.println(
+        "| fault | way | doubled | false not run | unknown % | stalled % | messages |");
+    System.out.println("|---|---|---|---|---|---|---|");
+    for (OwnershipFault fault : OwnershipFault.values()) {
+      FaultCounts chain = new FaultCounts();
+      BiFunction<OwnershipFault, LifeMoment, FaultOutcome> trial =
+          (struck, moment) -> {
+            ChainTrial run = new ChainTrial(struck, moment, invariants);
+            FaultOutcome outcome = run.run();
+            chain.messages += run.messages();
+            return outcome;
+          };
+      count(fault, seed, chain, trial);
+      isSafe &= chain.doubled == 0 && chain.falseNotRun == 0;
+      print(fault, "chain", chain);
+      FaultCounts log = new FaultCounts();
+      count(fault, seed, log, OtherTrials::onLog);
+      print(fault, "log", log);
+      FaultCounts lease = new FaultCounts();
+      count(fault, seed, lease, OtherTrials::onLease);
+      print(fault, "lease", lease);
+    }
+    System.out.println("\nchecks of invariants: " + invariants.checks());
+    return isSafe;
+  }
+
+  private static void count(
+      OwnershipFault fault,
+      long seed,
+      FaultCounts counts,
+      BiFunction<OwnershipFault, LifeMoment, FaultOutcome> trial) {
+    RandomGenerator random = new Random(seed);
+    for (int i = 0; i < REQUESTS_PER_FAULT; i++) {
+      FaultOutcome outcome = trial.apply(fault, LifeMoment.random(random));
+      counts.doubled += outcome.executions() > 1 ? 1 : 0;
+      counts.falseNotRun += outcome.falseNotRun() ? 1 : 0;
+      counts.unknown += outcome.unknown() ? 1 : 0;
+      counts.stalled += outcome.stalled() ? 1 : 0;
+    }
+  }
+
+  private static void print(OwnershipFault fault, String way, FaultCounts counts) {
+    System.out.printf(
+        "| %s | %s | %d | %d | %.3f | %.3f | %s |%n",
+        fault.title(),
+        way,
+        counts.doubled,
+        counts.falseNotRun,
+        counts.unknown * PERCENT / REQUESTS_PER_FAULT,
+        counts.stalled * PERCENT / REQUESTS_PER_FAULT,
+        way.equals("chain")
+            ? String.format("%.2f", (double) counts.messages / REQUESTS_PER_FAULT)
+            : "-");
+  }
+
+  private static final class FaultCounts {
+    private int doubled;
+    private int falseNotRun;
+    private int unknown;
+    private int stalled;
+    private long messages;
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/ownership/OwnershipFault.java
@@ -0,0 +1,31 @@
+package io.samphiredyke.bench.ownership;
+
+/** A fault that strikes one request at a random moment of its life. */
+enum OwnershipFault {
+  NONE("none"),
+  ENTRY_DIES("entry dies"),
+  ENTRY_AND_WITNESS_DIE("entry and witness die"),
+  ENTRY_PAUSED("entry paused beyond any timeout, then wakes"),
+  ENTRY_CUT_FROM_WITNESS("cut between entry and witness"),
+  LOG_OUTAGE("log outage"),
+  ENDPOINT_DIES("endpoint dies mid-stream"),
+  ANSWER_LOST("answer lost after it ran");
+
+  private final String title;
+
+  OwnershipFault(String title) {
+    this.title = title;
+  }
+
+  /** Returns whether the connection to the endpoint is lost with what is on it. */
+  boolean cutsEndpoint() {
+    return switch (this) {
+      case ENTRY_DIES, ENTRY_AND_WITNESS_DIE, ENDPOINT_DIES, ANSWER_LOST -> true;
+      case NONE, ENTRY_PAUSED, ENTRY_CUT_FROM_WITNESS, LOG_OUTAGE -> false;
+    };
+  }
+
+  String title() {
+    return title;
+  }
+}
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/RecoverySteps.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/ownership/RecoverySteps.java
@@ -29,9 +29,12 @@
   }
 
   void ask(int member) {
+    // Only the first successor may rely for good on the owner's word that it yields.
+    boolean isAskedAnew = member == Ticket.OWNER && !context.isFirstSuccessor();
     context.update(
         state().toBuilder()
             .phase(OwnershipPhase.ASKING)
+            .ownerGaveUp(state().ownerGaveUp() && !isAskedAnew)
             .target(member)
             .awaited(null)
             .tried(0)
@@ -76,6 +79,11 @@
       bar();
       return;
     }
+    if (state().ownerGaveUp()) {
+      // The owner answers, and can bar the successor that does not.
+      redirect(Ticket.OWNER);
+      return;
+    }
     context.markTried(Ticket.FIRST_SUCCESSOR);
     consultNext(UnknownCause.REGISTERS_UNREACHABLE);
   }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/OwnershipModelTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/ownership/OwnershipModelTest.java
@@ -46,7 +46,7 @@
   void unknownIsToldOnlyInTheDocumentedCases() {
     assertHolds("one death", SMALL.withCrashes(1));
     assertHolds(
-        "one death, asked at the second successor", withNodes(List.of(0, 2)).withCrashes(1));
+        "one death, asked at the second successor", withNodes(List.of(0, 1, 2)).withCrashes(1));
     assertHolds("two deaths", SMALL.withCrashes(2));
   }
 
