Entry: ask a slow endpoint or register again before an outcome counts as unknown

Change: an endpoint that does not know a request is asked six times with backoff, a register four times with timeouts from 400 ms to 3.2 s.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AbstractEndpointCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AbstractEndpointCall.java
@@ -16,6 +16,7 @@
   static final String ID_HEADER = "Idempotency-Key";
 
   private static final int MAX_RESUME_FAILURES = 12;
+  private static final int MAX_MISSING_ANSWERS = 6;
   private static final Duration MIN_BACKOFF = Duration.ofMillis(50);
   private static final Duration MAX_BACKOFF = Duration.ofSeconds(2);
 
@@ -29,6 +30,7 @@
   protected final Listener listener;
   private volatile boolean stopped;
   private int failures;
+  private int missingAnswers;
 
   AbstractEndpointCall(
       CallContext context, Endpoint endpoint, AnswerBuffer buffer, Listener listener) {
@@ -79,6 +81,19 @@
     loop.schedule(this::resumeUnlessStopped, bounded, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Notes that the endpoint does not know the request. A request that was sent on a connection that
+   * went silent may still be on its way, so the endpoint is asked again for a few seconds.
+   */
+  protected void missing() {
+    missingAnswers++;
+    if (missingAnswers >= MAX_MISSING_ANSWERS) {
+      listener.onMissing();
+      return;
+    }
+    resumeLater();
+  }
+
   private void resumeUnlessStopped() {
     if (!stopped) {
       sendResume();
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -167,7 +167,7 @@
       } else if (!isResume) {
         refused();
       } else if (status == NOT_FOUND) {
-        listener.onMissing();
+        missing();
       } else {
         resumeLater();
       }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
@@ -84,7 +84,7 @@
       progressed();
       loop.schedule(this::resume, POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     } else if (response.status() == NOT_FOUND) {
-      listener.onMissing();
+      missing();
     } else {
       keep(response);
     }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RegisterDriver.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RegisterDriver.java
@@ -18,8 +18,9 @@
 /** Carries out what a request's owner asks of the registers and of the members of its chain. */
 final class RegisterDriver {
 
-  private static final Duration TIMEOUT = Duration.ofMillis(400);
-  private static final int ATTEMPTS = 3;
+  private static final Duration FIRST_TIMEOUT = Duration.ofMillis(400);
+  private static final int ATTEMPTS = 4;
+  private static final int ASK_ATTEMPTS = 2;
 
   private final EntryContext context;
   private final RequestIdentity request;
@@ -41,6 +42,7 @@
         place,
         message,
         ATTEMPTS,
+        FIRST_TIMEOUT,
         false,
         reply -> onWritten(place, operation, reply),
         mayHaveArrived ->
@@ -75,6 +77,7 @@
         place,
         message,
         ATTEMPTS,
+        FIRST_TIMEOUT,
         false,
         reply ->
             toReply(reply)
@@ -94,7 +97,8 @@
     send(
         place,
         message,
-        ATTEMPTS,
+        ASK_ATTEMPTS,
+        FIRST_TIMEOUT,
         false,
         reply -> onStatus(place, reply),
         mayHaveArrived -> events.accept(new OwnershipEvent.OwnerUnreachable(place)));
@@ -112,11 +116,15 @@
     }
   }
 
-  /** Sends an idempotent message a few times; a silent connection is replaced in between. */
+  /**
+   * Sends an idempotent message a few times with doubled timeouts; a silent connection is replaced
+   * in between.
+   */
   private void send(
       int place,
       PeerMessage message,
       int attempts,
+      Duration timeout,
       boolean mayHaveArrived,
       Consumer<PeerMessage> onReply,
       Consumer<Boolean> onFailure) {
@@ -127,12 +135,19 @@
             member.address(),
             member.incarnation().toString(),
             message,
-            TIMEOUT,
+            timeout,
             onReply,
             failure -> {
               boolean arrived = mayHaveArrived || arrived(failure);
               if (attempts > 1 && !isGone(member)) {
-                send(place, message, attempts - 1, arrived, onReply, onFailure);
+                send(
+                    place,
+                    message,
+                    attempts - 1,
+                    timeout.multipliedBy(2),
+                    arrived,
+                    onReply,
+                    onFailure);
               } else {
                 onFailure.accept(arrived);
               }
