--- /dev/null
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestConfiguration.java
@@ -0,0 +1,105 @@
+package io.samphiredyke.daemon.testing;
+
+import io.samphiredyke.core.config.Customer;
+import io.samphiredyke.core.config.DataCentre;
+import io.samphiredyke.core.config.Endpoint;
+import io.samphiredyke.core.config.EndpointKind;
+import io.samphiredyke.core.config.Service;
+import io.samphiredyke.core.config.ServiceKind;
+import io.samphiredyke.core.config.Tier;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Set;
+
+/** Items of a small configuration: one model service, one plain service, two customers. */
+public final class TestConfiguration {
+
+  /** The model that the engines serve. */
+  public static final String MODEL = "model";
+
+  /** The service of the model. */
+  public static final String CHAT = "chat";
+
+  /** The plain service. */
+  public static final String FILING = "filing";
+
+  /** A customer whose key is {@code key-alpha}. */
+  public static final String ALPHA = "alpha";
+
+  /** A customer whose key is {@code key-beta}. */
+  public static final String BETA = "beta";
+
+  private static final String TIER = "standard";
+
+  private TestConfiguration() {}
+
+  /** Returns the key by which a customer calls. */
+  public static String keyOf(String customer) {
+    return "key-" + customer;
+  }
+
+  static DataCentre dataCentre(String name) {
+    return DataCentre.builder().name(name).region("region1").build();
+  }
+
+  static Tier tier() {
+    return Tier.builder().name(TIER).rank(1).build();
+  }
+
+  /** Returns a customer's builder with its key. */
+  public static Customer.Builder customer(String name) {
+    return Customer.builder().name(name).keyDigests(Set.of(digest(keyOf(name))));
+  }
+
+  static Service chat(Set<String> dataCentres) {
+    return Service.builder()
+        .name(CHAT)
+        .kind(ServiceKind.MODEL)
+        .model(MODEL)
+        .tier(TIER)
+        .idempotent(true)
+        .dataCentres(dataCentres)
+        .build();
+  }
+
+  static Service filing(Set<String> dataCentres) {
+    return Service.builder()
+        .name(FILING)
+        .kind(ServiceKind.PLAIN)
+        .tier(TIER)
+        .dataCentres(dataCentres)
+        .build();
+  }
+
+  /** Returns an engine of the model. */
+  public static Endpoint engine(String name, String address, String dataCentre) {
+    return Endpoint.builder()
+        .name(name)
+        .kind(EndpointKind.MODEL_ENGINE)
+        .address(address)
+        .dataCentre(dataCentre)
+        .models(Set.of(MODEL))
+        .build();
+  }
+
+  static Endpoint runner(String name, String address, String dataCentre) {
+    return Endpoint.builder()
+        .name(name)
+        .kind(EndpointKind.PLAIN_SERVICE)
+        .address(address)
+        .dataCentre(dataCentre)
+        .services(Set.of(FILING))
+        .build();
+  }
+
+  private static String digest(String key) {
+    try {
+      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
