Scenarios: a request is dispatched at most once

Six scenarios on daemons in one process: the owner dies before it gets a request, while the endpoint works on it, after a registration's effect, and after its intent while the request is lost on the way; a lost answer after the effect; an endpoint that refuses connections.

--- /dev/null
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/ClusterSteps.java
@@ -0,0 +1,60 @@
+package io.samphiredyke.daemon.promises;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.samphiredyke.daemon.testing.TestCluster;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Steps that start and stop hosts. */
+public final class ClusterSteps {
+
+  /** Starts hosts, each in a data centre of its own. */
+  @Given("{int} hosts in {int} data centres")
+  public void hosts(int hosts, int dataCentres) {
+    Map<String, String> dataCentreByHost = new TreeMap<>();
+    for (int i = 0; i < hosts; i++) {
+      dataCentreByHost.put("host" + (i + 1), "dc" + (i % dataCentres + 1));
+    }
+    Scenario.begin(new World(dataCentreByHost, Set.of()));
+  }
+
+  /** Starts three hosts and limits the services to one data centre. */
+  @Given("{int} hosts in {int} data centres and services limited to data centre {word}")
+  public void hosts(int hosts, int dataCentres, String permitted) {
+    Map<String, String> dataCentreByHost = new TreeMap<>();
+    for (int i = 0; i < hosts; i++) {
+      dataCentreByHost.put("host" + (i + 1), "dc" + (i % dataCentres + 1));
+    }
+    Scenario.begin(new World(dataCentreByHost, Set.of(permitted)));
+  }
+
+  /** Stops the owner at once. */
+  @When("the owner dies")
+  public void ownerDies() {
+    Scenario scenario = Scenario.current();
+    scenario.world().stopHost(scenario.chain().get(0));
+  }
+
+  /** Checks that no process saw one of its invariants broken. */
+  @Then("no host saw an invariant broken")
+  public void noViolations() {
+    TestCluster cluster = Scenario.current().world().cluster();
+    for (String host : Scenario.current().running()) {
+      assertThat(cluster.daemon(host).invariantViolations().values())
+          .as(host)
+          .allMatch(count -> count == 0);
+    }
+  }
+
+  /** Stops everything. */
+  @After
+  public void stop() throws Exception {
+    Scenario.end();
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/PromisesTest.java
@@ -0,0 +1,30 @@
+package io.samphiredyke.daemon.promises;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.cucumber.core.cli.Main;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Runs the scenario files of the package {@code io.samphiredyke.daemon}.
+ *
+ * <p>Cucumber is run by its own command: in a JUnit suite, Surefire counts no scenario and passes
+ * when one fails.
+ */
+class PromisesTest {
+
+  @ParameterizedTest
+  @ValueSource(strings = {"at-most-once"})
+  void allScenariosPass(String promise) {
+    byte status =
+        Main.run(
+            "--monochrome",
+            "--plugin",
+            "summary",
+            "--glue",
+            "io.samphiredyke.daemon.promises",
+            "classpath:io/samphiredyke/daemon/" + promise + ".feature");
+    assertThat(status).as("exit status for " + promise).isZero();
+  }
+}
--- /dev/null
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/Relay.java
@@ -0,0 +1,137 @@
+package io.samphiredyke.daemon.promises;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * Passes bytes on between a listening port and a target, and can lose track of its connections.
+ *
+ * <p>A connection that is held stays open at both ends, but nothing passes any more.
+ */
+final class Relay implements AutoCloseable {
+
+  private static final int BUFFER_BYTES = 8192;
+
+  private final ServerSocket server;
+  private final InetSocketAddress target;
+  private final List<Pair> pairs = new CopyOnWriteArrayList<>();
+  private volatile boolean holdsNew;
+
+  private Relay(ServerSocket server, InetSocketAddress target) {
+    this.server = server;
+    this.target = target;
+  }
+
+  /** The two sockets of one relayed connection. */
+  private static final class Pair {
+
+    private final Socket near;
+    private final Socket far;
+    private volatile boolean isHeld;
+
+    Pair(Socket near, Socket far, boolean isHeld) {
+      this.near = near;
+      this.far = far;
+      this.isHeld = isHeld;
+    }
+
+    private void close() {
+      closeQuietly(near);
+      closeQuietly(far);
+    }
+  }
+
+  static Relay to(InetSocketAddress target) throws IOException {
+    Relay relay = new Relay(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), target);
+    start(relay::accept);
+    return relay;
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+  }
+
+  /** Returns how many connections are open. */
+  int connections() {
+    return pairs.size();
+  }
+
+  /** Passes nothing on over the connections that are open now; new ones work. */
+  void silenceOpenConnections() {
+    pairs.forEach(pair -> pair.isHeld = true);
+  }
+
+  /** Accepts new connections, but passes nothing on over them. */
+  void holdNewConnections() {
+    holdsNew = true;
+  }
+
+  /** Cuts all connections; new ones work. */
+  void cutAll() {
+    holdsNew = false;
+    pairs.forEach(Pair::close);
+    pairs.clear();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket near = server.accept();
+        Socket far = new Socket(target.getAddress(), target.getPort());
+        Pair pair = new Pair(near, far, holdsNew);
+        pairs.add(pair);
+        start(() -> copy(pair, near, far));
+        start(() -> copy(pair, far, near));
+      } catch (IOException e) {
+        continue;
+      }
+    }
+  }
+
+  private void copy(Pair pair, Socket from, Socket to) {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try (InputStream in = from.getInputStream();
+        OutputStream out = to.getOutputStream()) {
+      int count = in.read(buffer);
+      while (count >= 0) {
+        if (!pair.isHeld) {
+          out.write(buffer, 0, count);
+        }
+        count = in.read(buffer);
+      }
+    } catch (IOException e) {
+      pair.close();
+    }
+    if (!pair.isHeld) {
+      pair.close();
+      pairs.remove(pair);
+    }
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "relay");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void closeQuietly(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // The socket is of no further use.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    pairs.forEach(Pair::close);
+  }
+}
