samphiredyke-bench capacity: costs of the production classes, and of a host at the planned size

Cause: the size to design for needs slopes that a command measures, not guesses.

Times are processor time of one thread, so that a busy machine distorts them less.

--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.bench;
 
+import io.samphiredyke.bench.capacity.CapacityCommand;
 import io.samphiredyke.bench.load.LoadCommand;
 import io.samphiredyke.bench.load.OverheadCommand;
 import java.util.Arrays;
@@ -16,6 +17,8 @@
   private Main() {}
 
   private enum Command {
+    CAPACITY(
+        "measures costs and works out those of a host at the planned size", CapacityCommand::run),
     LOAD("makes a load and checks what came of it", LoadCommand::run),
     OVERHEAD("compares calls through the system with direct ones", OverheadCommand::run);
 
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/ConfigurationCosts.java
@@ -0,0 +1,73 @@
+package io.samphiredyke.bench.capacity;
+
+import io.samphiredyke.core.config.ApplyResult;
+import io.samphiredyke.core.config.ConfigurationRecord;
+import io.samphiredyke.core.config.ConfigurationState;
+import io.samphiredyke.core.config.Item;
+import io.samphiredyke.core.config.ItemKey;
+import io.samphiredyke.core.config.ItemKind;
+import io.samphiredyke.net.configuration.ConfigurationCodec;
+import io.samphiredyke.net.configuration.ConfigurationFormatException;
+import java.lang.ref.Reference;
+import java.util.List;
+
+/** Costs of the configuration: heap for each item, time and bytes for each change. */
+final class ConfigurationCosts {
+
+  private static final int CHANGES = 200;
+  private static final int ITEMS_PER_RECORD = 200;
+
+  private final Meter meter;
+  private final TargetSize size;
+
+  ConfigurationCosts(Meter meter, TargetSize size) {
+    this.meter = meter;
+    this.size = size;
+  }
+
+  void measure() {
+    ConfigurationState state = new ConfigurationState();
+    long before = meter.usedHeap();
+    List<Item> items = Samples.items(size);
+    for (int from = 0; from < items.size(); from += ITEMS_PER_RECORD) {
+      List<Item> part = items.subList(from, Math.min(items.size(), from + ITEMS_PER_RECORD));
+      apply(state, Samples.record(from, List.copyOf(part), 0));
+    }
+    items = List.of();
+    long bytes = meter.usedHeap() - before;
+    meter.addHeap("configuration, per item", state.configuration().items().size(), bytes);
+    measureChange(state);
+    Reference.reachabilityFence(state);
+  }
+
+  private void measureChange(ConfigurationState state) {
+    ItemKey key = new ItemKey(ItemKind.CUSTOMER, Samples.customer(0));
+    byte[] encoded = ConfigurationCodec.encode(change(0, state.configuration().version(key)));
+    meter.add(new Slope("change of a customer, on the log", encoded.length, Slope.BYTES_SENT, 1));
+    meter.time("change: decode", CHANGES, i -> decode(encoded));
+    meter.time(
+        "change: apply at the target size",
+        CHANGES,
+        i -> apply(state, change(i, state.configuration().version(key))));
+  }
+
+  private static ConfigurationRecord change(int number, long baseVersion) {
+    Item item = Samples.customerItem(0, 2 + number % 900);
+    return Samples.record(1_000_000 + number, List.of(item), baseVersion);
+  }
+
+  private static void decode(byte[] encoded) {
+    try {
+      ConfigurationCodec.decode(encoded);
+    } catch (ConfigurationFormatException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void apply(ConfigurationState state, ConfigurationRecord record) {
+    ApplyResult result = state.apply(state.nextOffset(), record);
+    if (!(result instanceof ApplyResult.Applied)) {
+      throw new IllegalStateException("the sample record was not accepted: " + result);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/Meter.java
@@ -0,0 +1,83 @@
+package io.samphiredyke.bench.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntConsumer;
+import java.util.function.IntFunction;
+
+/**
+ * Measures costs in this process.
+ *
+ * <p>Heap is what is in use after a collection, divided by the number of objects. Time is the
+ * processor time of the calling thread, so that other load on the machine is left out but for its
+ * effect on caches.
+ */
+final class Meter {
+
+  /** The serial collector leaves some garbage in place in three of four collections. */
+  private static final int COLLECTIONS = 4;
+  private static final double NANOS_PER_MICRO = 1_000;
+
+  private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+  private final List<Slope> slopes = new ArrayList<>();
+
+  List<Slope> slopes() {
+    return List.copyOf(slopes);
+  }
+
+  void add(Slope slope) {
+    slopes.add(slope);
+  }
+
+  /** Measures what one of many objects keeps in use. */
+  void heap(String name, int count, IntFunction<Object> factory) {
+    heap(name, count, 1, factory);
+  }
+
+  /** Measures what one part keeps in use, of many objects that each hold as many parts. */
+  void heap(String name, int count, int parts, IntFunction<Object> factory) {
+    Object[] kept = new Object[count];
+    long before = usedHeap();
+    for (int i = 0; i < count; i++) {
+      kept[i] = factory.apply(i);
+    }
+    long after = usedHeap();
+    Reference.reachabilityFence(kept);
+    addHeap(name, (long) count * parts, after - before);
+  }
+
+  void addHeap(String name, long count, long bytes) {
+    add(new Slope(name, (double) bytes / count, Slope.BYTES_OF_HEAP, count));
+  }
+
+  /** Measures the processor time of an operation, after as many runs to warm up. */
+  void time(String name, int count, IntConsumer operation) {
+    for (int i = 0; i < count; i++) {
+      operation.accept(i);
+    }
+    long start = cpuNanos();
+    for (int i = count; i < 2 * count; i++) {
+      operation.accept(i);
+    }
+    addTime(name, count, cpuNanos() - start);
+  }
+
+  void addTime(String name, long count, long nanos) {
+    add(new Slope(name, nanos / NANOS_PER_MICRO / count, Slope.MICROSECONDS, count));
+  }
+
+  long cpuNanos() {
+    return threads.getCurrentThreadCpuTime();
+  }
+
+  long usedHeap() {
+    for (int i = 0; i < COLLECTIONS; i++) {
+      System.gc();
+    }
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
