--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/Estimates.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/Estimates.java
@@ -108,7 +108,7 @@
     double grant = cost("message Grant") + cost("message FirstToken") + cost("message Release");
     double write = cost("message WriteRegister (intent)") + cost("message RegisterReply");
     double each = acks + claims + grant + 2 * write;
-    add("messages", "bytes of a request", "17 messages", each, "B");
+    add("messages", "bytes of a request", "16 messages", each, "B");
     double rate = each * size.requestsPerHost() / BYTES_PER_KIB;
     add("messages", "bytes sent for requests", "requests/s", rate, KIB_PER_SECOND);
     double time = messageTime() * size.requestsPerHost() / MICROS_PER_PERCENT;
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/Meter.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/Meter.java
@@ -19,6 +19,7 @@
 
   /** The serial collector leaves some garbage in place in three of four collections. */
   private static final int COLLECTIONS = 4;
+
   private static final double NANOS_PER_MICRO = 1_000;
 
   private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
