--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/MembershipSettings.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/MembershipSettings.java
@@ -97,8 +97,8 @@
     private Duration probeInterval = Duration.ofMillis(500);
     private Duration pingTimeout = Duration.ofMillis(150);
     private int helpers = 3;
-    private Duration minSuspicion = Duration.ofMillis(2000);
-    private Duration maxSuspicion = Duration.ofMillis(8000);
+    private Duration minSuspicion = Duration.ofMillis(1500);
+    private Duration maxSuspicion = Duration.ofMillis(3000);
     private int confirmations = 3;
     private int maxHealthScore = 8;
     private int retransmitFactor = 3;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/MemberTable.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/MemberTable.java
@@ -165,6 +165,9 @@
     } else if (same && update.state() == MemberState.SUSPECT) {
       confirm(entry, update.accuser());
     }
+    if (same && update.state() == old.state()) {
+      queue.heard(update.memberId());
+    }
     return true;
   }
 
@@ -177,10 +180,8 @@
 
   private void transition(MemberEntry entry, Member member, int accuser, long now) {
     Member old = entry.member();
-    if (member.state() == MemberState.DEAD && old.state() == MemberState.ALIVE) {
-      // The verdict of others is checked by a short suspicion, so that a live member can refute.
-      suspect(entry, member.with(MemberState.SUSPECT, member.generation()), accuser, now);
-      shorten(entry);
+    if (member.state() == MemberState.DEAD && old.state().isLive()) {
+      hurry(entry, member, now);
       return;
     }
     if (member.state() == MemberState.SUSPECT) {
@@ -197,6 +198,26 @@
     }
   }
 
+  /** Checks the verdict of others by asking the member once more before it counts. */
+  private void hurry(MemberEntry entry, Member verdict, long now) {
+    Member known = entry.member();
+    if (known.state() == MemberState.ALIVE || verdict.generation() > known.generation()) {
+      suspect(entry, verdict.with(MemberState.SUSPECT, verdict.generation()), 0, now);
+    }
+    Suspicion suspicion = entry.suspicion();
+    if (suspicion != null) {
+      suspicion.endBy(now + lastCheckNanos());
+    }
+  }
+
+  private void die(MemberEntry entry, long now) {
+    Member old = entry.member();
+    stopSuspicion(entry);
+    setMember(entry, old.with(MemberState.DEAD, old.generation()), now);
+    queue.offerState(entry.member(), 0);
+    report(entry, old.state(), ChangeCause.TIMED_OUT);
+  }
+
   private static ChangeCause causeOf(MemberState state) {
     return switch (state) {
       case ALIVE -> ChangeCause.REFUTED;
@@ -223,13 +244,6 @@
     suspects.put(entry.member().shortId(), entry);
   }
 
-  private void shorten(MemberEntry entry) {
-    Suspicion suspicion = entry.suspicion();
-    for (int i = 1; suspicion != null && i <= settings.confirmations(); i++) {
-      suspicion.confirm(-i);
-    }
-  }
-
   private void stopSuspicion(MemberEntry entry) {
     entry.suspect(null);
     suspects.remove(entry.member().shortId());
@@ -259,17 +273,37 @@
     }
   }
 
-  /** Declares the suspects dead whose time is over. */
-  public void expireSuspicions(long now) {
+  /**
+   * Declares the suspects dead whose time is over.
+   *
+   * @param now the time
+   * @param lastCheck asks a suspect a last time, shortly before the end
+   */
+  public void expireSuspicions(long now, Consumer<Member> lastCheck) {
     for (MemberEntry entry : List.copyOf(suspects.values())) {
       Suspicion suspicion = entry.suspicion();
-      if (suspicion != null && now - suspicion.deadline() >= 0) {
-        Member member = entry.member();
-        transition(entry, member.with(MemberState.DEAD, member.generation()), 0, now);
+      if (suspicion == null || now - dueAt(suspicion) < 0) {
+        continue;
+      }
+      Member member = entry.member();
+      if (suspicion.isChecked()) {
+        die(entry, now);
+      } else {
+        suspicion.checked();
+        lastCheck.accept(member);
       }
     }
   }
 
+  private long dueAt(Suspicion suspicion) {
+    long deadline = suspicion.deadline();
+    return suspicion.isChecked() ? deadline : deadline - lastCheckNanos();
+  }
+
+  private long lastCheckNanos() {
+    return 2 * settings.pingTimeoutNanos();
+  }
+
   /** Moves all suspicions by a time in which this process did not run. */
   public void postponeSuspicions(long nanos) {
     for (MemberEntry entry : suspects.values()) {
@@ -280,13 +314,13 @@
     }
   }
 
-  /** Earliest end of a suspicion, or the given time if that is earlier. */
+  /** Next step of a suspicion, or the given time if that is earlier. */
   public long nextDeadline(long latest) {
     long next = latest;
     for (MemberEntry entry : suspects.values()) {
       Suspicion suspicion = entry.suspicion();
-      if (suspicion != null && suspicion.deadline() - next < 0) {
-        next = suspicion.deadline();
+      if (suspicion != null && dueAt(suspicion) - next < 0) {
+        next = dueAt(suspicion);
       }
     }
     return next;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Prober.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Prober.java
@@ -21,19 +21,15 @@
   private static final class Probe {
     private final long sequence;
     private final Member target;
-    private final long helpAt;
+    private long resendAt;
     private boolean answered;
     private int helpers;
     private int nacks;
 
-    Probe(long sequence, Member target, long helpAt) {
+    Probe(long sequence, Member target, long resendAt) {
       this.sequence = sequence;
       this.target = target;
-      this.helpAt = helpAt;
-    }
-
-    boolean needsHelp() {
-      return !answered && helpers == 0;
+      this.resendAt = resendAt;
     }
   }
 
@@ -87,8 +83,8 @@
   /** Time of the next step. */
   public long nextTick() {
     Probe probe = current;
-    if (probe != null && probe.needsHelp() && probe.helpAt - nextAt < 0) {
-      return probe.helpAt;
+    if (probe != null && !probe.answered && probe.resendAt - nextAt < 0) {
+      return probe.resendAt;
     }
     return nextAt;
   }
@@ -96,8 +92,8 @@
   /** Takes the steps that are due. */
   public void tick(long now) {
     Probe probe = current;
-    if (probe != null && probe.needsHelp() && now - probe.helpAt >= 0) {
-      askHelpers(probe);
+    if (probe != null && !probe.answered && now - probe.resendAt >= 0) {
+      resend(probe, now);
     }
     if (now - nextAt >= 0) {
       finish(now);
@@ -117,8 +113,8 @@
     if (target == null) {
       return;
     }
-    long helpAt = now + health.scale(settings.pingTimeoutNanos());
-    current = new Probe(nextSequence(), target, helpAt);
+    long resendAt = now + health.scale(settings.pingTimeoutNanos());
+    current = new Probe(nextSequence(), target, resendAt);
     outbox.ping(target.address(), sequence);
   }
 
@@ -150,6 +146,14 @@
     }
   }
 
+  private void resend(Probe probe, long now) {
+    probe.resendAt = now + health.scale(settings.pingTimeoutNanos());
+    if (probe.helpers == 0) {
+      askHelpers(probe);
+    }
+    outbox.ping(probe.target.address(), probe.sequence);
+  }
+
   private void askHelpers(Probe probe) {
     for (Member helper : Sampling.choose(table.live(), settings.helpers() + 1, random)) {
       boolean enough = probe.helpers >= settings.helpers();
@@ -159,7 +163,6 @@
       probe.helpers++;
       outbox.pingRequest(helper.address(), probe.sequence, probe.target);
     }
-    outbox.ping(probe.target.address(), probe.sequence);
     probe.helpers = Math.max(1, probe.helpers);
   }
 
@@ -169,7 +172,7 @@
     if (probe == null || probe.answered) {
       return;
     }
-    health.add(probe.nacks < probe.helpers ? 1 : 0);
+    health.add(probe.nacks == 0 ? 1 : 0);
     MemberEntry entry = table.find(probe.target.shortId());
     if (entry == null || !entry.member().state().isLive()) {
       return;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Suspicion.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Suspicion.java
@@ -16,6 +16,8 @@
   private final int expected;
   private final Set<Integer> accusers = new HashSet<>();
   private long startedAt;
+  private long latest = Long.MAX_VALUE;
+  private boolean checked;
 
   Suspicion(long min, long max, int expected, int accuser, long now) {
     this.min = min;
@@ -36,10 +38,30 @@
   /** Moves the timer by a time in which this process did not run. */
   void postpone(long nanos) {
     startedAt += nanos;
+    latest = latest == Long.MAX_VALUE ? latest : latest + nanos;
+  }
+
+  /** Ends the time by a given moment. */
+  void endBy(long moment) {
+    latest = Math.min(latest, moment);
+  }
+
+  /** Whether the member was asked a last time. */
+  boolean isChecked() {
+    return checked;
+  }
+
+  /** Notes that the member was asked a last time. */
+  void checked() {
+    checked = true;
   }
 
   /** Time at which the member counts as dead unless it refutes. */
   public long deadline() {
+    return Math.min(latest, unhurriedDeadline());
+  }
+
+  private long unhurriedDeadline() {
     int confirmations = accusers.size() - 1;
     if (expected <= 0 || confirmations >= expected) {
       return startedAt + min;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/UpdateQueue.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/UpdateQueue.java
@@ -60,6 +60,14 @@
     order.add(pending);
   }
 
+  /** Counts an update that came from another member as if it had been sent once more. */
+  public void heard(long memberId) {
+    Pending pending = bySubject.get(memberId);
+    if (pending != null) {
+      pending.sends++;
+    }
+  }
+
   /**
    * Takes the updates for one message.
    *
