Membership: a member heard of again counts as sent

Cause: after a common start each of 340 joins was sent nine times by each member, which took minutes and used 1.4 KB/s; changes of state waited in that queue.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/MemberTable.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/MemberTable.java
@@ -96,7 +96,10 @@
       return member.state().isLive() && add(member, spread, now);
     }
     if (!member.supersedes(entry.member())) {
-      noteOffset(entry, member.incarnation().high(), member.configurationOffset());
+      noteOffset(entry, member.shortId(), member.configurationOffset());
+      if (member.generation() == entry.member().generation()) {
+        queue.heard(member.shortId());
+      }
       return false;
     }
     if (!member.incarnation().equals(entry.member().incarnation())) {
