--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Membership.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Membership.java
@@ -83,7 +83,7 @@
     started = true;
     prober.start(now);
     reconnector.start(now);
-    nextSyncAt = now + jittered(settings.syncIntervalNanos());
+    nextSyncAt = now + antiEntropy.nextInterval();
     introductionsSince = now;
     schedule();
   }
@@ -108,7 +108,7 @@
     prober.tick(now);
     reconnector.tick(now);
     if (now - nextSyncAt >= 0) {
-      nextSyncAt = now + jittered(settings.syncIntervalNanos());
+      nextSyncAt = now + antiEntropy.nextInterval();
       table.reclaim(now);
       antiEntropy.compareWithRandom();
     }
@@ -295,8 +295,4 @@
     next = relays.nextTick(next);
     nextTick = table.nextDeadline(next);
   }
-
-  private long jittered(long nanos) {
-    return nanos / 2 + random.nextLong(nanos);
-  }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/AntiEntropy.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/AntiEntropy.java
@@ -23,12 +23,14 @@
 public final class AntiEntropy {
 
   private static final int MAX_VERDICTS = 4;
+  private static final int HURRY = 5;
 
   private final MembershipSettings settings;
   private final LocalMember self;
   private final MemberTable table;
   private final Outbox outbox;
   private final RandomGenerator random;
+  private boolean differing;
 
   /** Creates the exchange over the parts of one membership. */
   public AntiEntropy(
@@ -44,8 +46,18 @@
     this.random = random;
   }
 
+  /** Time until the next comparison; shorter after views differed. */
+  public long nextInterval() {
+    long mean = settings.syncIntervalNanos();
+    if (differing) {
+      mean /= HURRY;
+    }
+    return mean / 2 + random.nextLong(mean);
+  }
+
   /** Starts a comparison with a random live member. */
   public void compareWithRandom() {
+    differing = false;
     for (Member partner : Sampling.choose(table.live(), 1, random)) {
       introduce(partner.address(), null);
     }
@@ -115,6 +127,7 @@
 
   /** Takes the partner's buckets, which were merged already, and returns what it lacks. */
   public void received(GossipMessage.SyncReply reply) {
+    differing |= reply.purpose() == Purpose.DIFFERENCE;
     Map<Long, Member> theirs = new HashMap<>();
     for (Member member : reply.updates().members()) {
       theirs.put(member.shortId(), member);
