--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Membership.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Membership.java
@@ -126,7 +126,7 @@
       return;
     }
     notePause(now);
-    merge(message.updates(), !isWholeView(message), now);
+    merge(message.updates(), !(message instanceof GossipMessage.SyncReply), now);
     if (message instanceof GossipMessage.SyncRequest request) {
       learn(request.self(), true, now);
     }
@@ -137,11 +137,6 @@
     schedule();
   }
 
-  private static boolean isWholeView(GossipMessage message) {
-    return message instanceof GossipMessage.SyncReply reply
-        && reply.purpose() == GossipMessage.SyncReply.Purpose.VIEW;
-  }
-
   private void answer(GossipMessage message, long now) {
     if (message instanceof GossipMessage.Ping ping) {
       outbox.ack(ping.header(), ping.sequence());
