--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Membership.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Membership.java
@@ -103,7 +103,7 @@
       return;
     }
     notePause(now);
-    table.expireSuspicions(now, suspect -> outbox.ping(suspect.address(), 0));
+    table.expireSuspicions(now, suspect -> outbox.pingUnanswering(suspect, 0));
     relays.tick(now);
     prober.tick(now);
     reconnector.tick(now);
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/AntiEntropy.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/AntiEntropy.java
@@ -174,7 +174,7 @@
         continue;
       }
       if (entry.member().state() == MemberState.DEAD) {
-        outbox.ping(member.address(), 0);
+        outbox.pingUnanswering(entry.member(), 0);
       }
       verdicts.add(StateUpdate.of(entry.member(), 0));
       if (verdicts.size() >= MAX_VERDICTS) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Outbox.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Outbox.java
@@ -34,13 +34,23 @@
     this.sink = sink;
   }
 
-  /** Pings an address; a member that is not seen alive is told so, that it may refute. */
+  /** Pings a member; one that is not seen alive is told so, that it may refute. */
   public void ping(String address, long sequence) {
     MemberEntry entry = table.at(address);
     Updates updates = entry == null ? queued() : queuedFor(entry.member());
     sink.send(address, new GossipMessage.Ping(self.header(), sequence, updates));
   }
 
+  /** Pings a member that probably does not answer; spends no queued updates on it. */
+  public void pingUnanswering(Member receiver, long sequence) {
+    List<StateUpdate> states = new ArrayList<>();
+    if (receiver.state() != MemberState.ALIVE) {
+      states.add(StateUpdate.of(receiver, 0));
+    }
+    Updates updates = new Updates(List.of(), states);
+    sink.send(receiver.address(), new GossipMessage.Ping(self.header(), sequence, updates));
+  }
+
   /** Answers a ping. */
   public void ack(Header asker, long sequence) {
     MemberEntry entry = table.find(asker.memberId());
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Prober.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Prober.java
@@ -151,7 +151,7 @@
     if (probe.helpers == 0) {
       askHelpers(probe);
     }
-    outbox.ping(probe.target.address(), probe.sequence);
+    outbox.pingUnanswering(probe.target, probe.sequence);
   }
 
   private void askHelpers(Probe probe) {
@@ -180,7 +180,7 @@
     int accuser = (int) self.member().shortId();
     Member suspect = entry.member().with(MemberState.SUSPECT, entry.member().generation());
     table.apply(StateUpdate.of(suspect, accuser), now);
-    outbox.ping(suspect.address(), nextSequence());
+    outbox.pingUnanswering(suspect, nextSequence());
   }
 
   /** Takes an answer, direct or through a helper. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Reconnector.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Reconnector.java
@@ -101,10 +101,11 @@
   }
 
   private void contact(String address) {
-    if (table.at(address) == null || table.liveCount() == 0) {
+    MemberEntry entry = table.at(address);
+    if (entry == null || table.liveCount() == 0) {
       antiEntropy.introduce(address, null);
     } else {
-      outbox.ping(address, 0);
+      outbox.pingUnanswering(entry.member(), 0);
     }
   }
 }
