Membership bench: slopes by the number of members, small form as a test

Messages of the slopes run go through the codec, which also checks each estimated size. Two tests of the failures found: a verdict in one message with the suspicion is checked, and a verdict on a silent member counts after one check.

--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/MembershipBench.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/MembershipBench.java
@@ -56,6 +56,9 @@
         Scenarios.print(figures.subList(before, figures.size()));
       }
     }
+    if ("slopes".contains(only)) {
+      Slopes.print(flags.getLong("seed"));
+    }
     boolean passes = scenarios.figures().stream().allMatch(Figure::passes);
     System.out.println(passes ? "all bounds kept" : "bounds EXCEEDED");
     return passes ? 0 : BOUND_EXCEEDED;
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/Scenarios.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/Scenarios.java
@@ -13,7 +13,7 @@
 /** The runs that are measured; each starts with a group whose views are right. */
 final class Scenarios {
 
-  private static final int OVERHEAD_BYTES = 28;
+  static final int OVERHEAD_BYTES = 28;
   private static final double BYTES_BOUND = 5000;
   private static final double DETECTION_BOUND_MILLIS = 6000;
   private static final long CONVERGENCE_LIMIT = 120 * SECOND;
@@ -252,7 +252,9 @@
     double bound = bounded ? BYTES_BOUND : Double.POSITIVE_INFINITY;
     figures.add(bounded(name, "traffic, mean of nodes", traffic.mean(), "B/s", bound));
     figures.add(bounded(name, "traffic, busiest node", traffic.busiest(), "B/s", bound));
-    figures.add(shown(name, "traffic, busiest 5 s, mean of nodes", traffic.peak(), "B/s"));
+    if (traffic.peak() > 0) {
+      figures.add(shown(name, "traffic, busiest 5 s, mean of nodes", traffic.peak(), "B/s"));
+    }
   }
 
   static void print(List<Figure> figures) {
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/SimulatedGroup.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/SimulatedGroup.java
@@ -7,6 +7,9 @@
 import io.samphiredyke.core.membership.Membership;
 import io.samphiredyke.core.membership.MembershipSettings;
 import io.samphiredyke.core.membership.MembershipSink;
+import io.samphiredyke.net.membership.GossipCodec;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -64,6 +67,7 @@
   private long now;
   private long order;
   private long messages;
+  private boolean encoded;
 
   SimulatedGroup(int members, MembershipSettings settings, long seed, int overheadBytes) {
     this.settings = settings;
@@ -89,6 +93,11 @@
     return random;
   }
 
+  /** Sends each message through the codec, so that no two processes share an object. */
+  void encoded(boolean value) {
+    encoded = value;
+  }
+
   void loss(double share) {
     loss = share;
   }
@@ -234,7 +243,20 @@
     if (to == null || blocked.test(from, to) || random.nextDouble() < loss) {
       return;
     }
-    at(now + delay(from, to), () -> arrive(to, message, bytes));
+    GossipMessage arriving = encoded ? throughCodec(message) : message;
+    at(now + delay(from, to), () -> arrive(to, arriving, bytes));
+  }
+
+  private static GossipMessage throughCodec(GossipMessage message) {
+    byte[] bytes = GossipCodec.encode(message);
+    if (bytes.length != message.encodedSize()) {
+      throw new IllegalStateException("size " + bytes.length + " is not as estimated: " + message);
+    }
+    try {
+      return GossipCodec.decode(bytes);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   private long delay(SimulatedNode from, SimulatedNode to) {
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/membership/Slopes.java
@@ -0,0 +1,72 @@
+package io.samphiredyke.bench.membership;
+
+import static io.samphiredyke.bench.membership.SimulatedGroup.SECOND;
+
+import io.samphiredyke.core.membership.MembershipSettings;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.List;
+import java.util.Locale;
+
+/** Measures what one process spends, by the number of members; messages go through the codec. */
+final class Slopes {
+
+  private static final List<Integer> SIZES = List.of(6, 12, 24, 48, 170, 340);
+  private static final long SETTLE = 60 * SECOND;
+  private static final long MEASURED = 60 * SECOND;
+  private static final long CONVERGENCE_LIMIT = 120 * SECOND;
+  private static final int COLLECTIONS = 3;
+
+  private Slopes() {}
+
+  static void print(long seed) {
+    System.out.println("slopes, without loss or changes; processor time includes the simulation");
+    System.out.printf(
+        Locale.ROOT,
+        "%8s %12s %14s %18s %14s %16s%n",
+        "members",
+        "B/s a node",
+        "messages/s",
+        "us CPU/s a node",
+        "us a probe",
+        "heap a node KB");
+    for (int members : SIZES) {
+      measure(members, seed);
+    }
+  }
+
+  private static void measure(int members, long seed) {
+    long heapBefore = usedHeap();
+    MembershipSettings settings = MembershipSettings.builder().build();
+    SimulatedGroup group = new SimulatedGroup(members, settings, seed, Scenarios.OVERHEAD_BYTES);
+    group.encoded(true);
+    group.nodes.forEach(group::start);
+    group.runUntilConverged(CONVERGENCE_LIMIT);
+    group.runFor(SETTLE);
+    Traffic traffic = new Traffic(group);
+    long messages = group.messages();
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    long processorBefore = threads.getCurrentThreadCpuTime();
+    group.runFor(MEASURED);
+    double micros = (threads.getCurrentThreadCpuTime() - processorBefore) / 1000.0;
+    double nodeSeconds = members * (MEASURED / (double) SECOND);
+    double probes = nodeSeconds * SECOND / settings.probeIntervalNanos();
+    System.out.printf(
+        Locale.ROOT,
+        "%8d %12.0f %14.2f %18.1f %14.1f %16.1f%n",
+        members,
+        traffic.mean(),
+        (group.messages() - messages) / nodeSeconds,
+        micros / nodeSeconds,
+        micros / probes,
+        (usedHeap() - heapBefore) / 1024.0 / group.nodes.size());
+  }
+
+  private static long usedHeap() {
+    for (int i = 0; i < COLLECTIONS; i++) {
+      System.gc();
+    }
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/membership/MembershipTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/membership/MembershipTest.java
@@ -75,6 +75,38 @@
     assertThat(group.live("h0")).contains("h2");
   }
 
+  @Test
+  void suspicionAndVerdictOnLiveMemberInOneMessageAreChecked() {
+    TestGroup group = new TestGroup(17);
+    group.startAll(4);
+    Member accused = group.running.get("h2").self();
+    List<StateUpdate> states = new ArrayList<>();
+    for (MemberState state : List.of(MemberState.SUSPECT, MemberState.DEAD)) {
+      states.add(new StateUpdate(accused.shortId(), state, accused.generation(), false, 7));
+    }
+    Header origin = Header.of(group.running.get("h1").self());
+    Updates updates = new Updates(List.of(), states);
+    group.running.get("h0").received(new GossipMessage.Ping(origin, 1, updates), group.now);
+    group.run(10 * SECOND);
+    assertThat(group.causes("h0", "h2"))
+        .containsExactly(ChangeCause.JOINED, ChangeCause.SUSPECTED, ChangeCause.REFUTED);
+  }
+
+  @Test
+  void verdictOfOthersOnSilentMemberCountsAfterOneCheck() {
+    TestGroup group = new TestGroup(18);
+    group.startAll(4);
+    Member accused = group.running.get("h2").self();
+    group.running.remove("h2");
+    StateUpdate verdict =
+        new StateUpdate(accused.shortId(), MemberState.DEAD, accused.generation(), false, 0);
+    Updates updates = new Updates(List.of(), List.of(verdict));
+    Header origin = Header.of(group.running.get("h1").self());
+    group.running.get("h0").received(new GossipMessage.Ping(origin, 1, updates), group.now);
+    group.run(400 * MILLI);
+    assertThat(group.live("h0")).doesNotContain("h2");
+  }
+
   @Test
   void restartAtTheSameAddressSupersedesAtOnce() {
     TestGroup group = new TestGroup(6);
--- /dev/null
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/membership/internal/UpdateQueueTest.java
@@ -0,0 +1,56 @@
+package io.samphiredyke.core.membership.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiredyke.core.membership.IncarnationId;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberState;
+import io.samphiredyke.core.membership.Updates;
+import org.junit.jupiter.api.Test;
+
+class UpdateQueueTest {
+
+  private static final int LARGE = 10_000;
+
+  private final UpdateQueue queue = new UpdateQueue();
+
+  private static Member member(long id) {
+    return Member.builder().address("h" + id).incarnation(new IncarnationId(id, id)).build();
+  }
+
+  @Test
+  void updateIsSentTheGivenNumberOfTimes() {
+    queue.offerMember(member(1));
+    for (int i = 0; i < 3; i++) {
+      assertThat(queue.take(LARGE, 3).members()).hasSize(1);
+    }
+    assertThat(queue.take(LARGE, 3)).isEqualTo(Updates.NONE);
+  }
+
+  @Test
+  void leastSentGoesFirstWhenNotAllFit() {
+    queue.offerMember(member(1));
+    queue.take(LARGE, 9);
+    queue.offerMember(member(2));
+    Updates updates = queue.take(member(2).encodedSize(), 9);
+    assertThat(updates.members()).extracting(Member::address).containsExactly("h2");
+  }
+
+  @Test
+  void updateHeardAgainCountsAsSent() {
+    queue.offerMember(member(1));
+    queue.heard(1);
+    queue.heard(1);
+    assertThat(queue.take(LARGE, 3).members()).hasSize(1);
+    assertThat(queue.take(LARGE, 3)).isEqualTo(Updates.NONE);
+  }
+
+  @Test
+  void changeOfStateReplacesTheMemberButStaysWhole() {
+    queue.offerMember(member(1));
+    queue.offerState(member(1).with(MemberState.SUSPECT, 0), 5);
+    Updates updates = queue.take(LARGE, 3);
+    assertThat(updates.states()).isEmpty();
+    assertThat(updates.members()).extracting(Member::state).containsExactly(MemberState.SUSPECT);
+  }
+}
