--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/MembershipSettings.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/MembershipSettings.java
@@ -101,7 +101,7 @@
     private Duration maxSuspicion = Duration.ofMillis(3000);
     private int confirmations = 3;
     private int maxHealthScore = 8;
-    private int retransmitFactor = 3;
+    private int retransmitFactor = 4;
     private int maxUpdateBytes = 400;
     private Duration syncInterval = Duration.ofSeconds(10);
     private int syncMessageBytes = 1200;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/UpdateQueue.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/UpdateQueue.java
@@ -17,6 +17,8 @@
  */
 public final class UpdateQueue {
 
+  private static final int UNCROWDED = 16;
+
   private static final class Pending {
     private final StateUpdate update;
     private final @Nullable Member member;
@@ -60,10 +62,13 @@
     order.add(pending);
   }
 
-  /** Counts an update that came from another member as if it had been sent once more. */
+  /**
+   * Counts an update that came from another member as if it had been sent once more, if so many
+   * updates wait that they delay each other.
+   */
   public void heard(long memberId) {
     Pending pending = bySubject.get(memberId);
-    if (pending != null) {
+    if (pending != null && order.size() > UNCROWDED) {
       pending.sends++;
     }
   }
