Orders to engines: leases by records in the log, loads queued in the log

One holder per endpoint is decided by the records of a stream in log order alone; clocks only decide when a lapsed session may be ended, and a renewal that comes first makes the end void.

--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/orders/EngineState.java
@@ -0,0 +1,47 @@
+package io.samphiredyke.core.orders;
+
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What an engine reports of its state.
+ *
+ * @param role its role
+ * @param parts how far each model and adapter is
+ */
+public record EngineState(String role, Map<Part, Status> parts) {
+
+  /** Copies the parts. */
+  public EngineState {
+    parts = Map.copyOf(parts);
+  }
+
+  /**
+   * A model or an adapter.
+   *
+   * @param model the model
+   * @param version its version
+   * @param adapter the adapter, null for the model itself
+   */
+  public record Part(String model, String version, @Nullable String adapter) {}
+
+  /** How far a load is. */
+  public enum Status {
+    /** Its weights are being fetched. */
+    LOADING,
+    /** It serves requests. */
+    LOADED,
+    /** Its weights could not be fetched. */
+    FAILED
+  }
+
+  /** Returns whether anything is being loaded. */
+  public boolean isLoading() {
+    return parts.containsValue(Status.LOADING);
+  }
+
+  /** Returns whether a load failed. */
+  public boolean hasFailed() {
+    return parts.containsValue(Status.FAILED);
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/orders/LeaseStream.java
@@ -0,0 +1,126 @@
+package io.samphiredyke.core.orders;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Follows the orders stream and knows when each session's last record was read here.
+ *
+ * <p>Where the first records are gone, records are kept aside until a snapshot that covers them is
+ * found. Not thread-safe.
+ */
+final class LeaseStream {
+
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private LeaseTable table = new LeaseTable();
+  private boolean isKnown = true;
+  private long firstOffset;
+  private long nextOffset;
+  private long snapshotReadAt;
+  private long resetReadAt = NEVER;
+  private final Map<String, Long> readAt = new HashMap<>();
+  private final List<LeaseEntry> aside = new ArrayList<>();
+
+  LeaseStream(long now) {
+    snapshotReadAt = now;
+  }
+
+  LeaseTable table() {
+    return table;
+  }
+
+  long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns whether the table is that of the log up to {@link #nextOffset()}. */
+  boolean isKnown() {
+    return isKnown;
+  }
+
+  /** Returns the time since the last snapshot was read, or since the stream was begun. */
+  long sinceSnapshot(long now) {
+    return now - snapshotReadAt;
+  }
+
+  /** Notes that a snapshot was sent, so that none is due soon. */
+  void snapshotSent(long now) {
+    snapshotReadAt = now;
+  }
+
+  /** Returns whether all leases from before the last reset have lapsed. */
+  boolean isPastReset(long now, long wait) {
+    return resetReadAt == NEVER || now - resetReadAt >= wait;
+  }
+
+  /** Returns whether a session's last record was read at least a time ago. */
+  boolean isLapsed(String session, long now, long wait) {
+    return now - readAt.getOrDefault(session, now) >= wait;
+  }
+
+  /** Begins anew where the log begins now. */
+  void expired(long first, long now) {
+    table = new LeaseTable();
+    readAt.clear();
+    aside.clear();
+    isKnown = first == 0;
+    firstOffset = first;
+    nextOffset = first;
+    snapshotReadAt = now;
+  }
+
+  void read(LeaseEntry entry, long now) {
+    if (entry.offset() < nextOffset) {
+      return;
+    }
+    if (entry.offset() > nextOffset) {
+      expired(entry.offset(), now);
+    }
+    nextOffset = entry.offset() + 1;
+    LeaseSnapshot snapshot = entry.snapshot();
+    if (snapshot != null) {
+      readSnapshot(snapshot, now);
+    } else if (isKnown) {
+      apply(entry, now);
+    } else {
+      aside.add(entry);
+    }
+  }
+
+  private void readSnapshot(LeaseSnapshot snapshot, long now) {
+    snapshotReadAt = now;
+    if (snapshot.isReset()) {
+      table = new LeaseTable();
+      aside.clear();
+      resetReadAt = now;
+      isKnown = true;
+      return;
+    }
+    boolean isCovering = snapshot.nextOffset() >= firstOffset;
+    if (isKnown || !isCovering) {
+      return;
+    }
+    table = new LeaseTable(snapshot);
+    table.sessions().forEach(session -> readAt.put(session, now));
+    isKnown = true;
+    for (LeaseEntry entry : aside) {
+      if (entry.offset() >= snapshot.nextOffset()) {
+        apply(entry, now);
+      }
+    }
+    aside.clear();
+  }
+
+  private void apply(LeaseEntry entry, long now) {
+    LeaseRecord record = entry.lease();
+    if (record == null) {
+      return;
+    }
+    table.apply(entry.offset(), record);
+    readAt.put(record.session(), now);
+    readAt.keySet().retainAll(table.sessions());
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/orders/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * Decisions about orders to engines: which host may order at an endpoint, and what it orders.
+ *
+ * @see io.samphiredyke.core.orders.OrderMachine
+ */
+@NullMarked
+package io.samphiredyke.core.orders;
+
+import org.jspecify.annotations.NullMarked;
