--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import io.samphiredyke.core.membership.Member;
 import io.samphiredyke.core.membership.MemberChange;
 import io.samphiredyke.core.membership.MemberState;
+import io.samphiredyke.core.orders.OrderSettings;
 import io.samphiredyke.core.ownership.Incarnation;
 import io.samphiredyke.core.ownership.TicketCodec;
 import io.samphiredyke.daemon.admin.AdminApi;
@@ -31,6 +32,7 @@
 import io.samphiredyke.daemon.membership.GossipTransport;
 import io.samphiredyke.daemon.membership.HostListPoller;
 import io.samphiredyke.daemon.membership.MembershipService;
+import io.samphiredyke.daemon.orders.OrderService;
 import io.samphiredyke.daemon.peer.MessageRouter;
 import io.samphiredyke.daemon.peer.PeerClient;
 import io.samphiredyke.daemon.witness.WitnessService;
@@ -90,10 +92,11 @@
       BrokerService brokers,
       EntryService entry,
       CallerApi callers,
-      AdminApi admin) {
+      AdminApi admin,
+      OrderService orders) {
 
     @SuppressWarnings("NullAway")
-    static final Parts NONE = new Parts(null, null, null, null, null, null);
+    static final Parts NONE = new Parts(null, null, null, null, null, null, null);
   }
 
   private Daemon(DaemonSettings settings, Clock clock) {
@@ -213,11 +216,34 @@
             () -> loop.supply(this::status),
             id -> loop.supply(() -> entry.explain(id)),
             () -> loop.supply(this::drainStatus));
-    parts = new Parts(membership, witness, brokers, entry, callers, admin);
+    OrderService orders = orders(membership, random);
+    stops.add(orders::stop);
+    parts = new Parts(membership, witness, brokers, entry, callers, admin, orders);
     connect(new PeerRecords(loop, peers, membership, configuration));
     return null;
   }
 
+  private OrderService orders(MembershipService membership, SecureRandom random) {
+    return new OrderService(
+        loop,
+        http,
+        host.name() + "-" + host.incarnation(),
+        settings.logAddresses(),
+        configuration::configuration,
+        endpoint -> !isLeaving(endpoint) && isBrokeredHere(membership, endpoint),
+        OrderSettings.builder().build(),
+        invariants,
+        metrics::count,
+        random);
+  }
+
+  private boolean isBrokeredHere(MembershipService membership, Endpoint endpoint) {
+    return membership
+        .broker(endpoint)
+        .filter(broker -> broker.address().equals(host.peerAddress()))
+        .isPresent();
+  }
+
   private Member self() {
     return Member.builder()
         .name(host.name())
@@ -242,6 +268,7 @@
     parts.membership().seed(seeds());
     parts.witness().start();
     parts.entry().start();
+    parts.orders().start();
     configuration.start();
     hostList.start(settings.pollInterval());
   }
@@ -351,6 +378,7 @@
     }
     logger.atInfo().log("draining host=%s", host.name());
     parts.entry().drain();
+    parts.orders().drain();
     parts.membership().drain();
     long deadline = loop.now() + settings.drainTimeout().toNanos();
     loop.schedule(() -> awaitIdle(deadline), LEAVE_SPREAD);
