--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/BenchEntry.java
@@ -0,0 +1,268 @@
+package io.samphiredyke.bench.decisions;
+
+import io.samphiredyke.core.broker.BrokerDecision;
+import io.samphiredyke.core.broker.Claim;
+import io.samphiredyke.core.broker.ClaimKey;
+import io.samphiredyke.core.broker.Grant;
+import io.samphiredyke.core.broker.Held;
+import io.samphiredyke.core.broker.Refuse;
+import io.samphiredyke.core.broker.Release;
+import io.samphiredyke.core.broker.StreamSample;
+import io.samphiredyke.core.routing.CacheEvent;
+import io.samphiredyke.core.routing.ClaimAction;
+import io.samphiredyke.core.routing.ClaimSet;
+import io.samphiredyke.core.routing.EndpointChoice;
+import io.samphiredyke.core.routing.EndpointOption;
+import io.samphiredyke.core.routing.LengthEstimator;
+import io.samphiredyke.core.routing.PrefixMap;
+import io.samphiredyke.core.routing.PromptFingerprint;
+import io.samphiredyke.core.routing.RequestEstimate;
+import io.samphiredyke.standins.engine.Prompt;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** An entry process: the production choice and claims over the bench's messages. */
+final class BenchEntry implements RequestRun.Observer {
+
+  private static final int PREFIX_BLOCKS = 6_000;
+  private static final long SAMPLE_NANOS = ModelClock.seconds(0.5);
+
+  private final String incarnation;
+  private final BrokeredDispatcher network;
+  private final BrokeredOptions options;
+  private final ModelClock clock;
+  private final PrefixMap prefixes = new PrefixMap(PREFIX_BLOCKS);
+  private final EndpointChoice choice = new EndpointChoice(prefixes);
+  private final LengthEstimator lengths = new LengthEstimator();
+  private final Map<String, Pending> pending = new LinkedHashMap<>();
+  private boolean dead;
+
+  private static final class Pending {
+    private final RequestRun run;
+    private final ClaimSet claims;
+    private @Nullable Claim bound;
+    private long boundAt;
+    private int sampledTokens;
+    private long sampledAt;
+
+    Pending(RequestRun run, ClaimSet claims) {
+      this.run = run;
+      this.claims = claims;
+    }
+  }
+
+  BenchEntry(
+      String incarnation, BrokeredDispatcher network, BrokeredOptions options, ModelClock clock) {
+    this.incarnation = incarnation;
+    this.network = network;
+    this.options = options;
+    this.clock = clock;
+    clock.after(SAMPLE_NANOS, this::sample);
+  }
+
+  String incarnation() {
+    return incarnation;
+  }
+
+  EndpointChoice choice() {
+    return choice;
+  }
+
+  PrefixMap prefixes() {
+    return prefixes;
+  }
+
+  boolean isDead() {
+    return dead;
+  }
+
+  void arrive(RequestRun run) {
+    Arrival arrival = run.arrival();
+    RequestClass type = arrival.requestClass();
+    int output =
+        lengths.outputTokens(
+            type.service(),
+            arrival.customer(),
+            options.outputDeviations(),
+            type.maximumAnswerTokens());
+    int tier = options.tiers() ? arrival.tierRank() : 0;
+    RequestEstimate estimate = new RequestEstimate(tier, arrival.prompt().tokens(), output);
+    List<EndpointOption> ordered =
+        choice.choose(network.liveEndpoints(), estimate, fingerprint(arrival));
+    Claim template =
+        Claim.builder()
+            .requestId(arrival.id())
+            .entry(incarnation)
+            .service(type.service())
+            .customer(options.tiers() ? arrival.customer() : "all")
+            .tierRank(tier)
+            .deadline(arrival.deadline())
+            .promptTokens(arrival.prompt().tokens())
+            .outputTokens(output)
+            .receivedAt(arrival.time())
+            .build();
+    ClaimSet claims = new ClaimSet(template, withHoldOff(ordered), options.parallelClaims());
+    run.observe(this);
+    Pending request = new Pending(run, claims);
+    pending.put(arrival.id(), request);
+    perform(request, claims.start(clock.now()));
+  }
+
+  private List<EndpointOption> withHoldOff(List<EndpointOption> ordered) {
+    if (options.holdOff()) {
+      return ordered;
+    }
+    List<EndpointOption> immediate = new ArrayList<>();
+    for (EndpointOption each : ordered) {
+      immediate.add(
+          new EndpointOption(each.endpoint(), each.expectedNanos(), 0, each.cachedTokens()));
+    }
+    return immediate;
+  }
+
+  void decided(BrokerDecision decision) {
+    Claim claim = decision.claim();
+    Pending request = pending.get(claim.requestId());
+    if (request == null) {
+      network.withdraw(claim.endpoint(), claim.key());
+      return;
+    }
+    if (decision instanceof Grant) {
+      perform(request, request.claims.granted(claim.endpoint(), claim.key(), clock.now()));
+    } else if (decision instanceof Refuse refuse) {
+      perform(request, request.claims.refused(refuse, clock.now()));
+    }
+  }
+
+  private void perform(Pending request, List<ClaimAction> actions) {
+    for (ClaimAction action : actions) {
+      if (action instanceof ClaimAction.Send send) {
+        network.claim(send.claim());
+      } else if (action instanceof ClaimAction.Withdraw withdraw) {
+        network.withdraw(withdraw.endpoint(), withdraw.key());
+      } else if (action instanceof ClaimAction.Bind bind) {
+        bind(request, bind.claim());
+      } else if (action instanceof ClaimAction.Shed shed) {
+        pending.remove(request.run.arrival().id());
+        request.run.refuse(shed.reasons().get(shed.reasons().size() - 1).name());
+      }
+    }
+  }
+
+  private void bind(Pending request, Claim claim) {
+    request.bound = claim;
+    request.boundAt = clock.now();
+    if (options.prefixes()) {
+      prefixes.dispatched(claim.endpoint(), fingerprint(request.run.arrival()));
+    }
+    network.dispatch(request.run, claim.endpoint());
+  }
+
+  @Override
+  public void firstToken(RequestRun run) {
+    Pending request = pending.get(run.arrival().id());
+    if (dead || request == null || request.bound == null) {
+      return;
+    }
+    ClaimKey key = request.bound.key();
+    request.sampledTokens = 1;
+    request.sampledAt = clock.now();
+    network.send(
+        request.bound.endpoint(),
+        broker -> broker.firstToken(key, run.firstTokenNanos(), clock.now()));
+  }
+
+  @Override
+  public void ended(RequestRun run) {
+    Pending request = pending.remove(run.arrival().id());
+    if (dead || request == null) {
+      return;
+    }
+    if (request.bound == null) {
+      perform(request, request.claims.close());
+      return;
+    }
+    Release.Outcome outcome =
+        run.isComplete() ? Release.Outcome.COMPLETED : Release.Outcome.CANCELLED;
+    if (run.isComplete()) {
+      Arrival arrival = run.arrival();
+      lengths.observeOutput(arrival.requestClass().service(), arrival.customer(), run.tokens());
+    }
+    Release release =
+        new Release(
+            request.bound.key(),
+            outcome,
+            run.firstTokenNanos(),
+            run.meanTokenIntervalNanos(),
+            run.tokens());
+    network.send(request.bound.endpoint(), broker -> broker.release(release, clock.now()));
+  }
+
+  /** Dies; returns the requests that wait for a grant. */
+  List<RequestRun> die() {
+    dead = true;
+    List<RequestRun> undispatched = new ArrayList<>();
+    for (Pending request : pending.values()) {
+      if (request.bound == null) {
+        undispatched.add(request.run);
+      }
+    }
+    pending.clear();
+    return undispatched;
+  }
+
+  /** Returns the grants at an endpoint and claims again there. */
+  List<Held> brokerChanged(String endpoint) {
+    List<Held> held = new ArrayList<>();
+    for (Pending request : List.copyOf(pending.values())) {
+      if (request.bound != null && request.bound.endpoint().equals(endpoint)) {
+        held.add(new Held(request.bound, request.boundAt, request.run.tokens() == 0));
+      }
+      perform(request, request.claims.brokerChanged(endpoint, clock.now()));
+    }
+    return held;
+  }
+
+  void cacheEvent(String endpoint, CacheEvent event) {
+    if (options.prefixes()) {
+      prefixes.event(endpoint, event);
+    }
+  }
+
+  /** Sends what was seen on the open streams since the last sample. */
+  private void sample() {
+    if (dead) {
+      return;
+    }
+    Map<String, long[]> sums = new LinkedHashMap<>();
+    for (Pending request : pending.values()) {
+      int tokens = request.run.tokens() - request.sampledTokens;
+      if (request.bound == null || request.sampledTokens == 0 || tokens <= 0) {
+        continue;
+      }
+      long interval = (request.run.lastTokenAt() - request.sampledAt) / tokens;
+      long[] sum = sums.computeIfAbsent(request.bound.endpoint(), name -> new long[2]);
+      sum[0]++;
+      sum[1] += interval;
+      request.sampledTokens = request.run.tokens();
+      request.sampledAt = request.run.lastTokenAt();
+    }
+    sums.forEach(
+        (endpoint, sum) -> {
+          StreamSample seen = new StreamSample((int) sum[0], sum[1] / sum[0]);
+          network.send(endpoint, broker -> broker.observe(seen, clock.now()));
+        });
+    clock.after(SAMPLE_NANOS, this::sample);
+  }
+
+  private static PromptFingerprint fingerprint(Arrival arrival) {
+    Prompt prompt = arrival.prompt();
+    long[] hashes = prompt.blocks().stream().mapToLong(Long::longValue).toArray();
+    int blockChars = EngineProfile.BLOCK_TOKENS * Prompt.CHARACTERS_PER_TOKEN;
+    return PromptFingerprint.ofHashes(
+        hashes, blockChars, prompt.tokens() * Prompt.CHARACTERS_PER_TOKEN);
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/EngineProfile.java
@@ -0,0 +1,53 @@
+package io.samphiredyke.bench.decisions;
+
+import io.samphiredyke.standins.engine.EngineOptions;
+import java.time.Duration;
+
+/**
+ * One engine of the bench.
+ *
+ * @param name name of the endpoint
+ * @param speed speed relative to the fastest generation, from 0.2 to 1
+ */
+record EngineProfile(String name, double speed) {
+
+  static final int BLOCK_TOKENS = 64;
+  static final double REFERENCE_PREFILL_RATE = 12_000;
+  static final double REFERENCE_DECODE_RATE = 1_055;
+
+  private static final double TOKEN_INTERVAL_TARGET_SECONDS = 0.054;
+  private static final double REFERENCE_BATCH = 57;
+  private static final double DECODE_RATE_BASE = 22.5;
+  private static final double DECODE_RATE_BY_SPEED = 37.5;
+  private static final double CHUNK_TOKENS = 256;
+  private static final double CACHE_BLOCKS = 4_000;
+  private static final int BATCH_LIMIT = 96;
+  private static final Duration REPORT_LAG = Duration.ofSeconds(4);
+
+  /**
+   * Returns the engine's options.
+   *
+   * <p>The slowdown by batch is set so that the engine decodes at its speed times the reference
+   * rate when its time between tokens is at the target; prefill scales with the speed as well.
+   */
+  EngineOptions options() {
+    double decodeRate = DECODE_RATE_BASE + DECODE_RATE_BY_SPEED * speed;
+    double slowdown =
+        (TOKEN_INTERVAL_TARGET_SECONDS * decodeRate - 1) / (REFERENCE_BATCH * speed - 1);
+    return EngineOptions.builder()
+        .batchLimit(BATCH_LIMIT)
+        .prefillRate(REFERENCE_PREFILL_RATE * speed)
+        .decodeRate(decodeRate)
+        .batchSlowdown(slowdown)
+        .prefillChunk((int) (CHUNK_TOKENS * speed))
+        .blockTokens(BLOCK_TOKENS)
+        .cacheBlocks((int) (CACHE_BLOCKS * speed))
+        .loadLag(REPORT_LAG)
+        .build();
+  }
+
+  /** Returns the seconds that the fastest engine would need, alone, for some work. */
+  static double work(long prefillTokens, long outputTokens) {
+    return prefillTokens / REFERENCE_PREFILL_RATE + outputTokens / REFERENCE_DECODE_RATE;
+  }
+}
