Length estimates: cut answers and the first answer of a customer no longer shorten them

Cause, from a trace of the granted claims: the bound on the answer equalled the median, because the first answer of a customer set the variance to zero, and answers that were cut off at their deadline were not learned from at all, so that only short ones counted. Change: a customer starts with what is known of the service, a service with a wide prior; a cut answer counts as its expected length given that it is above what was received; a claim that may well be late is refused while another of its tier waits. The limit is now learned from the 95th percentile of the times between tokens, not from the mean.

--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/DecisionBench.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/DecisionBench.java
@@ -51,6 +51,8 @@
     Experiment experiment = new Experiment(seed, calibration);
     for (WorkloadKind kind : WorkloadKind.values()) {
       out.printf(Locale.ROOT, "%n%s capacity %.3f%n", kind, calibration.capacity(kind));
+      kind.engines().forEach(e -> out.printf(Locale.ROOT, "%.3f ", calibration.capacity(kind, e)));
+      out.println();
       header(out);
       for (Scenario scenario : scenarios(kind, seconds)) {
         policies()
@@ -67,10 +69,14 @@
   }
 
   private static List<Scenario> scenarios(WorkloadKind kind, double seconds) {
+    if (Boolean.getBoolean("x3")) {
+      return List.of(new Scenario(kind, 3.0, seconds, Scenario.Fault.NONE));
+    }
     List<Scenario> scenarios = new ArrayList<>();
     for (double load : LOADS) {
       scenarios.add(new Scenario(kind, load, seconds, Scenario.Fault.NONE));
     }
+    scenarios.add(new Scenario(kind, 0.9, seconds, Scenario.Fault.BURST));
     scenarios.add(new Scenario(kind, 0.9, seconds, Scenario.Fault.SLOW_ENGINE));
     scenarios.add(new Scenario(kind, 0.9, seconds, Scenario.Fault.ENGINE_DIES));
     scenarios.add(new Scenario(kind, 0.9, seconds, Scenario.Fault.ENTRY_DIES));
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/RequestRun.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/RequestRun.java
@@ -11,6 +11,9 @@
     /** The first token arrived. */
     default void firstToken(RequestRun run) {}
 
+    /** A further token arrived. */
+    default void tokenGap(RequestRun run, long gapNanos) {}
+
     /** The stream ended, whole or not. */
     default void ended(RequestRun run) {}
   }
@@ -25,6 +28,7 @@
   private long firstTokenAt;
   private long lastTokenAt;
   private int tokens;
+  private final boolean counted;
   private boolean done;
   private boolean complete;
 
@@ -32,7 +36,10 @@
     this.arrival = arrival;
     this.clock = clock;
     this.tally = tally;
-    tally.offered(arrival);
+    counted = tally.isCounting();
+    if (counted) {
+      tally.offered(arrival);
+    }
     clock.at(arrival.deadline(), this::deadlinePassed);
   }
 
@@ -85,7 +92,9 @@
   void refuse(String reason) {
     if (!done) {
       done = true;
-      tally.refused(arrival, reason);
+      if (counted) {
+        tally.refused(arrival, reason);
+      }
     }
   }
 
@@ -97,10 +106,15 @@
     tokens++;
     if (tokens == 1) {
       firstTokenAt = now;
-      tally.firstToken(this, now - arrival.time());
+      if (counted) {
+        tally.firstToken(this, now - arrival.time());
+      }
       observer.firstToken(this);
     } else {
-      tally.tokenGap(this, now - lastTokenAt);
+      if (counted) {
+        tally.tokenGap(this, now - lastTokenAt);
+      }
+      observer.tokenGap(this, now - lastTokenAt);
     }
     lastTokenAt = now;
     if (last) {
@@ -109,7 +123,9 @@
       if (engine != null) {
         engine.countWork(arrival.work());
       }
-      tally.completed(arrival, now);
+      if (counted) {
+        tally.completed(arrival, now);
+      }
       observer.ended(this);
     }
   }
@@ -118,7 +134,9 @@
   public void failed(long now) {
     if (!done) {
       done = true;
-      tally.refused(arrival, "ENGINE_DIED");
+      if (counted) {
+        tally.refused(arrival, "ENGINE_DIED");
+      }
       observer.ended(this);
     }
   }
@@ -132,7 +150,9 @@
       return;
     }
     done = true;
-    tally.missed(arrival, engine != null);
+    if (counted) {
+      tally.missed(arrival, engine != null);
+    }
     if (engine != null) {
       engine.cancel(execution);
     }
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/Scenario.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/Scenario.java
@@ -16,6 +16,8 @@
   enum Fault {
     /** Nothing. */
     NONE,
+    /** Arrivals come at twice the rate for a fifth of the run. */
+    BURST,
     /** The fastest engine works at a quarter of its speed from a third to two thirds of the run. */
     SLOW_ENGINE,
     /** An engine dies in the middle of the run. */
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/Tally.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/Tally.java
@@ -32,6 +32,7 @@
   private final Histogram attainableFirstToken = new Histogram(HIGHEST_MICROS, DIGITS);
   private final Histogram tokenGap = new Histogram(HIGHEST_MICROS, DIGITS);
   private int inversions;
+  private boolean counting = true;
 
   Tally() {
     for (int rank = 0; rank < TIERS; rank++) {
@@ -63,6 +64,16 @@
     return tokenGap;
   }
 
+  /** Requests that arrive from now on are not counted. */
+  void stopCounting() {
+    counting = false;
+  }
+
+  /** Returns whether a request that arrives now is counted. */
+  boolean isCounting() {
+    return counting;
+  }
+
   void offered(Arrival arrival) {
     Tier tier = tiers.get(arrival.tierRank());
     tier.offered++;
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/Workload.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/decisions/Workload.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.DoubleUnaryOperator;
 
 /** A stream of requests that is the same for the same seed. */
 final class Workload {
@@ -39,10 +40,21 @@
    * @param seconds length of the run
    */
   List<Arrival> arrivals(double requestsPerSecond, double seconds) {
+    return arrivals(requestsPerSecond, seconds, progress -> 1);
+  }
+
+  /**
+   * Returns the arrivals of a run with a changing rate.
+   *
+   * @param requestsPerSecond mean rate
+   * @param seconds length of the run
+   * @param rateFactor factor of the rate by the part of the run that is over
+   */
+  List<Arrival> arrivals(double requestsPerSecond, double seconds, DoubleUnaryOperator rateFactor) {
     List<Arrival> arrivals = new ArrayList<>();
     double time = 0;
     while (true) {
-      double rate = requestsPerSecond * kind.rateFactor(time / seconds);
+      double rate = requestsPerSecond * rateFactor.applyAsDouble(time / seconds);
       time += -Math.log(1 - random.nextDouble()) / rate;
       if (time >= seconds) {
         return arrivals;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/Claim.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/Claim.java
@@ -18,6 +18,7 @@
  * @param promptTokens estimated tokens of the prompt
  * @param cachedTokens tokens of the prompt that the endpoint is expected to hold in its cache
  * @param outputTokens estimated tokens of the answer
+ * @param outputTokensBound tokens that the answer is very likely to stay under
  * @param receivedAt time at which the entry received the request
  * @param grantNotBefore time before which the broker must not grant the claim because a better
  *     endpoint is expected to grant it by then
@@ -35,6 +36,7 @@
     int promptTokens,
     int cachedTokens,
     int outputTokens,
+    int outputTokensBound,
     long receivedAt,
     long grantNotBefore) {
 
@@ -68,6 +70,7 @@
         .promptTokens(promptTokens)
         .cachedTokens(cachedTokens)
         .outputTokens(outputTokens)
+        .outputTokensBound(outputTokensBound)
         .receivedAt(receivedAt)
         .grantNotBefore(grantNotBefore);
   }
@@ -87,6 +90,7 @@
     private int promptTokens;
     private int cachedTokens;
     private int outputTokens;
+    private int outputTokensBound;
     private long receivedAt;
     private long grantNotBefore = Long.MIN_VALUE;
 
@@ -164,6 +168,12 @@
       return this;
     }
 
+    /** Sets the tokens that the answer is very likely to stay under. */
+    public Builder outputTokensBound(int value) {
+      outputTokensBound = value;
+      return this;
+    }
+
     /** Sets the time at which the entry received the request. */
     public Builder receivedAt(long value) {
       receivedAt = value;
@@ -191,6 +201,7 @@
           promptTokens,
           cachedTokens,
           outputTokens,
+          Math.max(outputTokens, outputTokensBound),
           receivedAt,
           grantNotBefore);
     }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/ConcurrencyLimit.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/ConcurrencyLimit.java
@@ -22,6 +22,7 @@
   private final BrokerOptions options;
   private double limit;
   private double weightedIntervals;
+  private double weightedHighIntervals;
   private double streams;
   private double tokenIntervalNanos;
   private long nextUpdateAt = Long.MIN_VALUE;
@@ -56,13 +57,14 @@
     limit = clamp(limit * OVERLOAD_FACTOR);
   }
 
-  /** Counts streams and their mean time between tokens; updates the limit once an interval. */
-  void observe(int streamCount, long meanIntervalNanos, int inFlight, long now) {
-    if (streamCount <= 0 || meanIntervalNanos <= 0) {
+  /** Counts what was seen on open streams; updates the limit once an interval. */
+  void observe(StreamSample sample, int inFlight, long now) {
+    if (sample.streams() <= 0 || sample.meanTokenIntervalNanos() <= 0) {
       return;
     }
-    weightedIntervals += (double) meanIntervalNanos * streamCount;
-    streams += streamCount;
+    weightedIntervals += (double) sample.meanTokenIntervalNanos() * sample.streams();
+    weightedHighIntervals += (double) sample.highTokenIntervalNanos() * sample.streams();
+    streams += sample.streams();
     if (nextUpdateAt == Long.MIN_VALUE) {
       nextUpdateAt = now + INTERVAL_NANOS;
     }
@@ -70,10 +72,11 @@
       return;
     }
     nextUpdateAt = now + INTERVAL_NANOS;
-    double observed = weightedIntervals / streams;
+    tokenIntervalNanos = weightedIntervals / streams;
+    double observed = weightedHighIntervals / streams;
     weightedIntervals = 0;
+    weightedHighIntervals = 0;
     streams = 0;
-    tokenIntervalNanos = observed;
     update(observed, inFlight);
   }
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/EndpointBroker.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/EndpointBroker.java
@@ -40,6 +40,7 @@
   private final Map<ClaimKey, Running> running = new HashMap<>();
   private double grantedShare = 1;
   private boolean leaving;
+  private boolean sampled;
 
   /**
    * Creates a broker without claims.
@@ -105,7 +106,8 @@
 
   /** Notes what an entry observed on its open streams from the endpoint. */
   public List<BrokerDecision> observe(StreamSample sample, long now) {
-    limit.observe(sample.streams(), sample.meanTokenIntervalNanos(), running.size(), now);
+    sampled = true;
+    limit.observe(sample, running.size(), now);
     return tick(now);
   }
 
@@ -217,6 +219,11 @@
       if (next == null) {
         return;
       }
+      if (isRisky(next, now)) {
+        queue.remove(next.key());
+        shed(next, RefusalReason.DEADLINE, decisions);
+        continue;
+      }
       grant(next, now, decisions);
     }
   }
@@ -229,6 +236,20 @@
     return prefill.backlogNanos(now) <= allowed;
   }
 
+  /**
+   * Returns whether the answer may well be late while another claim of the tier could use the place
+   * better: its prefill would be wasted.
+   */
+  private boolean isRisky(Claim claim, long now) {
+    if (queue.tier(claim.tierRank()).size() < 2) {
+      return false;
+    }
+    long bound =
+        prefill.prefillNanos(claim.uncachedTokens())
+            + claim.outputTokensBound() * limit.tokenIntervalNanos();
+    return now + bound > claim.deadline();
+  }
+
   private void grant(Claim claim, long now, List<BrokerDecision> decisions) {
     queue.tier(claim.tierRank()).charge(claim.customer(), work(claim, claim.outputTokens()));
     queue.remove(claim.key());
@@ -286,7 +307,7 @@
     switch (release.outcome()) {
       case COMPLETED -> {
         if (release.meanTokenIntervalNanos() > 0) {
-          limit.observe(1, release.meanTokenIntervalNanos(), running.size() + 1, now);
+          noteInterval(release.meanTokenIntervalNanos(), now);
         } else {
           limit.completedWithoutTokens(running.size() + 1);
         }
@@ -301,6 +322,13 @@
     queue.tier(claim.tierRank()).charge(claim.customer(), excess);
   }
 
+  /** Notes a stream's mean, which is all that is known of streams that end between samples. */
+  private void noteInterval(long meanNanos, long now) {
+    if (!sampled) {
+      limit.observe(new StreamSample(1, meanNanos, meanNanos), running.size() + 1, now);
+    }
+  }
+
   private void forgetOrphans(long now) {
     if (running.size() < limit.value()) {
       return;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/StreamSample.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/StreamSample.java
@@ -5,5 +5,6 @@
  *
  * @param streams number of streams that received tokens
  * @param meanTokenIntervalNanos mean time between tokens over these streams
+ * @param highTokenIntervalNanos 95th percentile of the times between tokens
  */
-public record StreamSample(int streams, long meanTokenIntervalNanos) {}
+public record StreamSample(int streams, long meanTokenIntervalNanos, long highTokenIntervalNanos) {}
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/routing/LengthEstimator.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/routing/LengthEstimator.java
@@ -16,6 +16,11 @@
   private static final double DEFAULT_OUTPUT_TOKENS = 256;
   private static final double DEFAULT_LOG_VARIANCE = 1;
   private static final double SMOOTHING = 0.05;
+  private static final double MINIMUM_DEVIATION = 0.05;
+
+  /** The hazard of a normal variable at its mean, doubled and squared: 8 / pi. */
+  private static final double INVERSE_MILLS_AT_ZERO_SQUARED = 8 / Math.PI;
+
   private static final int PAIRS_MAXIMUM = 16_384;
   private static final float LOAD_FACTOR = 0.75f;
 
@@ -35,10 +40,7 @@
    * @param maximum bound given by the caller, 0 if none
    */
   public int outputTokens(String service, String customer, double deviations, int maximum) {
-    Output known = outputs.get(new Key(service, customer));
-    if (known == null) {
-      known = outputs.getOrDefault(new Key(service, ""), Output.unknown());
-    }
+    Output known = known(service, customer);
     double tokens = Math.exp(known.mean + deviations * Math.sqrt(known.variance));
     double bounded = maximum > 0 ? Math.min(maximum, tokens) : tokens;
     return (int) Math.max(1, Math.round(bounded));
@@ -59,12 +61,49 @@
     if (tokens <= 0) {
       return;
     }
-    learn(new Key(service, customer), Math.log(tokens));
-    learn(new Key(service, ""), Math.log(tokens));
+    learn(service, customer, Math.log(tokens));
+    learn(service, "", Math.log(tokens));
+  }
+
+  /**
+   * Learns from an answer that was cut off.
+   *
+   * <p>Leaving such answers out would make the estimates too short, because long answers are cut
+   * off more often. The logarithm of the whole length is taken to be its expected value given that
+   * it is above what was received.
+   */
+  public void observeOutputAtLeast(String service, String customer, int tokens) {
+    if (tokens <= 0) {
+      return;
+    }
+    learnAtLeast(service, customer, Math.log(tokens));
+    learnAtLeast(service, "", Math.log(tokens));
   }
 
-  private void learn(Key key, double logarithm) {
-    Output known = outputs.computeIfAbsent(key, unused -> new Output());
+  private void learnAtLeast(String service, String customer, double logarithm) {
+    Output known = known(service, customer);
+    double deviation = Math.max(MINIMUM_DEVIATION, Math.sqrt(known.variance));
+    double above = (logarithm - known.mean) / deviation;
+    double expected = (above + Math.sqrt(above * above + INVERSE_MILLS_AT_ZERO_SQUARED)) / 2;
+    learn(service, customer, known.mean + deviation * expected);
+  }
+
+  /** Returns what is known of the customer, else of the service, else the default. */
+  private Output known(String service, String customer) {
+    Output known = outputs.get(new Key(service, customer));
+    if (known != null) {
+      return known;
+    }
+    return outputs.getOrDefault(new Key(service, ""), Output.UNKNOWN);
+  }
+
+  private void learn(String service, String customer, double logarithm) {
+    Key key = new Key(service, customer);
+    Output known = outputs.get(key);
+    if (known == null) {
+      known = new Output(known(service, customer));
+      outputs.put(key, known);
+    }
     known.observations++;
     double gain = Math.max(SMOOTHING, 1.0 / known.observations);
     double difference = logarithm - known.mean;
@@ -83,16 +122,22 @@
 
   private record Key(String service, String customer) {}
 
+  /** What is known of the logarithm of a length. */
   private static final class Output {
-    private double mean;
-    private double variance;
-    private long observations;
-
-    static Output unknown() {
-      Output output = new Output();
-      output.mean = Math.log(DEFAULT_OUTPUT_TOKENS);
-      output.variance = DEFAULT_LOG_VARIANCE;
-      return output;
+
+    private static final int PRIOR_OBSERVATIONS = 2;
+    private static final Output UNKNOWN = new Output();
+
+    private double mean = Math.log(DEFAULT_OUTPUT_TOKENS);
+    private double variance = DEFAULT_LOG_VARIANCE;
+    private long observations = PRIOR_OBSERVATIONS;
+
+    Output() {}
+
+    /** Starts with what is known of a wider group, so that one answer doesn't pass for all. */
+    Output(Output prior) {
+      mean = prior.mean;
+      variance = prior.variance;
     }
   }
 }
