--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/DecisionBenchmark.java
@@ -0,0 +1,155 @@
+package io.samphiredyke.bench.jmh;
+
+import io.samphiredyke.core.broker.BrokerDecision;
+import io.samphiredyke.core.broker.BrokerOptions;
+import io.samphiredyke.core.broker.BrokerStatus;
+import io.samphiredyke.core.broker.Claim;
+import io.samphiredyke.core.broker.EndpointBroker;
+import io.samphiredyke.core.broker.Grant;
+import io.samphiredyke.core.broker.Refuse;
+import io.samphiredyke.core.broker.Release;
+import io.samphiredyke.core.invariant.Invariants;
+import io.samphiredyke.core.routing.EndpointChoice;
+import io.samphiredyke.core.routing.EndpointOption;
+import io.samphiredyke.core.routing.PrefixMap;
+import io.samphiredyke.core.routing.PromptFingerprint;
+import io.samphiredyke.core.routing.RequestEstimate;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/**
+ * Time of one decision at a small and at the largest size.
+ *
+ * <p>A site of {@code endpoints} endpoints serves {@code endpoints / pool} models; a request may go
+ * to one pool. All brokers are full and have a queue.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionBenchmark {
+
+  private static final int TIERS = 4;
+  private static final int QUEUED = 500;
+  private static final int LIMIT = 32;
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final int PROMPT_CHARS = 4_096;
+  private static final int PROMPTS = 256;
+
+  /** Endpoints of the site, of one model's pool, and customers. */
+  @Param({"9:9:5", "870:31:990"})
+  public String size = "9:9:5";
+
+  private final List<EndpointBroker> brokers = new ArrayList<>();
+  private final Map<Integer, Claim> running = new HashMap<>();
+  private final List<List<String>> pools = new ArrayList<>();
+  private final List<PromptFingerprint> prompts = new ArrayList<>();
+  private final Random random = new Random(1);
+  private final PrefixMap prefixes = new PrefixMap(6_000);
+  private final EndpointChoice choice = new EndpointChoice(prefixes);
+  private int customers;
+  private long next;
+  private long now;
+
+  /** Fills the brokers, the hints and the prefix map. */
+  @Setup
+  public void fill() {
+    String[] parts = size.split(":", -1);
+    int endpoints = Integer.parseInt(parts[0]);
+    int pool = Integer.parseInt(parts[1]);
+    customers = Integer.parseInt(parts[2]);
+    for (int index = 0; index < PROMPTS; index++) {
+      String text = ("prompt " + index % 16 + " ").repeat(PROMPT_CHARS / 8);
+      prompts.add(PromptFingerprint.of(text.substring(0, PROMPT_CHARS)));
+    }
+    for (int index = 0; index < endpoints; index++) {
+      addEndpoint(index, pool);
+    }
+  }
+
+  private void addEndpoint(int index, int pool) {
+    String name = "endpoint-" + index;
+    if (index % pool == 0) {
+      pools.add(new ArrayList<>());
+    }
+    pools.get(pools.size() - 1).add(name);
+    BrokerOptions options = BrokerOptions.builder().initialLimit(LIMIT).maximumLimit(LIMIT).build();
+    EndpointBroker broker = new EndpointBroker(name, options, Invariants.throwing());
+    for (int claim = 0; claim < LIMIT + QUEUED; claim++) {
+      keepGrants(index, broker.claim(claim(name), now));
+    }
+    brokers.add(broker);
+    List<Integer> queued = List.of(9, 9, 9, 9);
+    List<Long> waits = List.of(0L, SECOND / 10, SECOND, 9 * SECOND);
+    double rate = 2_000 + random.nextInt(10_000);
+    choice.hint(new BrokerStatus(name, false, 9, 9, queued, waits, rate, SECOND / 30));
+    for (int prompt = 0; prompt < PROMPTS; prompt += 16) {
+      prefixes.dispatched(name, prompts.get(random.nextInt(PROMPTS)));
+    }
+  }
+
+  private Claim claim(String endpoint) {
+    return Claim.builder()
+        .requestId("request-" + next++)
+        .entry("entry-" + random.nextInt(6))
+        .endpoint(endpoint)
+        .service("service")
+        .customer("customer-" + random.nextInt(customers))
+        .tierRank(random.nextInt(TIERS))
+        .customerWeight(1 + random.nextInt(3))
+        .deadline(now + (3_600 + random.nextInt(100)) * SECOND)
+        .promptTokens(10)
+        .outputTokens(10 + random.nextInt(200))
+        .receivedAt(now)
+        .build();
+  }
+
+  /** Remembers the latest grant of a broker, the one that is released next. */
+  private void keepGrants(int index, List<BrokerDecision> decisions) {
+    for (BrokerDecision decision : decisions) {
+      if (decision instanceof Grant grant) {
+        running.put(index, grant.claim());
+      }
+    }
+  }
+
+  /** One claim that is queued and one release that grants another, at one of the brokers. */
+  @Benchmark
+  public int claimAndGrant() {
+    int index = random.nextInt(brokers.size());
+    EndpointBroker broker = brokers.get(index);
+    now += 1_000;
+    int refused = 0;
+    for (BrokerDecision decision : broker.claim(claim("endpoint"), now)) {
+      refused += decision instanceof Refuse ? 1 : 0;
+    }
+    Claim ended = running.get(index);
+    if (ended == null) {
+      throw new IllegalStateException("broker " + index + " has granted nothing");
+    }
+    Release release =
+        new Release(ended.key(), Release.Outcome.COMPLETED, SECOND / 5, SECOND / 30, 50);
+    List<BrokerDecision> decisions = broker.release(release, now);
+    keepGrants(index, decisions);
+    return refused + decisions.size();
+  }
+
+  /** One choice among the endpoints of a pool. */
+  @Benchmark
+  public List<EndpointOption> choose() {
+    List<String> pool = pools.get(random.nextInt(pools.size()));
+    PromptFingerprint prompt = prompts.get(random.nextInt(PROMPTS));
+    return choice.choose(pool, new RequestEstimate(random.nextInt(TIERS), 1_024, 200), prompt);
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/DecisionJmh.java
@@ -0,0 +1,71 @@
+package io.samphiredyke.bench.jmh;
+
+import java.util.Collection;
+import java.util.Locale;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+
+/** Command {@code jmh}: time and allocation of one decision, with bounds. */
+public final class DecisionJmh {
+
+  private static final double BOUND_MICROS = 10;
+  private static final double GROWTH_BOUND = 2;
+  private static final int ITERATIONS = 5;
+  private static final int ITERATION_SECONDS = 1;
+
+  private DecisionJmh() {}
+
+  /**
+   * Runs the command.
+   *
+   * @param args none
+   * @return the exit status, 1 if a bound is broken
+   */
+  public static int run(String[] args) {
+    Options options =
+        new OptionsBuilder()
+            .include(DecisionBenchmark.class.getSimpleName())
+            .forks(1)
+            .jvmArgsAppend("-Xmx512m")
+            .warmupIterations(ITERATIONS)
+            .warmupTime(TimeValue.seconds(ITERATION_SECONDS))
+            .measurementIterations(ITERATIONS)
+            .measurementTime(TimeValue.seconds(ITERATION_SECONDS))
+            .addProfiler(GCProfiler.class)
+            .build();
+    try {
+      return check(new Runner(options).run());
+    } catch (RunnerException e) {
+      throw new IllegalStateException("the benchmark did not run", e);
+    }
+  }
+
+  private static int check(Collection<RunResult> results) {
+    int failures = 0;
+    for (RunResult result : results) {
+      String name = result.getParams().getBenchmark();
+      double micros = result.getPrimaryResult().getScore();
+      double bound = isLarge(result) ? GROWTH_BOUND * BOUND_MICROS : BOUND_MICROS;
+      boolean met = micros <= bound;
+      failures += met ? 0 : 1;
+      System.out.printf(
+          Locale.ROOT,
+          "%s %s %.2f us, bound %.0f us: %s%n",
+          name.substring(name.lastIndexOf('.') + 1),
+          result.getParams().getParam("size"),
+          micros,
+          bound,
+          met ? "met" : "BROKEN");
+    }
+    return failures == 0 ? 0 : 1;
+  }
+
+  private static boolean isLarge(RunResult result) {
+    return !result.getParams().getParam("size").startsWith("9:");
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/package-info.java
@@ -0,0 +1,5 @@
+/** Benchmarks of single decisions. */
+@NullMarked
+package io.samphiredyke.bench.jmh;
+
+import org.jspecify.annotations.NullMarked;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/StreamSample.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/StreamSample.java
@@ -7,4 +7,10 @@
  * @param meanTokenIntervalNanos mean time between tokens over these streams
  * @param highTokenIntervalNanos 95th percentile of the times between tokens
  */
-public record StreamSample(int streams, long meanTokenIntervalNanos, long highTokenIntervalNanos) {}
+public record StreamSample(int streams, long meanTokenIntervalNanos, long highTokenIntervalNanos) {
+
+  /** Creates a sample of which only the mean is known. */
+  public StreamSample(int streams, long meanTokenIntervalNanos) {
+    this(streams, meanTokenIntervalNanos, meanTokenIntervalNanos);
+  }
+}
