--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/ConcurrencyLimit.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/broker/ConcurrencyLimit.java
@@ -15,6 +15,8 @@
   private static final double TARGET_SHARE = 0.95;
   private static final double GROWTH_MAXIMUM = 1.5;
   private static final double SHRINK_MAXIMUM = 0.5;
+  private static final double SMOOTHING = 0.25;
+  private static final double SUDDEN_CHANGE = 1.5;
   private static final double HYSTERESIS = 0.03;
   private static final double USED_SHARE = 0.85;
   private static final double OVERLOAD_FACTOR = 0.7;
@@ -24,6 +26,7 @@
   private double weightedIntervals;
   private double weightedHighIntervals;
   private double streams;
+  private double highIntervalNanos;
   private double tokenIntervalNanos;
   private long nextUpdateAt = Long.MIN_VALUE;
 
@@ -88,17 +91,21 @@
   }
 
   private void update(double observed, int inFlight) {
-    double ratio = options.tokenIntervalTargetNanos() * TARGET_SHARE / observed;
+    boolean slower = observed > highIntervalNanos * SUDDEN_CHANGE;
+    boolean faster = observed * SUDDEN_CHANGE < highIntervalNanos;
+    double gain = slower || faster ? 1 : SMOOTHING;
+    highIntervalNanos += gain * (observed - highIntervalNanos);
+    double ratio = options.tokenIntervalTargetNanos() * TARGET_SHARE / highIntervalNanos;
     if (Math.abs(ratio - 1) < HYSTERESIS) {
       return;
     }
     if (ratio < 1) {
-      double base = Math.min(limit, Math.max(1, inFlight));
-      limit = Math.min(limit, clamp(base * Math.max(SHRINK_MAXIMUM, ratio)));
+      double step = slower ? Math.max(SHRINK_MAXIMUM, ratio) : Math.pow(ratio, SMOOTHING);
+      limit = clamp(limit * step);
       return;
     }
-    if (inFlight >= limit * USED_SHARE) {
-      limit = clamp(limit * Math.min(GROWTH_MAXIMUM, ratio));
+    if (inFlight >= value() * USED_SHARE) {
+      limit = clamp(limit * Math.min(GROWTH_MAXIMUM, Math.pow(ratio, SMOOTHING)));
     }
   }
 
