HTTP and peer links under hostile input

Head of a request: an idle timeout alone let a caller hold a connection by one byte now and then; a deadline from the first byte on answers 408. A caller that reads nothing of its answer is closed after the idle timeout. A path that is not valid percent-encoding was answered 500, now 400.

Peer frames: a frame of a few bytes could claim a payload of 2 GiB, which a parser allocates before it reads; lengths are checked against the frame first. The handshake's proof covered incarnations only, so name, address and data centre could be changed on the way; it covers all of them now.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpException.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpException.java
@@ -1,7 +1,7 @@
 package io.samphiredyke.net.http;
 
 /** A request that cannot be served, with the HTTP status that says so. */
-public final class HttpException extends RuntimeException {
+public class HttpException extends RuntimeException {
 
   private static final long serialVersionUID = 1L;
 
@@ -14,7 +14,7 @@
   }
 
   /** Returns the HTTP status. */
-  public int status() {
+  public final int status() {
     return status;
   }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -101,12 +101,16 @@
       if (tls != null) {
         channel.pipeline().addLast(tls.newHandler(channel.alloc()));
       }
+      ServerConnection connection = new ServerConnection(options, handler);
+      channel.pipeline().addLast(new HeadDeadline(connection, options.requestTimeout()));
       HttpDecoderConfig decoder =
           new HttpDecoderConfig().setMaxHeaderSize(options.maxHeaderBytes());
       channel.pipeline().addLast(new HttpServerCodec(decoder));
       long idleMillis = options.idleTimeout().toMillis();
-      channel.pipeline().addLast(new IdleStateHandler(idleMillis, 0, 0, TimeUnit.MILLISECONDS));
-      channel.pipeline().addLast(new ServerConnection(options, handler));
+      channel
+          .pipeline()
+          .addLast(new IdleStateHandler(true, idleMillis, idleMillis, 0, TimeUnit.MILLISECONDS));
+      channel.pipeline().addLast(connection);
     }
   }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServerOptions.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServerOptions.java
@@ -10,7 +10,8 @@
  * @param maxHeaderBytes the longest head of a request, in bytes
  * @param maxBodyBytes the longest body of a request, in bytes
  * @param requestTimeout how long a request's head and body may take to arrive
- * @param idleTimeout how long a connection may stay without a request
+ * @param idleTimeout how long a connection may stay without a request, and how long an answer may
+ *     wait for a caller that reads nothing of it
  * @param tls the TLS settings, or null for plain TCP
  */
 public record HttpServerOptions(
@@ -39,6 +40,16 @@
         maxHeaderBytes, maxBodyBytes, requestTimeout, idleTimeout, context);
   }
 
+  /** Returns the same limits with another time after which an unused connection is closed. */
+  public HttpServerOptions withIdleTimeout(Duration timeout) {
+    return new HttpServerOptions(maxHeaderBytes, maxBodyBytes, requestTimeout, timeout, tls);
+  }
+
+  /** Returns the same limits with another time for a request to arrive. */
+  public HttpServerOptions withRequestTimeout(Duration timeout) {
+    return new HttpServerOptions(maxHeaderBytes, maxBodyBytes, timeout, idleTimeout, tls);
+  }
+
   /** Returns the same limits with another longest body, in bytes. */
   public HttpServerOptions withMaxBodyBytes(int bytes) {
     return new HttpServerOptions(maxHeaderBytes, bytes, requestTimeout, idleTimeout, tls);
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
@@ -13,8 +13,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.Future;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
@@ -35,7 +37,9 @@
   private final HttpHandler handler;
   private @Nullable ServerExchange exchange;
   private @Nullable Future<?> requestTimer;
+  private @Nullable ChannelHandlerContext context;
   private boolean inputEnded = true;
+  private long requests;
 
   ServerConnection(HttpServerOptions options, HttpHandler handler) {
     this.options = options;
@@ -56,7 +60,31 @@
     }
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
+
+  /** Returns whether no request is being served. */
+  boolean isBetweenRequests() {
+    return exchange == null && inputEnded;
+  }
+
+  /** Returns the number of requests whose head has arrived. */
+  long requests() {
+    return requests;
+  }
+
+  /** Refuses a request whose head did not arrive in time. */
+  void headTimedOut() {
+    ChannelHandlerContext ctx = context;
+    if (ctx != null) {
+      refuse(ctx, HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+  }
+
   private void startExchange(ChannelHandlerContext ctx, HttpRequest request) {
+    requests++;
     if (exchange != null) {
       ctx.close();
       return;
@@ -66,7 +94,12 @@
     long timeoutMillis = options.requestTimeout().toMillis();
     requestTimer =
         ctx.executor().schedule(() -> onRequestTimeout(ctx), timeoutMillis, TimeUnit.MILLISECONDS);
-    ServerExchange started = new ServerExchange(ctx, request, options.maxBodyBytes(), this);
+    Optional<ServerExchange> valid = exchange(ctx, request);
+    if (valid.isEmpty()) {
+      refuse(ctx, HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    ServerExchange started = valid.get();
     exchange = started;
     if (HttpUtil.is100ContinueExpected(request)) {
       started.expectContinue();
@@ -78,6 +111,15 @@
     }
   }
 
+  private Optional<ServerExchange> exchange(ChannelHandlerContext ctx, HttpRequest request) {
+    try {
+      return Optional.of(new ServerExchange(ctx, request, options.maxBodyBytes(), this));
+    } catch (IllegalArgumentException e) {
+      // The path or the query is not valid percent-encoding.
+      return Optional.empty();
+    }
+  }
+
   private static boolean hasBody(HttpRequest request) {
     return HttpUtil.isTransferEncodingChunked(request)
         || HttpUtil.getContentLength(request, 0L) > 0;
@@ -106,6 +148,10 @@
         tooLong
             ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             : HttpResponseStatus.BAD_REQUEST;
+    refuse(ctx, status);
+  }
+
+  private static void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, ctx.alloc().buffer(0));
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
@@ -171,12 +217,21 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-    if (event instanceof IdleStateEvent && exchange == null) {
+    if (event instanceof IdleStateEvent idle && isUnused(ctx, idle)) {
       ctx.close();
     }
     ctx.fireUserEventTriggered(event);
   }
 
+  private boolean isUnused(ChannelHandlerContext ctx, IdleStateEvent idle) {
+    if (idle.state() == IdleState.READER_IDLE) {
+      return exchange == null;
+    }
+    // The caller reads nothing of what waits to be sent.
+    long writable = ctx.channel().bytesBeforeUnwritable();
+    return writable < ctx.channel().config().getWriteBufferHighWaterMark();
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     ctx.close();
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
@@ -29,7 +29,8 @@
 
   private final ChannelHandlerContext ctx;
   private final HttpRequest request;
-  private final QueryStringDecoder uri;
+  private final String path;
+  private final Map<String, String> query;
   private final int maxBodyBytes;
   private final ServerConnection connection;
   private final boolean keepAlive;
@@ -42,6 +43,11 @@
   private boolean started;
   private volatile boolean ended;
 
+  /**
+   * Creates the exchange of a request.
+   *
+   * @throws IllegalArgumentException if the path or the query is not valid percent-encoding
+   */
   ServerExchange(
       ChannelHandlerContext ctx,
       HttpRequest request,
@@ -49,7 +55,9 @@
       ServerConnection connection) {
     this.ctx = ctx;
     this.request = request;
-    this.uri = new QueryStringDecoder(request.uri());
+    QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+    this.path = uri.path();
+    this.query = firstValues(uri);
     this.maxBodyBytes = maxBodyBytes;
     this.connection = connection;
     this.keepAlive = HttpUtil.isKeepAlive(request);
@@ -62,11 +70,15 @@
 
   @Override
   public String path() {
-    return uri.path();
+    return path;
   }
 
   @Override
   public Map<String, String> query() {
+    return query;
+  }
+
+  private static Map<String, String> firstValues(QueryStringDecoder uri) {
     Map<String, String> first = new LinkedHashMap<>();
     uri.parameters().forEach((name, values) -> first.put(name, values.get(0)));
     return first;
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/Handshake.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/Handshake.java
@@ -11,7 +11,7 @@
  *
  * <p>Client: {@code Hello} with a nonce. Server: {@code Welcome} with its nonce and its proof.
  * Client: {@code Hello} with its proof. A proof is the HMAC of the prover's role, both nonces and
- * both incarnations.
+ * both identities in full.
  */
 final class Handshake {
 
@@ -53,7 +53,7 @@
   }
 
   Welcome welcome(Hello hello, String nonce) {
-    String text = text("server", hello.nonce(), nonce, hello.incarnation(), self.incarnation());
+    String text = text("server", hello.nonce(), nonce, identity(hello), self);
     return Welcome.builder()
         .protocolVersion(PROTOCOL_VERSION)
         .incarnation(self.incarnation())
@@ -68,18 +68,17 @@
   }
 
   boolean isAuthentic(Welcome welcome, String nonce) {
-    String text = text("server", nonce, welcome.nonce(), self.incarnation(), welcome.incarnation());
+    String text = text("server", nonce, welcome.nonce(), self, identity(welcome));
     return welcome.protocolVersion() >= OLDEST_VERSION
         && keys.isAuthentic(welcome.keyId(), text, welcome.proof());
   }
 
   String clientProof(Welcome welcome, String nonce) {
-    return keys.sign(
-        text("client", nonce, welcome.nonce(), self.incarnation(), welcome.incarnation()));
+    return keys.sign(text("client", nonce, welcome.nonce(), self, identity(welcome)));
   }
 
   boolean isAuthentic(Hello hello, String clientNonce, String serverNonce) {
-    String text = text("client", clientNonce, serverNonce, hello.incarnation(), self.incarnation());
+    String text = text("client", clientNonce, serverNonce, identity(hello), self);
     return hello.protocolVersion() >= OLDEST_VERSION
         && keys.isAuthentic(hello.keyId(), text, hello.proof());
   }
@@ -94,7 +93,22 @@
   }
 
   private static String text(
-      String role, String clientNonce, String serverNonce, String client, String server) {
-    return String.join("|", role, clientNonce, serverNonce, client, server);
+      String role,
+      String clientNonce,
+      String serverNonce,
+      PeerIdentity client,
+      PeerIdentity server) {
+    return String.join("|", role, clientNonce, serverNonce, text(client), text(server));
+  }
+
+  /** Each part begins with its length, so that no two identities have the same text. */
+  private static String text(PeerIdentity identity) {
+    StringBuilder text = new StringBuilder();
+    for (String part :
+        List.of(
+            identity.name(), identity.incarnation(), identity.address(), identity.dataCentre())) {
+      text.append(part.length()).append(':').append(part);
+    }
+    return text.toString();
   }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerCodec.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerCodec.java
@@ -55,6 +55,7 @@
     if (type.isEmpty()) {
       return Optional.empty();
     }
+    MessagePackCheck.check(bytes.slice());
     Class<? extends PeerMessage> messageClass = type.get().messageClass();
     try (InputStream in = new ByteBufInputStream(bytes)) {
       PeerMessage message = MAPPER.readValue(in, messageClass);
