--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -16,8 +16,11 @@
 import io.samphiredyke.core.orders.OrderSettings;
 import io.samphiredyke.core.ownership.Incarnation;
 import io.samphiredyke.core.ownership.TicketCodec;
+import io.samphiredyke.daemon.admin.AdminAccess;
 import io.samphiredyke.daemon.admin.AdminApi;
 import io.samphiredyke.daemon.admin.Metrics;
+import io.samphiredyke.daemon.answer.AnswerMemory;
+import io.samphiredyke.daemon.answer.Problem;
 import io.samphiredyke.daemon.broker.BrokerService;
 import io.samphiredyke.daemon.configuration.ConfigurationService;
 import io.samphiredyke.daemon.configuration.PeerRecords;
@@ -26,6 +29,7 @@
 import io.samphiredyke.daemon.control.Host;
 import io.samphiredyke.daemon.entry.CallerApi;
 import io.samphiredyke.daemon.entry.EntryContext;
+import io.samphiredyke.daemon.entry.EntryLimits;
 import io.samphiredyke.daemon.entry.EntryService;
 import io.samphiredyke.daemon.entry.Learned;
 import io.samphiredyke.daemon.membership.GossipCounters;
@@ -35,6 +39,7 @@
 import io.samphiredyke.daemon.orders.OrderService;
 import io.samphiredyke.daemon.peer.MessageRouter;
 import io.samphiredyke.daemon.peer.PeerClient;
+import io.samphiredyke.daemon.tls.TlsSides;
 import io.samphiredyke.daemon.witness.WitnessService;
 import io.samphiredyke.net.admin.ConfigurationStatus;
 import io.samphiredyke.net.admin.DrainStatus;
@@ -52,6 +57,7 @@
 import io.samphiredyke.net.peer.PeerOptions;
 import io.samphiredyke.schema.settings.DaemonSettings;
 import io.samphiredyke.schema.settings.loader.SettingsLoader;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Clock;
@@ -73,13 +79,15 @@
   private final EventLoopGroup traffic;
   private final ControlLoop loop;
   private final Host host;
-  private final Metrics metrics = new Metrics();
+  private final Metrics metrics;
+  private final TlsSides tls;
   private final Invariants invariants;
   private final HttpClient http;
   private final HttpClient endpoints;
   private final ConfigurationService configuration;
   private final HostListPoller hostList;
   private final MessageRouter router;
+  private final AnswerMemory answerMemory;
   private final GossipCounters gossipCounters = new GossipCounters();
   private final List<Runnable> stops = new ArrayList<>();
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -99,8 +107,10 @@
     static final Parts NONE = new Parts(null, null, null, null, null, null, null);
   }
 
-  private Daemon(DaemonSettings settings, Clock clock) {
+  private Daemon(DaemonSettings settings, Clock clock, Metrics metrics, TlsSides tls) {
     this.settings = settings;
+    this.metrics = metrics;
+    this.tls = tls;
     this.controlGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.traffic =
         new MultiThreadIoEventLoopGroup(settings.trafficThreads(), NioIoHandler.newFactory());
@@ -118,7 +128,8 @@
             settings.configurationStream(),
             new SecureRandom());
     this.hostList = new HostListPoller(loop, http, settings.hostListAddresses());
-    this.router = new MessageRouter(loop);
+    this.answerMemory = new AnswerMemory(settings.answerMemory());
+    this.router = new MessageRouter(loop, () -> metrics.count("malformed-peer-message"));
   }
 
   private static Host hostOf(DaemonSettings settings) {
@@ -141,10 +152,17 @@
    * Starts a process.
    *
    * @return the process once its addresses are bound; fails with {@link java.net.BindException}
-   *     when one is in use
+   *     when one is in use, or with {@link IOException} when a TLS file cannot be used
    */
   public static CompletableFuture<Daemon> start(DaemonSettings settings) {
-    Daemon daemon = new Daemon(settings, Clock.systemUTC());
+    Metrics metrics = new Metrics();
+    TlsSides tls;
+    try {
+      tls = TlsSides.load(settings, () -> metrics.count("tls-reload-failed"));
+    } catch (IOException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+    Daemon daemon = new Daemon(settings, Clock.systemUTC(), metrics, tls);
     return daemon
         .bind()
         .handle(
@@ -165,8 +183,14 @@
         new PeerIdentity(
             host.name(), host.incarnation().toString(), host.peerAddress(), host.dataCentre());
     return PeerNode.start(
-            traffic, settings.peerAddress(), identity, peerKeys, PeerOptions.defaults(), router)
+            traffic,
+            settings.peerAddress(),
+            identity,
+            peerKeys,
+            tls.peerOptions(PeerOptions.defaults()),
+            router)
         .thenCompose(node -> bindGossip(node, identity, peerKeys))
+        .thenCompose(done -> bindOperators())
         .thenCompose(done -> bindCallers());
   }
 
@@ -206,7 +230,8 @@
             metrics,
             new Learned(random),
             settings.ticketLifetime(),
-            settings.resumeWindow());
+            settings.resumeWindow(),
+            new EntryLimits(answerMemory, settings.answerLimit(), settings.requestLimit()));
     EntryService entry = new EntryService(context);
     CallerApi callers = new CallerApi(context, entry, random, this::isReady);
     AdminApi admin =
@@ -215,7 +240,8 @@
             this::isReady,
             () -> loop.supply(this::status),
             id -> loop.supply(() -> entry.explain(id)),
-            () -> loop.supply(this::drainStatus));
+            () -> loop.supply(this::drainStatus),
+            new AdminAccess(settings.adminToken(), settings.metricsAddress() != null));
     OrderService orders = orders(membership, random);
     stops.add(orders::stop);
     parts = new Parts(membership, witness, brokers, entry, callers, admin, orders);
@@ -307,8 +333,11 @@
 
   private CompletableFuture<Void> bindCallers() {
     HttpServerOptions options =
-        HttpServerOptions.defaults().withMaxBodyBytes((int) settings.bodyLimit());
-    return HttpServer.start(traffic, settings.address(), options, this::handle)
+        HttpServerOptions.defaults()
+            .withMaxBodyBytes((int) settings.bodyLimit())
+            .withIdleTimeout(settings.callerIdleTimeout());
+    tls.start(traffic.next());
+    return HttpServer.start(traffic, settings.address(), tls.callerOptions(options), this::handle)
         .thenAccept(
             server -> {
               stops.add(server::stop);
@@ -322,12 +351,32 @@
             });
   }
 
+  private CompletableFuture<Void> bindOperators() {
+    InetSocketAddress address = settings.metricsAddress();
+    if (address == null) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return HttpServer.start(traffic, address, HttpServerOptions.defaults(), this::handleOperator)
+        .thenAccept(server -> stops.add(server::stop));
+  }
+
+  private void handleOperator(HttpExchange exchange) {
+    if (!parts.admin().handle(exchange, AdminAccess.Place.OPERATORS)) {
+      sendNoSuchPage(exchange);
+    }
+  }
+
   private void handle(HttpExchange exchange) {
-    if (!parts.admin().handle(exchange) && !parts.callers().handle(exchange)) {
-      exchange.respondJson(404, java.util.Map.of("title", "no such page", "status", 404));
+    if (!parts.admin().handle(exchange, AdminAccess.Place.CALLERS)
+        && !parts.callers().handle(exchange)) {
+      sendNoSuchPage(exchange);
     }
   }
 
+  private static void sendNoSuchPage(HttpExchange exchange) {
+    Problem.notRun(404, "no such page", exchange.method() + " " + exchange.path()).send(exchange);
+  }
+
   private HostStatus status() {
     return new HostStatus(
         host.name(),
@@ -414,6 +463,21 @@
     return stopped;
   }
 
+  /** Returns how many hosts this one knows as alive, itself included. */
+  public CompletableFuture<Integer> liveMembers() {
+    return loop.supply(() -> parts.membership().liveMembers().size());
+  }
+
+  /** Returns how many requests this host works on. */
+  public CompletableFuture<Long> activeRequests() {
+    return loop.supply(() -> parts.entry().activeRequests());
+  }
+
+  /** Returns the bytes of bodies and answers that this host holds. */
+  public long heldBytes() {
+    return answerMemory.held();
+  }
+
   /** Returns the violations of invariants by name. */
   public java.util.Map<String, Long> invariantViolations() {
     return invariants.violations();
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/AdminApi.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.samphiredyke.daemon.answer.Problem;
 import io.samphiredyke.net.admin.DrainStatus;
 import io.samphiredyke.net.admin.HostStatus;
 import io.samphiredyke.net.admin.RequestExplanation;
@@ -28,6 +29,7 @@
   private final Supplier<CompletableFuture<HostStatus>> status;
   private final Function<String, CompletableFuture<Optional<RequestExplanation>>> explain;
   private final Supplier<CompletableFuture<DrainStatus>> drain;
+  private final AdminAccess access;
 
   /**
    * Creates the pages.
@@ -36,26 +38,62 @@
    * @param status makes a report
    * @param explain describes a request by its id
    * @param drain starts a planned stop
+   * @param access decides who may see what
    */
   public AdminApi(
       Metrics metrics,
       BooleanSupplier isReady,
       Supplier<CompletableFuture<HostStatus>> status,
       Function<String, CompletableFuture<Optional<RequestExplanation>>> explain,
-      Supplier<CompletableFuture<DrainStatus>> drain) {
+      Supplier<CompletableFuture<DrainStatus>> drain,
+      AdminAccess access) {
     this.metrics = metrics;
     this.isReady = isReady;
     this.status = status;
     this.explain = explain;
     this.drain = drain;
+    this.access = access;
   }
 
   /**
    * Answers a request if its path is one of the pages.
    *
-   * @return whether the path is known
+   * @param place at which address the request came in
+   * @return whether the path is known at that address
    */
-  public boolean handle(HttpExchange exchange) {
+  public boolean handle(HttpExchange exchange, AdminAccess.Place place) {
+    AdminAccess.Page kind = pageOf(exchange);
+    if (kind == AdminAccess.Page.NONE || !access.isServed(kind, place)) {
+      return false;
+    }
+    Optional<Problem> refusal = access.refusal(kind, place, exchange.header("authorization"));
+    if (refusal.isPresent()) {
+      metrics.count("refused-admin-request");
+      refusal.get().send(exchange);
+      return true;
+    }
+    return answer(exchange);
+  }
+
+  private static AdminAccess.Page pageOf(HttpExchange exchange) {
+    return switch (exchange.method() + " " + exchange.path()) {
+      case "GET /live", "GET /ready" -> AdminAccess.Page.HEALTH;
+      case "GET /metrics" -> AdminAccess.Page.METRICS;
+      case "GET /v1/status", "GET /v1/configuration" -> AdminAccess.Page.STATE;
+      case "POST /v1/drain" -> AdminAccess.Page.CHANGE;
+      default -> isExplanation(exchange) ? AdminAccess.Page.STATE : AdminAccess.Page.NONE;
+    };
+  }
+
+  private static boolean isExplanation(HttpExchange exchange) {
+    String path = exchange.path();
+    return exchange.method().equals("GET")
+        && path.startsWith(REQUESTS_PATH)
+        && path.endsWith(EXPLAIN_SUFFIX)
+        && path.length() > REQUESTS_PATH.length() + EXPLAIN_SUFFIX.length();
+  }
+
+  private boolean answer(HttpExchange exchange) {
     String page = exchange.method() + " " + exchange.path();
     switch (page) {
       case "GET /live" -> exchange.respondJson(200, Map.of("live", true));
@@ -67,21 +105,15 @@
       case "GET /v1/status" -> status.get().thenAccept(report -> exchange.respondJson(200, report));
       case "GET /v1/configuration" ->
           status.get().thenAccept(report -> exchange.respondJson(200, report.configuration()));
-      case "POST /v1/drain" -> {
-        drain.get().thenAccept(progress -> exchange.respondJson(202, progress));
-      }
-      default -> {
-        return sendExplanation(exchange);
-      }
+      case "POST /v1/drain" ->
+          drain.get().thenAccept(started -> exchange.respondJson(202, started));
+      default -> sendExplanation(exchange);
     }
     return true;
   }
 
-  private boolean sendExplanation(HttpExchange exchange) {
+  private void sendExplanation(HttpExchange exchange) {
     String path = exchange.path();
-    if (!path.startsWith(REQUESTS_PATH) || !path.endsWith(EXPLAIN_SUFFIX)) {
-      return false;
-    }
     String id = path.substring(REQUESTS_PATH.length(), path.length() - EXPLAIN_SUFFIX.length());
     explain
         .apply(id)
@@ -90,7 +122,6 @@
                 known.ifPresentOrElse(
                     found -> exchange.respondJson(200, found),
                     () -> exchange.respondJson(404, Map.of("title", "not known here"))));
-    return true;
   }
 
   private void sendMetrics(HttpExchange exchange) {
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CallerStream.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CallerStream.java
@@ -1,10 +1,14 @@
 package io.samphiredyke.daemon.answer;
 
+import io.samphiredyke.daemon.answer.Problem.Ran;
 import io.samphiredyke.net.http.HttpExchange;
 import io.samphiredyke.net.http.ResponseStream;
 import io.samphiredyke.net.sse.SseEvent;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -20,6 +24,7 @@
   private final String requestId;
   private final boolean wantsStream;
   private long delivered;
+  private volatile long deliveredBytes;
   private @Nullable ResponseStream stream;
   private boolean ended;
 
@@ -40,6 +45,7 @@
     this.requestId = requestId;
     this.delivered = afterPart;
     this.wantsStream = wantsStream;
+    this.deliveredBytes = wantsStream ? buffer.bytesUpTo(afterPart) : Long.MAX_VALUE;
   }
 
   /** Starts to deliver. */
@@ -53,11 +59,20 @@
     exchange.eventLoop().execute(this::pump);
   }
 
+  @Override
+  public long readBytes() {
+    return deliveredBytes;
+  }
+
   private void pump() {
     AnswerHead head = buffer.head();
     if (ended || head == null) {
       return;
     }
+    if (buffer.isDropped()) {
+      cutOff();
+      return;
+    }
     if (wantsStream && head.isStream()) {
       pumpEvents();
     } else if (buffer.isComplete()) {
@@ -65,6 +80,19 @@
     }
   }
 
+  /** The parts are gone: the caller resumes with its id, which fetches them again. */
+  private void cutOff() {
+    finish();
+    ResponseStream open = stream;
+    if (open != null) {
+      open.abort();
+      return;
+    }
+    Problem.of(503, "memory full", "the answer was dropped; resume with the same id", Ran.YES)
+        .withRetryAfter(Duration.ofSeconds(1))
+        .send(exchange);
+  }
+
   private void pumpEvents() {
     ResponseStream open = stream;
     if (open == null) {
@@ -74,13 +102,20 @@
     boolean complete = buffer.isComplete();
     while (open.isWritable()) {
       byte[] part = buffer.part(delivered + 1);
+      if (part == null && buffer.isDropped()) {
+        cutOff();
+        return;
+      }
       if (part == null) {
+        buffer.readerAdvanced();
         endIf(complete, open);
         return;
       }
       delivered++;
+      deliveredBytes += part.length;
       open.write(part);
     }
+    buffer.readerAdvanced();
     open.whenWritable(this::pump);
   }
 
@@ -92,14 +127,28 @@
   }
 
   private void sendWhole(AnswerHead head) {
+    List<byte[]> parts = buffer.whole();
+    if (parts == null) {
+      cutOff();
+      return;
+    }
     finish();
     if (head.isStream()) {
-      byte[] body = CompletionAssembler.assemble(buffer);
-      exchange.respond(200, headers("application/json"), body);
+      sendCompletion(parts);
       return;
     }
-    byte[] body = buffer.part(1);
-    exchange.respond(head.status(), headers(head.contentType()), body == null ? new byte[0] : body);
+    byte[] body = parts.isEmpty() ? new byte[0] : parts.get(0);
+    exchange.respond(head.status(), headers(head.contentType()), body);
+  }
+
+  private void sendCompletion(List<byte[]> parts) {
+    try {
+      byte[] body = CompletionAssembler.assemble(parts);
+      exchange.respond(200, headers("application/json"), body);
+    } catch (UncheckedIOException e) {
+      Problem.of(502, "malformed answer", "the request ran, its answer is not JSON", Ran.YES)
+          .send(exchange);
+    }
   }
 
   private Map<String, String> headers(String contentType) {
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CompletionAssembler.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CompletionAssembler.java
@@ -17,8 +17,13 @@
 
   private CompletionAssembler() {}
 
-  static byte[] assemble(AnswerBuffer buffer) {
-    List<JsonNode> chunks = chunks(buffer);
+  /**
+   * Returns the completion that the events make up.
+   *
+   * @throws UncheckedIOException if the data of an event is not JSON
+   */
+  static byte[] assemble(List<byte[]> parts) {
+    List<JsonNode> chunks = chunks(parts);
     StringBuilder content = new StringBuilder();
     String finishReason = "stop";
     for (JsonNode chunk : chunks) {
@@ -44,14 +49,11 @@
     return Json.bytes(completion);
   }
 
-  private static List<JsonNode> chunks(AnswerBuffer buffer) {
+  private static List<JsonNode> chunks(List<byte[]> parts) {
     List<JsonNode> chunks = new ArrayList<>();
     SseDecoder decoder = new SseDecoder(MAX_EVENT_BYTES);
-    for (long number = 1; number <= buffer.lastNumber(); number++) {
-      byte[] part = buffer.part(number);
-      if (part != null) {
-        decoder.feed(part, event -> addChunk(chunks, event));
-      }
+    for (byte[] part : parts) {
+      decoder.feed(part, event -> addChunk(chunks, event));
     }
     return chunks;
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
@@ -59,6 +59,27 @@
     return new Answer(addresses, token, context.ticketLifetime().toSeconds());
   }
 
+  /**
+   * Returns where callers may send what is misdirected here: the members of the ticket's chain, or
+   * without a ticket the live hosts that may take all of the services.
+   */
+  List<String> addressesFor(MisdirectedException misdirected) {
+    Ticket ticket = misdirected.ticket();
+    if (ticket != null) {
+      return AnswerProblems.callerAddresses(context, ticket, Ticket.OWNER);
+    }
+    return shuffled(context.membership().liveMembers()).stream()
+        .filter(member -> member.state() == MemberState.ALIVE && !member.draining())
+        .filter(member -> mayTakeAll(member, misdirected.services()))
+        .map(Member::callerAddress)
+        .toList();
+  }
+
+  private static boolean mayTakeAll(Member member, List<Service> services) {
+    return services.stream()
+        .allMatch(service -> service.dataCentres().contains(member.dataCentre()));
+  }
+
   /** Returns a ticket whose owner is this process. */
   Ticket ownTicket(Customer customer, Service service) {
     return ticket(self(), customer, service);
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AnswerProblems.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AnswerProblems.java
@@ -46,6 +46,14 @@
         .withRetryAfter(Duration.ofSeconds(1));
   }
 
+  Problem tooLong() {
+    return Problem.of(
+        BAD_GATEWAY,
+        "answer too long",
+        "the request ran, its answer is longer than " + context.limits().answerBytes() + " bytes",
+        Ran.YES);
+  }
+
   Problem deadline() {
     return Problem.notRun(
         TIMEOUT, "deadline passed", "the request could not start before its deadline");
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.daemon.entry;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
 import io.samphiredyke.core.config.Configuration;
 import io.samphiredyke.core.config.Customer;
 import io.samphiredyke.core.config.Service;
@@ -32,6 +33,7 @@
  */
 public final class CallerApi {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String SERVICE_HEADER = "samphiredyke-service";
   private static final String ID_HEADER = "idempotency-key";
   private static final String CHAT_PATH = "/v1/chat/completions";
@@ -86,16 +88,50 @@
         throw new HttpException(503, "this host has no complete configuration yet");
       }
       action.run();
-    } catch (HttpException e) {
-      refuse(exchange, e);
+    } catch (RuntimeException e) {
+      answerFailure(exchange, e);
     }
   }
 
+  private void answerFailure(HttpExchange exchange, RuntimeException failure) {
+    if (failure instanceof MisdirectedException misdirected) {
+      context.loop().execute(() -> redirect(exchange, misdirected));
+    } else if (failure instanceof HttpException known) {
+      refuse(exchange, known);
+    } else {
+      logger.atWarning().withCause(failure).log("a caller's request failed");
+      context.metrics().count("caller-request-failed");
+      refuse(exchange, new HttpException(500, "internal error"));
+    }
+  }
+
+  private void redirect(HttpExchange exchange, MisdirectedException misdirected) {
+    String detail = String.valueOf(misdirected.getMessage());
+    Problem.of(misdirected.status(), "misdirected", detail, ranOf(exchange))
+        .withAddresses(addresses.addressesFor(misdirected))
+        .send(exchange);
+  }
+
   /** A request that carries an id may have run before, whatever is wrong with this repetition. */
   private static void refuse(HttpExchange exchange, HttpException e) {
-    Ran ran = exchange.header(ID_HEADER) == null ? Ran.NO : Ran.UNKNOWN;
     String detail = String.valueOf(e.getMessage());
-    Problem.of(e.status(), "refused", detail, ran).send(exchange);
+    Problem.of(e.status(), "refused", detail, ranOf(exchange)).send(exchange);
+  }
+
+  private static Ran ranOf(HttpExchange exchange) {
+    boolean namesRequest =
+        exchange.header(ID_HEADER) != null || exchange.path().startsWith(REQUESTS_PATH);
+    return namesRequest ? Ran.UNKNOWN : Ran.NO;
+  }
+
+  /** Refuses by the head while memory is full; a request with an id may only want its answer. */
+  private boolean refusedForMemory(HttpExchange exchange) {
+    if (exchange.header(ID_HEADER) != null || !context.limits().memory().isFull()) {
+      return false;
+    }
+    context.metrics().count("refused-memory");
+    Admissions.memoryFull().send(exchange);
+    return true;
   }
 
   private void sendAddresses(HttpExchange exchange) {
@@ -127,6 +163,9 @@
     } else {
       requirePermitted(known, ticket);
     }
+    if (refusedForMemory(exchange)) {
+      return;
+    }
     exchange
         .body()
         .whenComplete(
@@ -162,6 +201,9 @@
     Optional<RequestTicket> ticket = ticket(exchange, customer);
     requireService(ticket, service);
     requirePermitted(service, ticket);
+    if (refusedForMemory(exchange)) {
+      return;
+    }
     exchange
         .body()
         .whenComplete(
@@ -191,8 +233,8 @@
       if (failure == null) {
         action.run();
       }
-    } catch (HttpException e) {
-      refuse(exchange, e);
+    } catch (RuntimeException e) {
+      answerFailure(exchange, e);
     }
   }
 
@@ -207,28 +249,35 @@
     context
         .loop()
         .execute(
-            () -> {
-              RequestTicket used = ticket.orElseGet(() -> ownTicket(customer, service));
-              int rank = context.configuration().get().tierRank(service);
-              RequestIdentity request =
-                  new RequestIdentity(used.id(), used.ticket(), customer, service, rank);
-              deliver(exchange, request, payload);
-            });
+            () ->
+                guard(
+                    exchange,
+                    () -> {
+                      RequestTicket used = ticket.orElseGet(() -> ownTicket(customer, service));
+                      int rank = context.configuration().get().tierRank(service);
+                      RequestIdentity request =
+                          new RequestIdentity(used.id(), used.ticket(), customer, service, rank);
+                      deliver(exchange, request, payload);
+                    }));
   }
 
   private void deliver(HttpExchange exchange, RequestIdentity request, @Nullable Payload payload) {
     long after = lastEventId(exchange);
     boolean wantsStream =
         payload == null ? exchange.path().endsWith(STREAM_SUFFIX) : payload.wantsStream();
-    CallerStream caller =
+    Optional<CallerStream> caller =
         entry.submit(
             request,
             payload,
             session ->
                 new CallerStream(exchange, session.buffer(), request.idText(), after, wantsStream));
+    if (caller.isEmpty()) {
+      EntryService.tableFull(ranOf(exchange)).send(exchange);
+      return;
+    }
     exchange
         .disconnected()
-        .thenRun(() -> context.loop().execute(() -> entry.callerLeft(request, caller)));
+        .thenRun(() -> context.loop().execute(() -> entry.callerLeft(request, caller.get())));
   }
 
   private static long lastEventId(HttpExchange exchange) {
@@ -339,11 +388,10 @@
 
   /** A body whose service is not yet known may be read only where all services may run. */
   private void requireAllPermitted(Customer customer) {
-    boolean permitted =
-        openModelServices(customer).stream().allMatch(service -> isPermittedHere(service));
-    if (!permitted) {
-      throw new HttpException(
-          421, "not every service may run here: name it in the header " + SERVICE_HEADER);
+    List<Service> open = openModelServices(customer);
+    if (!open.stream().allMatch(this::isPermittedHere)) {
+      throw new MisdirectedException(
+          "not every service may run here: name it in the header " + SERVICE_HEADER, open, null);
     }
   }
 
@@ -365,6 +413,9 @@
     if (isPermittedHere(service) && isMember) {
       return;
     }
-    throw new HttpException(421, "this host does not take the request");
+    throw new MisdirectedException(
+        "this host does not take the request",
+        List.of(service),
+        ticket.map(RequestTicket::ticket).orElse(null));
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EndpointCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EndpointCall.java
@@ -12,7 +12,7 @@
   /** Stops to read. */
   void stop();
 
-  /** Learns how a call goes on. Called on any thread; each call ends with one of the last five. */
+  /** Learns how a call goes on. Called on any thread; each call ends with one of the last six. */
   interface Listener {
 
     /** The first part of the answer arrived. */
@@ -21,6 +21,9 @@
     /** The answer is whole. */
     void onEnded();
 
+    /** The answer is longer than this host holds; reading was given up. */
+    void onTooLong();
+
     /** Nothing was sent, or the endpoint proved that it did not run the request. */
     void onNotDispatched();
 
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryContext.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryContext.java
@@ -34,6 +34,7 @@
  * @param learned what this entry has learned about endpoints and requests
  * @param ticketLifetime how long a ticket is valid
  * @param resumeWindow how long an answer is kept for a caller that left
+ * @param limits bounds of what is held
  */
 public record EntryContext(
     Host host,
@@ -50,4 +51,5 @@
     Metrics metrics,
     Learned learned,
     Duration ticketLifetime,
-    Duration resumeWindow) {}
+    Duration resumeWindow,
+    EntryLimits limits) {}
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
@@ -25,9 +25,7 @@
 import io.samphiredyke.schema.message.Withdraw;
 import io.samphiredyke.schema.message.WriteRegister;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -36,15 +34,21 @@
 public final class EntryService {
 
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(5);
+  private static final Duration MEMORY_INTERVAL = Duration.ofMillis(100);
+  private static final Duration TABLE_WAIT = Duration.ofSeconds(10);
+  private static final int TOO_MANY = 429;
 
   private final EntryContext context;
-  private final Map<String, RequestSession> sessions = new HashMap<>();
+  private final SessionTable sessions;
+  private final Admissions admissions;
   private final TierCounts counts = new TierCounts();
   private boolean isDraining;
 
   /** Creates an entry without requests. */
   public EntryService(EntryContext context) {
     this.context = context;
+    this.sessions = new SessionTable(context.limits());
+    this.admissions = new Admissions(context, this::sharingEntries);
   }
 
   /** Adds the routes of the messages that brokers and other entries send. */
@@ -59,12 +63,13 @@
   /** Starts to forget the requests of expired tickets. */
   public void start() {
     context.loop().repeat(this::sweep, SWEEP_INTERVAL);
+    context.loop().repeat(sessions::dropAnswersWhileFull, MEMORY_INTERVAL);
     context.membership().onChange(change -> membersChanged());
   }
 
   /** Returns the requests that this entry still works on. */
   public long activeRequests() {
-    return sessions.values().stream().filter(RequestSession::isActive).count();
+    return sessions.all().stream().filter(RequestSession::isActive).count();
   }
 
   /** Returns the number of requests that this entry remembers. */
@@ -84,7 +89,7 @@
 
   /** Returns a request by its id. */
   Optional<RequestSession> session(String id) {
-    return Optional.ofNullable(sessions.get(id));
+    return sessions.find(id);
   }
 
   /** Returns what is known of a request, if it is known here. */
@@ -94,7 +99,7 @@
 
   /** Returns the requests of each tier. */
   public List<TierStatus> tiers() {
-    return counts.status(context.configuration().get(), sessions.values());
+    return counts.status(context.configuration().get(), sessions.all());
   }
 
   /**
@@ -102,14 +107,22 @@
    *
    * @param payload the body, or null to ask for what is known
    * @param caller makes the delivery to the caller from the request's session
-   * @return the delivery, to be ended when the caller leaves
+   * @return the delivery, to be ended when the caller leaves; empty if this entry cannot remember
+   *     one more request
    */
-  CallerStream submit(
+  Optional<CallerStream> submit(
       RequestIdentity request,
       @Nullable Payload payload,
       java.util.function.Function<RequestSession, CallerStream> caller) {
     RequestSession known = sessions.get(request.idText());
+    if (known == null && !sessions.hasRoom(request.customer().name())) {
+      context.metrics().count("refused-request-table");
+      return Optional.empty();
+    }
     RequestSession session = known == null ? open(request) : known;
+    if (payload != null && session.lacksBody()) {
+      admissions.admit(request, session.estimate(payload)).ifPresent(session::refuseNext);
+    }
     CallerStream delivery = caller.apply(session);
     session.submit(payload, delivery);
     if (known == null && isDraining) {
@@ -117,7 +130,31 @@
           Problem.notRun(503, "draining", "this host is being stopped")
               .withAddresses(otherAddresses(request)));
     }
-    return delivery;
+    return Optional.of(delivery);
+  }
+
+  /** Returns the refusal of a request that cannot be remembered. */
+  static Problem tableFull(Problem.Ran ran) {
+    return Problem.of(TOO_MANY, "too many requests", "too many ids are in use", ran)
+        .withRetryAfter(TABLE_WAIT);
+  }
+
+  private int sharingEntries(RequestIdentity request) {
+    long hosts =
+        context.membership().liveMembers().stream()
+            .filter(member -> !member.draining())
+            .filter(member -> request.service().dataCentres().contains(member.dataCentre()))
+            .count();
+    return (int) Math.max(1, hosts);
+  }
+
+  private void settled(RequestSession session) {
+    admissions.finish(session.request().idText(), session.usedTokens());
+  }
+
+  private boolean isActive(String id) {
+    RequestSession session = sessions.get(id);
+    return session != null && session.isActive();
   }
 
   private List<String> otherAddresses(RequestIdentity request) {
@@ -129,8 +166,8 @@
   }
 
   private RequestSession open(RequestIdentity request) {
-    RequestSession session = new RequestSession(context, request, counts);
-    sessions.put(request.idText(), session);
+    RequestSession session = new RequestSession(context, request, counts, this::settled);
+    sessions.add(session);
     return session;
   }
 
@@ -189,39 +226,42 @@
     try {
       Ticket ticket = context.tickets().decodeIgnoringExpiry(id.get().token());
       Incarnation asker = Incarnation.parse(from.incarnation());
-      OwnerReply answer = status(id.get(), ticket, ticket.placeOf(asker));
-      reply.accept(RegisterMessages.toMessage(message.requestId(), answer));
+      status(id.get(), ticket, ticket.placeOf(asker))
+          .map(answer -> RegisterMessages.toMessage(message.requestId(), answer))
+          .ifPresent(reply);
     } catch (TicketException e) {
       context.metrics().count("forged-status-request");
     }
   }
 
-  private OwnerReply status(RequestId id, Ticket ticket, int askerPlace) {
+  /** Returns the state, or empty if this owner cannot remember that it was asked. */
+  private Optional<OwnerReply> status(RequestId id, Ticket ticket, int askerPlace) {
     RequestSession session = sessions.get(id.toString());
     if (session != null) {
-      return session.status(askerPlace);
+      return Optional.of(session.status(askerPlace));
     }
     boolean isOwner = ticket.placeOf(context.host().incarnation()) == Ticket.OWNER;
     Optional<RequestIdentity> request =
         isOwner ? RequestIdentity.of(id, ticket, context.configuration().get()) : Optional.empty();
     if (request.isPresent()) {
-      return open(request.get()).status(askerPlace);
+      return sessions.hasRoom(ticket.customer())
+          ? Optional.of(open(request.get()).status(askerPlace))
+          : Optional.empty();
     }
     RegisterReply recorded = context.witness().read(id);
     RegisterRecord record = recorded.record();
-    return OwnerReply.ofRecord(record);
+    return Optional.of(OwnerReply.ofRecord(record));
   }
 
   private void membersChanged() {
-    List.copyOf(sessions.values()).forEach(RequestSession::membersChanged);
+    List.copyOf(sessions.all()).forEach(RequestSession::membersChanged);
   }
 
   private void sweep() {
     long now = context.loop().epochMillis();
     long contentKept = now - context.resumeWindow().toMillis();
-    sessions
-        .values()
-        .removeIf(session -> !session.isActive() && session.request().ticket().isExpired(now));
-    sessions.values().forEach(session -> session.forgetContent(contentKept));
+    sessions.removeExpired(now);
+    admissions.finishUnless(this::isActive);
+    sessions.all().forEach(session -> session.forgetContent(contentKept));
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -24,6 +24,7 @@
 final class ModelCall extends AbstractEndpointCall {
 
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  private static final int MAX_REFUSAL_BYTES = 64 * 1024;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(5);
@@ -98,7 +99,7 @@
         return;
       }
       if (status != OK) {
-        refusal.writeBytes(bytes);
+        refusal.write(bytes, 0, Math.min(bytes.length, MAX_REFUSAL_BYTES - refusal.size()));
         return;
       }
       try {
@@ -117,13 +118,14 @@
         return;
       }
       if (!buffer.add(number, event.bytes())) {
-        breakOff();
+        refusePart();
         return;
       }
       progressed();
       if (number == 1) {
         listener.onFirstPart();
       }
+      holdBack();
       if (event.isDone()) {
         isOver = true;
         buffer.complete();
@@ -131,6 +133,30 @@
       }
     }
 
+    private void refusePart() {
+      if (!buffer.isOverLimit()) {
+        breakOff();
+        return;
+      }
+      isOver = true;
+      closeStream();
+      if (!isStopped()) {
+        listener.onTooLong();
+      }
+    }
+
+    /** Stops to read while all callers are far behind. */
+    private void holdBack() {
+      HttpStream open = stream;
+      if (open == null || !buffer.isHeldBack(() -> open.setReading(true))) {
+        return;
+      }
+      open.setReading(false);
+      if (!buffer.isHeldBack(() -> open.setReading(true))) {
+        open.setReading(true);
+      }
+    }
+
     private static long numberOf(SseEvent event) {
       try {
         return Long.parseLong(event.id());
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
@@ -55,7 +55,10 @@
   private void keep(HttpResponse response) {
     String contentType = response.headers().getOrDefault("content-type", "application/json");
     buffer.head(new AnswerHead(response.status(), contentType, false));
-    buffer.add(1, response.body());
+    if (!buffer.add(1, response.body()) && buffer.isOverLimit()) {
+      listener.onTooLong();
+      return;
+    }
     buffer.complete();
     listener.onFirstPart();
     listener.onEnded();
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,7 +55,8 @@
   private final TierCounts counts;
   private final List<CallerStream> callers = new ArrayList<>();
   private final Deque<OwnershipEvent> events = new ArrayDeque<>();
-  private AnswerBuffer buffer = new AnswerBuffer();
+  private final Consumer<RequestSession> onSettled;
+  private AnswerBuffer buffer;
   private @Nullable Payload payload;
   private @Nullable ClaimDriver claims;
   private @Nullable EndpointCall call;
@@ -63,8 +65,19 @@
   private boolean isSettled;
   private long settledAtEpochMillis;
 
-  RequestSession(EntryContext context, RequestIdentity request, TierCounts counts) {
+  /**
+   * Creates the session of a request that nothing is known of.
+   *
+   * @param onSettled is told when the request has its final outcome here
+   */
+  RequestSession(
+      EntryContext context,
+      RequestIdentity request,
+      TierCounts counts,
+      Consumer<RequestSession> onSettled) {
     this.context = context;
+    this.onSettled = onSettled;
+    this.buffer = newBuffer(context);
     this.request = request;
     this.machine =
         new OwnershipMachine(request.ticket(), context.host().incarnation(), context.invariants());
@@ -75,6 +88,10 @@
     this.counts = counts;
   }
 
+  private static AnswerBuffer newBuffer(EntryContext context) {
+    return new AnswerBuffer(context.limits().memory(), context.limits().answerBytes());
+  }
+
   RequestIdentity request() {
     return request;
   }
@@ -130,6 +147,7 @@
     }
     if (payload == null && sent != null) {
       payload = sent;
+      context.limits().memory().add(sent.body().length);
     }
     caller.start();
     if (buffer.isComplete()) {
@@ -144,6 +162,32 @@
     return known != null && !known.equals(sent.digest());
   }
 
+  /** Returns whether the body of the request has not been seen here. */
+  boolean lacksBody() {
+    return payload == null && !isSettled;
+  }
+
+  /** Returns the estimate of a body's length in tokens. */
+  RequestEstimate estimate(Payload sent) {
+    return times.estimate(sent);
+  }
+
+  /** Returns the tokens that the request used. */
+  long usedTokens() {
+    Payload sent = payload;
+    if (sent == null || !buffer.isComplete()) {
+      return 0;
+    }
+    return (long) times.estimate(sent).promptTokens() + times.outputTokens();
+  }
+
+  /** Sets the refusal of a body that is about to be submitted. */
+  void refuseNext(Problem problem) {
+    if (refusal == null) {
+      refusal = problem;
+    }
+  }
+
   /** Refuses the request as not run as soon as this is proven. */
   void refuse(Problem problem) {
     if (refusal == null) {
@@ -367,6 +411,11 @@
       context.loop().execute(() -> ended(endpoint, attempt));
     }
 
+    @Override
+    public void onTooLong() {
+      context.loop().execute(() -> tooLong(endpoint, attempt));
+    }
+
     @Override
     public void onNotDispatched() {
       context.loop().execute(() -> notDispatched(endpoint, attempt));
@@ -417,6 +466,15 @@
     return head != null && (head.status() == TOO_MANY || head.status() == UNAVAILABLE);
   }
 
+  private void tooLong(Endpoint endpoint, int attempt) {
+    context.metrics().count("answer-too-long");
+    List<CallerStream> told = List.copyOf(callers);
+    callers.clear();
+    told.forEach(caller -> caller.fail(problems.tooLong()));
+    ended(endpoint, attempt);
+    dropContent();
+  }
+
   private void notDispatched(Endpoint endpoint, int attempt) {
     context.learned().circuit(endpoint.name()).failed(context.loop().now());
     context.metrics().count("endpoint-not-reached");
@@ -457,15 +515,40 @@
       settledAtEpochMillis = context.loop().epochMillis();
       times.settled(outcome);
       counts.settled(request.service().tier(), outcome.equals(ANSWERED));
+      onSettled.accept(this);
     }
   }
 
   /** Drops the body and the answer of a request that was settled before a time. */
   void forgetContent(long settledBeforeEpochMillis) {
-    if (!isSettled || isActive() || settledAtEpochMillis > settledBeforeEpochMillis) {
+    if (!isSettled || isActive() || isRead() || settledAtEpochMillis > settledBeforeEpochMillis) {
       return;
     }
+    dropContent();
+  }
+
+  /** Returns whether the outcome is final and the body or the answer is still held. */
+  boolean holdsFinishedContent() {
+    return isSettled && !isActive() && callers.isEmpty() && (payload != null || buffer.bytes() > 0);
+  }
+
+  /** Returns whether a caller still reads the answer. */
+  boolean isRead() {
+    return buffer.hasReaders();
+  }
+
+  long settledAtEpochMillis() {
+    return settledAtEpochMillis;
+  }
+
+  /** Drops the body and the answer; a caller that asks again gets it from the endpoint. */
+  void dropContent() {
+    Payload held = payload;
+    if (held != null) {
+      context.limits().memory().release(held.body().length);
+    }
     payload = null;
-    buffer = new AnswerBuffer();
+    buffer.drop();
+    buffer = newBuffer(context);
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/MessageRouter.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/MessageRouter.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.daemon.peer;
 
+import io.samphiredyke.core.invariant.InvariantViolationException;
 import io.samphiredyke.daemon.control.ControlLoop;
 import io.samphiredyke.net.peer.PeerHandler;
 import io.samphiredyke.net.peer.PeerIdentity;
@@ -20,11 +21,17 @@
   }
 
   private final ControlLoop loop;
+  private final Runnable onMalformed;
   private final Map<Class<?>, Route<PeerMessage>> routes = new HashMap<>();
 
-  /** Creates a router without routes. */
-  public MessageRouter(ControlLoop loop) {
+  /**
+   * Creates a router without routes.
+   *
+   * @param onMalformed is told of each message that its route could not handle
+   */
+  public MessageRouter(ControlLoop loop, Runnable onMalformed) {
     this.loop = loop;
+    this.onMalformed = onMalformed;
   }
 
   /** Adds the route of a type of message. All routes are added before the first message. */
@@ -36,7 +43,22 @@
   public void handle(PeerIdentity from, PeerMessage message, Consumer<PeerMessage> reply) {
     Route<PeerMessage> route = routes.get(message.getClass());
     if (route != null) {
-      loop.execute(() -> route.handle(from, message, reply));
+      loop.execute(() -> pass(route, from, message, reply));
+    }
+  }
+
+  /** A message whose fields make no sense harms nothing but itself. */
+  private void pass(
+      Route<PeerMessage> route,
+      PeerIdentity from,
+      PeerMessage message,
+      Consumer<PeerMessage> reply) {
+    try {
+      route.handle(from, message, reply);
+    } catch (InvariantViolationException e) {
+      throw e;
+    } catch (RuntimeException e) {
+      onMalformed.run();
     }
   }
 }
--- /dev/null
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/HostileEngineTest.java
@@ -0,0 +1,232 @@
+package io.samphiredyke.daemon.entry;
+
+import static io.samphiredyke.daemon.testing.TestCluster.chatBody;
+import static io.samphiredyke.daemon.testing.TestCluster.join;
+import static io.samphiredyke.daemon.testing.TestCluster.json;
+import static io.samphiredyke.daemon.testing.TestConfiguration.ALPHA;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiredyke.daemon.testing.TestCluster;
+import io.samphiredyke.daemon.testing.TestConfiguration;
+import io.samphiredyke.net.http.HttpExchange;
+import io.samphiredyke.net.http.HttpResponse;
+import io.samphiredyke.net.http.HttpServer;
+import io.samphiredyke.net.http.HttpServerOptions;
+import io.samphiredyke.net.http.ResponseStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** An engine that breaks the format of its answers harms no request that it can resume. */
+class HostileEngineTest {
+
+  private static final String HOST = "host1";
+  private static final String SERVICE = "odd";
+  private static final int ANSWER_LIMIT = 64 * 1024 * 1024;
+  private static final String WHOLE = event(1, "a") + event(2, "b") + "id: 3\ndata: [DONE]\n\n";
+
+  private static TestCluster cluster;
+  private static volatile Consumer<HttpExchange> onDispatch;
+  private static volatile Consumer<HttpExchange> onResume;
+  private static final AtomicInteger dispatches = new AtomicInteger();
+
+  @BeforeAll
+  static void start() {
+    cluster =
+        TestCluster.builder()
+            .host(HOST, "dc1")
+            .settings(settings -> settings.toBuilder().answerLimit(ANSWER_LIMIT).build())
+            .start();
+    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+    HttpServer server =
+        join(
+            HttpServer.start(
+                cluster.group(), any, HttpServerOptions.defaults(), HostileEngineTest::serve));
+    cluster.publish(
+        List.of(
+            TestConfiguration.modelService(SERVICE, "odd-model", Set.of("dc1")),
+            TestConfiguration.engine(
+                "odd-engine", "127.0.0.1:" + server.address().getPort(), "dc1", "odd-model")));
+    onDispatch = HostileEngineTest::sendWhole;
+    TestCluster.await("the service is known", () -> ask("hello").status() == 200);
+  }
+
+  @AfterAll
+  static void stop() {
+    cluster.close();
+  }
+
+  @BeforeEach
+  void reset() {
+    dispatches.set(0);
+    onResume = HostileEngineTest::sendRest;
+  }
+
+  private static void serve(HttpExchange exchange) {
+    if (exchange.method().equals("POST")) {
+      dispatches.incrementAndGet();
+      exchange.body().thenRun(() -> onDispatch.accept(exchange));
+    } else {
+      onResume.accept(exchange);
+    }
+  }
+
+  private static String event(int number, String text) {
+    String chunk =
+        "{\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":\"odd-model\","
+            + "\"choices\":[{\"index\":0,\"delta\":{\"content\":\""
+            + text
+            + "\"},\"finish_reason\":null}]}";
+    return "id: " + number + "\ndata: " + chunk + "\n\n";
+  }
+
+  private static ResponseStream stream(HttpExchange exchange, String text) {
+    ResponseStream stream = exchange.startStream(200, Map.of("content-type", "text/event-stream"));
+    stream.write(text.getBytes(StandardCharsets.UTF_8));
+    return stream;
+  }
+
+  private static void sendWhole(HttpExchange exchange) {
+    stream(exchange, WHOLE).end();
+  }
+
+  private static void sendRest(HttpExchange exchange) {
+    int last = Integer.parseInt(String.valueOf(exchange.header("last-event-id")));
+    String rest = WHOLE.substring(WHOLE.indexOf("id: " + (last + 1)));
+    stream(exchange, rest).end();
+  }
+
+  private static HttpResponse ask(String prompt) {
+    return join(cluster.chat(HOST, ALPHA, SERVICE, chatBody(prompt, 4, false), Map.of()));
+  }
+
+  private static void assertWholeAfter(String firstBytes) {
+    onDispatch = exchange -> stream(exchange, firstBytes).end();
+    HttpResponse answer = ask("break");
+    assertThat(answer.status()).isEqualTo(200);
+    String content = json(answer).path("choices").path(0).path("message").path("content").asText();
+    assertThat(content).isEqualTo("ab");
+    assertThat(dispatches).hasValue(1);
+  }
+
+  @Test
+  void resumesAfterMalformedEvents() {
+    assertWholeAfter("this is no event\n\n" + WHOLE);
+  }
+
+  @Test
+  void resumesAfterEventsWithoutNumbers() {
+    assertWholeAfter(event(1, "a") + "id: two\ndata: {}\n\n" + WHOLE);
+  }
+
+  @Test
+  void resumesAfterAGapInTheNumbers() {
+    assertWholeAfter(event(1, "a") + event(3, "c"));
+  }
+
+  @Test
+  void dropsRepeatedEvents() {
+    assertWholeAfter(event(1, "a") + event(1, "x") + event(2, "b") + event(1, "y"));
+  }
+
+  @Test
+  void resumesAfterAnOversizedEvent() {
+    assertWholeAfter(event(1, "a") + event(2, "z".repeat(2_000_000)));
+  }
+
+  @Test
+  void saysThatARequestRanWhoseAnswerIsNoJson() {
+    onDispatch = exchange -> stream(exchange, "id: 1\ndata: {]\n\nid: 2\ndata: [DONE]\n\n").end();
+    HttpResponse answer = ask("not JSON");
+    assertThat(answer.status()).isEqualTo(502);
+    assertThat(json(answer).path("ran").asText()).isEqualTo("yes");
+  }
+
+  @Test
+  void givesUpAnEndlessAnswerAndSaysThatItRan() {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    onDispatch =
+        exchange -> {
+          exchange.disconnected().thenRun(() -> closed.complete(null));
+          sendEvents(exchange, Integer.MAX_VALUE, new AtomicLong());
+        };
+    HttpResponse answer = ask("endless");
+    assertThat(answer.status()).isEqualTo(502);
+    assertThat(json(answer).path("ran").asText()).isEqualTo("yes");
+    join(closed);
+    assertThat(dispatches).hasValue(1);
+  }
+
+  @Test
+  void holdsTheEngineBackWhileTheCallerReadsNothing() throws IOException {
+    int events = 20_000;
+    AtomicLong sent = new AtomicLong();
+    onDispatch = exchange -> sendEvents(exchange, events, sent);
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(16 * 1024);
+      socket.connect(cluster.callerAddress(HOST));
+      socket.getOutputStream().write(streamRequest());
+      AtomicLong seen = new AtomicLong(-1);
+      AtomicInteger same = new AtomicInteger();
+      TestCluster.await(
+          "the engine is held back",
+          () -> {
+            long now = sent.get();
+            same.set(now > 0 && now == seen.getAndSet(now) ? same.get() + 1 : 0);
+            return same.get() > 10 && now < events;
+          });
+      String answer = readToDone(socket.getInputStream());
+      assertThat(answer).contains("\"content\":\"" + "e".repeat(1_000), "[DONE]");
+      assertThat(answer.split("id: ", -1)).hasSize(events + 2);
+    }
+  }
+
+  private static byte[] streamRequest() {
+    String body = chatBody("much", 4, true);
+    String head =
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: "
+            + TestCluster.bearer(ALPHA)
+            + "\r\nsamphiredyke-service: odd\r\nconnection: close\r\ncontent-length: "
+            + body.length()
+            + "\r\n\r\n";
+    return (head + body).getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String readToDone(InputStream in) throws IOException {
+    return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+  }
+
+  /** Sends events of a kilobyte as fast as they are read. */
+  private static void sendEvents(HttpExchange exchange, int count, AtomicLong sent) {
+    ResponseStream stream = stream(exchange, "");
+    CompletableFuture<Void> gone = exchange.disconnected();
+    sendMore(stream, count, sent, gone);
+  }
+
+  private static void sendMore(
+      ResponseStream stream, int count, AtomicLong sent, CompletableFuture<Void> gone) {
+    while (stream.isWritable() && sent.get() < count && !gone.isDone()) {
+      String event = event((int) sent.incrementAndGet(), "e".repeat(1_000));
+      stream.write(event.getBytes(StandardCharsets.UTF_8));
+    }
+    if (sent.get() >= count) {
+      stream.write(("id: " + (count + 1) + "\ndata: [DONE]\n\n").getBytes(StandardCharsets.UTF_8));
+      stream.end();
+    } else if (!gone.isDone()) {
+      stream.whenWritable(() -> sendMore(stream, count, sent, gone));
+    }
+  }
+}
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/Ports.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/Ports.java
@@ -1,41 +1,40 @@
 package io.samphiredyke.daemon.testing;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
-/** Free loopback ports. */
+/** Free loopback ports, outside the range from which the system takes ports of connections. */
 final class Ports {
 
-  private static final int MAX_TRIES = 20;
+  private static final int FIRST = 15_000;
+  private static final int END = 31_000;
+  private static final int MAX_TRIES = 200;
+  private static final Set<Integer> taken = ConcurrentHashMap.newKeySet();
 
   private Ports() {}
 
-  /** Returns a loopback address whose port is free for TCP and UDP at present. */
+  /** Returns a loopback address whose port is free for TCP and UDP, a new one at each call. */
   static InetSocketAddress free() {
     for (int i = 0; i < MAX_TRIES; i++) {
-      int port = freeTcpPort();
-      if (isFreeForUdp(port)) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+      int port = ThreadLocalRandom.current().nextInt(FIRST, END);
+      if (taken.add(port) && isFree(port)) {
+        return new InetSocketAddress("127.0.0.1", port);
       }
     }
     throw new IllegalStateException("no port is free for TCP and UDP");
   }
 
-  private static int freeTcpPort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private static boolean isFreeForUdp(int port) {
-    try (DatagramSocket socket = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
-      return socket.isBound();
+  private static boolean isFree(int port) {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (ServerSocket stream = new ServerSocket(port, 1, loopback);
+        DatagramSocket datagrams = new DatagramSocket(port, loopback)) {
+      return stream.isBound() && datagrams.isBound();
     } catch (IOException e) {
       return false;
     }
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestCluster.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestCluster.java
@@ -99,6 +99,7 @@
         .dataCentre(dataCentre)
         .address(Ports.free())
         .peerAddress(Ports.free())
+        .metricsAddress(Ports.free())
         .logAddresses(List.of(log.address()))
         .hostListAddresses(List.of(hostList.address()))
         .pollInterval(Duration.ofMillis(100))
@@ -186,6 +187,13 @@
     return client;
   }
 
+  /** Returns where operators reach a host. */
+  public InetSocketAddress operatorAddress(String host) {
+    DaemonSettings own = settings(host);
+    InetSocketAddress operators = own.metricsAddress();
+    return operators == null ? own.address() : operators;
+  }
+
   /** Returns where callers reach a host. */
   public InetSocketAddress callerAddress(String host) {
     return settings(host).address();
@@ -226,15 +234,12 @@
     if (!answers(name, "/ready")) {
       return 0;
     }
-    return status(name).path("members").size();
+    return join(daemon(name).liveMembers());
   }
 
   /** Returns the status page of a host. */
   public JsonNode status(String host) {
-    DaemonSettings own = settings(host);
-    InetSocketAddress admin = own.metricsAddress();
-    InetSocketAddress address = admin == null ? own.address() : admin;
-    return json(send(HttpRequest.get(address, "/v1/status").build()));
+    return json(send(HttpRequest.get(operatorAddress(host), "/v1/status").build()));
   }
 
   private boolean answers(String host, String path) {
@@ -266,11 +271,17 @@
   /** Sends a chat completion of the service {@link TestConfiguration#CHAT}. */
   public CompletableFuture<HttpResponse> chat(
       String host, String customer, String body, Map<String, String> headers) {
+    return chat(host, customer, TestConfiguration.CHAT, body, headers);
+  }
+
+  /** Sends a chat completion of a service. */
+  public CompletableFuture<HttpResponse> chat(
+      String host, String customer, String service, String body, Map<String, String> headers) {
     HttpRequest.Builder request =
         HttpRequest.post(
                 callerAddress(host), "/v1/chat/completions", body.getBytes(StandardCharsets.UTF_8))
             .header("authorization", bearer(customer))
-            .header("samphiredyke-service", TestConfiguration.CHAT)
+            .header("samphiredyke-service", service)
             .timeout(WAIT_LIMIT);
     headers.forEach(request::header);
     return client.send(request.build());
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestConfiguration.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestConfiguration.java
@@ -54,10 +54,15 @@
   }
 
   static Service chat(Set<String> dataCentres) {
+    return modelService(CHAT, MODEL, dataCentres);
+  }
+
+  /** Returns a service of a model. */
+  public static Service modelService(String name, String model, Set<String> dataCentres) {
     return Service.builder()
-        .name(CHAT)
+        .name(name)
         .kind(ServiceKind.MODEL)
-        .model(MODEL)
+        .model(model)
         .tier(TIER)
         .idempotent(true)
         .dataCentres(dataCentres)
@@ -75,12 +80,17 @@
 
   /** Returns an engine of the model. */
   public static Endpoint engine(String name, String address, String dataCentre) {
+    return engine(name, address, dataCentre, MODEL);
+  }
+
+  /** Returns an engine of a model. */
+  public static Endpoint engine(String name, String address, String dataCentre, String model) {
     return Endpoint.builder()
         .name(name)
         .kind(EndpointKind.MODEL_ENGINE)
         .address(address)
         .dataCentre(dataCentre)
-        .models(Set.of(MODEL))
+        .models(Set.of(model))
         .build();
   }
 
