--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/RequestCosts.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/capacity/RequestCosts.java
@@ -13,6 +13,7 @@
 import io.samphiredyke.core.ownership.WitnessRegister;
 import io.samphiredyke.daemon.admin.Metrics;
 import io.samphiredyke.daemon.answer.AnswerBuffer;
+import io.samphiredyke.daemon.answer.AnswerMemory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.lang.ref.Reference;
@@ -88,7 +89,7 @@
   }
 
   private static Object answer() {
-    AnswerBuffer buffer = new AnswerBuffer();
+    AnswerBuffer buffer = new AnswerBuffer(new AnswerMemory(Long.MAX_VALUE), Long.MAX_VALUE);
     for (int part = 1; part <= ANSWER_PARTS; part++) {
       buffer.add(part, new byte[PART_BYTES]);
     }
