--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/LoadCommand.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/LoadCommand.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -101,11 +102,13 @@
     LoadRun run = new LoadRun(group, plan, addresses, LoadCommand::printProgress);
     HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
     try {
+      Instant began = Instant.now();
       long start = System.nanoTime();
       List<Observation> seen = run.start(Schedule.of(plan, seed)).join();
       double seconds = (System.nanoTime() - start) / (double) TimeUnit.SECONDS.toNanos(1);
       pause(settleMillis);
-      return LoadReport.of(seed, seconds, seen, EndpointCounts.readAll(http, plan.endpoints()));
+      return LoadReport.of(
+          seed, began, seconds, seen, EndpointCounts.readAll(http, plan.endpoints()));
     } finally {
       run.close();
       http.close();
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/LoadReport.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/LoadReport.java
@@ -1,9 +1,11 @@
 package io.samphiredyke.bench.load;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -22,6 +24,7 @@
  * @param missingCounts endpoints that gave no counts
  * @param violations the violations
  * @param unsuccessful what callers were told in place of an answer, and how often
+ * @param details each request that ended without an answer
  */
 record LoadReport(
     long seed,
@@ -35,7 +38,8 @@
     int unverified,
     List<String> missingCounts,
     List<Violation> violations,
-    Map<String, Integer> unsuccessful) {
+    Map<String, Integer> unsuccessful,
+    List<Detail> details) {
 
   private static final double NANOS_PER_MILLI = 1e6;
 
@@ -89,6 +93,39 @@
     }
   }
 
+  /**
+   * A request that ended without an answer.
+   *
+   * @param request its number in the schedule
+   * @param service the service
+   * @param outcome how it ended
+   * @param arrival when it was made
+   * @param seconds how long it took to end
+   * @param ids the request ids used
+   * @param reason what the caller was told
+   */
+  record Detail(
+      int request,
+      String service,
+      Outcome outcome,
+      String arrival,
+      double seconds,
+      List<String> ids,
+      String reason) {
+
+    static Detail of(Observation seen, Instant start) {
+      PlannedRequest request = seen.request();
+      return new Detail(
+          request.index(),
+          request.service().name(),
+          seen.outcome(),
+          start.plusNanos(request.arrivalNanos()).toString(),
+          seen.endNanos() / (double) TimeUnit.SECONDS.toNanos(1),
+          List.copyOf(seen.ids()),
+          seen.reason());
+    }
+  }
+
   /**
    * Percentiles of times, in milliseconds; zeros if there were none.
    *
@@ -109,8 +146,14 @@
     }
   }
 
+  /**
+   * Sums up a run.
+   *
+   * @param start when the schedule began
+   * @param seconds how long the run took
+   */
   static LoadReport of(
-      long seed, double seconds, List<Observation> seen, EndpointCounts.All counts) {
+      long seed, Instant start, double seconds, List<Observation> seen, EndpointCounts.All counts) {
     Verification verification = Verification.of(seen, counts);
     Map<Violation.Kind, Long> violated = new TreeMap<>();
     for (Violation.Kind kind : Violation.Kind.values()) {
@@ -128,7 +171,8 @@
         verification.unverified(),
         counts.missing(),
         verification.violations(),
-        unsuccessful(seen));
+        unsuccessful(seen),
+        details(seen, start));
   }
 
   private static Map<String, Row> byTier(List<Observation> seen) {
@@ -153,6 +197,13 @@
     return reasons;
   }
 
+  private static List<Detail> details(List<Observation> seen, Instant start) {
+    return seen.stream()
+        .filter(observation -> !observation.reason().isEmpty())
+        .map(observation -> Detail.of(observation, start))
+        .toList();
+  }
+
   boolean isClean() {
     return violations.isEmpty();
   }
--- a/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/LoadRunTest.java
+++ b/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/LoadRunTest.java
@@ -15,6 +15,7 @@
 import io.samphiredyke.standins.server.StandInRuntime;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -59,7 +60,7 @@
     LoadRun run = new LoadRun(group, plan, List.of(entry.address()), percent -> {});
     List<Observation> seen = run.start(Schedule.of(plan, 1)).join();
     run.close();
-    return LoadReport.of(1, 1, seen, EndpointCounts.readAll(http, plan.endpoints()));
+    return LoadReport.of(1, Instant.EPOCH, 1, seen, EndpointCounts.readAll(http, plan.endpoints()));
   }
 
   private LoadPlan plan() {
