HTTP server: the stream of a closed connection counts as writable

A sender that waited for a closed connection was called at once, saw that it was not writable and waited again: a StackOverflowError in CallerStream.pump, thousands of times in a demo on a busy machine (134000 lines of log in one daemon), while answers stalled. The test was seen failing first.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseStream.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseStream.java
@@ -6,7 +6,10 @@
   /** Sends a chunk. Chunks written after the connection closed are dropped. */
   void write(byte[] chunk);
 
-  /** Returns whether the connection takes more chunks without building up a queue. */
+  /**
+   * Returns whether the connection takes more chunks without building up a queue. That is so of a
+   * closed one, which drops them.
+   */
   boolean isWritable();
 
   /** Runs an action once, on the event loop, when the connection is writable or closed. */
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
@@ -234,7 +234,7 @@
 
   @Override
   public boolean isWritable() {
-    return ctx.channel().isWritable();
+    return ended || ctx.channel().isWritable();
   }
 
   @Override
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -144,6 +144,28 @@
     server.stop().join();
   }
 
+  @Test
+  void streamOfClosedConnectionTakesChunks() {
+    CompletableFuture<Boolean> isWritable = new CompletableFuture<>();
+    CompletableFuture<Void> arrived = new CompletableFuture<>();
+    HttpServer server =
+        serve(
+            exchange -> {
+              ResponseStream stream = exchange.startStream(200, Map.of());
+              exchange
+                  .disconnected()
+                  .thenRun(
+                      () -> stream.whenWritable(() -> isWritable.complete(stream.isWritable())));
+              arrived.complete(null);
+            });
+    HttpStream stream =
+        client.open(HttpRequest.get(server.address(), "/").build(), new IgnoringListener());
+    arrived.join();
+    stream.close();
+    assertThat(isWritable).succeedsWithin(Duration.ofSeconds(10)).isEqualTo(true);
+    server.stop().join();
+  }
+
   private static final class IgnoringListener implements StreamListener {
     @Override
     public void onHead(int status, Map<String, String> headers) {}
