Client: ask again for a while when an outcome is unknown

A host that was paused or cut off may come back and decide the request; until now the first "unknown" was final. The request keeps its id, for 10 s.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/ClientOptions.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/ClientOptions.java
@@ -9,6 +9,8 @@
  * @param addressTimeout how long a seed may take to answer with addresses
  * @param silenceTimeout how long a connection may stay silent before the request is resumed on
  *     another one
+ * @param unknownPatience how long a request is asked for again after the first answer that its
+ *     outcome is unknown; a host that was out of reach may come back and decide it
  * @param backoff the pauses between attempts
  * @param retryRatio new ids that a request earns for later refused ones, as a part of one
  */
@@ -16,6 +18,7 @@
     Duration connectTimeout,
     Duration addressTimeout,
     Duration silenceTimeout,
+    Duration unknownPatience,
     Backoff backoff,
     double retryRatio) {
 
@@ -27,12 +30,20 @@
         Duration.ofSeconds(1),
         Duration.ofSeconds(2),
         Duration.ofSeconds(5),
+        Duration.ofSeconds(10),
         Backoff.defaults(),
         DEFAULT_RETRY_RATIO);
   }
 
   /** Returns the same limits with another silence timeout. */
   public ClientOptions withSilenceTimeout(Duration other) {
-    return new ClientOptions(connectTimeout, addressTimeout, other, backoff, retryRatio);
+    return new ClientOptions(
+        connectTimeout, addressTimeout, other, unknownPatience, backoff, retryRatio);
+  }
+
+  /** Returns the same limits with another patience with unknown outcomes. */
+  public ClientOptions withUnknownPatience(Duration other) {
+    return new ClientOptions(
+        connectTimeout, addressTimeout, silenceTimeout, other, backoff, retryRatio);
   }
 }
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -48,6 +48,8 @@
   private int ids;
   private int connections;
   private int connectionsOfId;
+  private int unknowns;
+  private long patienceEndNanos;
   private boolean maybeSent;
   private @Nullable HttpStream stream;
   private @Nullable ResponseReader reader;
@@ -106,6 +108,7 @@
     id = found.nextId();
     ids++;
     connectionsOfId = 0;
+    unknowns = 0;
     maybeSent = false;
     reception = new Reception(listener);
     listener.onRequestId(id);
@@ -265,7 +268,7 @@
         notRun(verdict, status, head, problem);
       }
       case REDIRECTED -> redirect(problem);
-      case UNKNOWN -> unknown(status, problem.message());
+      case UNKNOWN -> undecided(status, problem.message());
       case FAILED ->
           result.completeExceptionally(new AnswerFailedException(id, status, problem.message()));
       default -> askAgain(head.retryAfterNanos());
@@ -321,6 +324,20 @@
     result.complete(new Answer(id, status, text, new Attempts(ids, connections)));
   }
 
+  /** Asks again for a while, under the same id, as a host that comes back may decide it. */
+  private void undecided(int status, String message) {
+    long now = loop.ticker().nanoTime();
+    if (unknowns == 0) {
+      patienceEndNanos = now + client.options().unknownPatience().toNanos();
+    }
+    unknowns++;
+    if (now - patienceEndNanos < 0) {
+      askAgain(0);
+      return;
+    }
+    unknown(status, message);
+  }
+
   private void unknown(int status, String message) {
     result.completeExceptionally(new OutcomeUnknownException(id, status, message));
   }
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
@@ -44,13 +44,18 @@
   @BeforeEach
   void start() {
     entry = new ScriptedEntry(group);
-    client =
-        SamphiredykeClient.builder()
-            .group(group)
-            .customerKey("key")
-            .seeds(List.of(entry.address()))
-            .options(ClientOptions.defaults().withSilenceTimeout(SILENCE))
-            .build();
+    client = client(Duration.ZERO);
+  }
+
+  private SamphiredykeClient client(Duration unknownPatience) {
+    ClientOptions options =
+        ClientOptions.defaults().withSilenceTimeout(SILENCE).withUnknownPatience(unknownPatience);
+    return SamphiredykeClient.builder()
+        .group(group)
+        .customerKey("key")
+        .seeds(List.of(entry.address()))
+        .options(options)
+        .build();
   }
 
   @AfterEach
@@ -155,6 +160,17 @@
     assertThat(entry.posts()).hasSize(1);
   }
 
+  @Test
+  void asksAgainForUnknownOutcomeUnderTheSameId() {
+    entry
+        .then(ScriptedEntry.problem(504, "unknown", Map.of()))
+        .then(ScriptedEntry.problem(504, "unknown", Map.of()))
+        .then(ScriptedEntry.events(1, 1, true, false));
+    client = client(Duration.ofSeconds(30));
+    assertThat(client.chat(CHAT, listener).join().requestId()).isEqualTo("ticket1.1");
+    assertThat(entry.posts()).extracting(ScriptedEntry.Post::id).containsOnly("ticket1.1");
+  }
+
   @Test
   void asksAgainWhileRequestRunsOrHostIsNotReady() {
     entry
