--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -38,7 +38,7 @@
 start() {
   local name=$1 heap=$2 program=$3
   shift 3
-  JAVA_OPTS="-Xmx$heap $JVM" "$HOME_DIR/bin/$program" "$@" > "$LOGS/$name.log" 2>&1 &
+  JAVA_OPTS="-Xmx$heap $JVM" "$HOME_DIR/bin/$program" "$@" >> "$LOGS/$name.log" 2>&1 &
   PIDS[$name]=$!
 }
 
--- a/failures.sh
+++ b/failures.sh
@@ -33,6 +33,9 @@
 signal() {
   note "kill -$2 $1"
   kill "-$2" "${PIDS[$1]}"
+  if [ "$2" = KILL ]; then
+    wait "${PIDS[$1]}" 2> /dev/null || true
+  fi
 }
 
 make_faults() {
