--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
@@ -3,6 +3,8 @@
 import io.samphiredyke.bench.capacity.CapacityCommand;
 import io.samphiredyke.bench.load.LoadCommand;
 import io.samphiredyke.bench.load.OverheadCommand;
+import io.samphiredyke.bench.membership.MembershipBench;
+import io.samphiredyke.bench.ownership.OwnershipComparison;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.function.ToIntFunction;
@@ -19,6 +21,8 @@
   private enum Command {
     CAPACITY(
         "measures costs and works out those of a host at the planned size", CapacityCommand::run),
+    MEMBERSHIP("simulates failure detection among many hosts", MembershipBench::run),
+    OWNERSHIP("compares ways to dispatch at most once", OwnershipComparison::run),
     LOAD("makes a load and checks what came of it", LoadCommand::run),
     OVERHEAD("compares calls through the system with direct ones", OverheadCommand::run);
 
