Scenarios of the other promises; a grant that failed the check at dispatch is given back

Cause: a service lost a data centre while registrations waited for an endpoint there. A grant refused by the check at dispatch kept its place at the broker, so the next one waited longer than 20 s (placement.feature, seen failing first). The check now releases it.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -344,6 +344,7 @@
     Optional<Endpoint> endpoint = servingEndpoint(name);
     Payload sent = payload;
     if (endpoint.isEmpty() || sent == null) {
+      release(Release.Outcome.UNUSED);
       handle(new OwnershipEvent.NotDispatched(attempt));
       return;
     }
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/ClusterSteps.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/ClusterSteps.java
@@ -17,21 +17,27 @@
   /** Starts hosts, each in a data centre of its own. */
   @Given("{int} hosts in {int} data centres")
   public void hosts(int hosts, int dataCentres) {
-    Map<String, String> dataCentreByHost = new TreeMap<>();
-    for (int i = 0; i < hosts; i++) {
-      dataCentreByHost.put("host" + (i + 1), "dc" + (i % dataCentres + 1));
-    }
-    Scenario.begin(new World(dataCentreByHost, Set.of()));
+    Scenario.begin(new World(layout(hosts, dataCentres), Set.of(), false));
   }
 
   /** Starts three hosts and limits the services to one data centre. */
   @Given("{int} hosts in {int} data centres and services limited to data centre {word}")
   public void hosts(int hosts, int dataCentres, String permitted) {
+    Scenario.begin(new World(layout(hosts, dataCentres), Set.of(permitted), false));
+  }
+
+  /** Starts hosts that callers and peers reach over relays. */
+  @Given("{int} hosts in {int} data centres behind links that can lose connections")
+  public void hostsBehindLinks(int hosts, int dataCentres) {
+    Scenario.begin(new World(layout(hosts, dataCentres), Set.of(), true));
+  }
+
+  private static Map<String, String> layout(int hosts, int dataCentres) {
     Map<String, String> dataCentreByHost = new TreeMap<>();
     for (int i = 0; i < hosts; i++) {
       dataCentreByHost.put("host" + (i + 1), "dc" + (i % dataCentres + 1));
     }
-    Scenario.begin(new World(dataCentreByHost, Set.of(permitted)));
+    return dataCentreByHost;
   }
 
   /** Stops the owner at once. */
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/EndpointSteps.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/EndpointSteps.java
@@ -18,7 +18,7 @@
 
   /** Places a relay before the plain service that delivers nothing. */
   @Given("the plain service is reached over a link that holds everything back")
-  public void heldLink() throws IOException {
+  public void heldLink() {
     World world = Scenario.current().world();
     relay = world.closeAtEnd(Relay.to(world.cluster().plain().address()));
     relay.holdNewConnections();
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/Outcome.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/Outcome.java
@@ -40,6 +40,13 @@
     assertThat(AnswerText.of(id, digest).check(text)).isEqualTo(AnswerText.Verdict.WHOLE);
   }
 
+  /** Checks that a text is the end of the request's answer. */
+  static void isEndOfText(String text, String id, String prompt, int tokens) {
+    String digest = Prompt.digestOf("user\n" + prompt + "\n");
+    assertThat(text).isNotEmpty();
+    assertThat(AnswerText.of(id, digest).whole(tokens)).endsWith(text);
+  }
+
   /** Checks that the answer of the plain service is the one to the request, its first effect. */
   static void isResult(HttpResponse answer, String id, String body) {
     assertThat(answer.status()).as(answer.text()).isEqualTo(200);
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/Relay.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/Relay.java
@@ -3,12 +3,17 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Passes bytes on between a listening port and a target, and can lose track of its connections.
@@ -18,10 +23,14 @@
 final class Relay implements AutoCloseable {
 
   private static final int BUFFER_BYTES = 8192;
+  private static final int MAX_DATAGRAM_BYTES = 65_507;
+  private static final int BACKLOG = 50;
+  private static final int MAX_TRIES = 20;
 
   private final ServerSocket server;
   private final InetSocketAddress target;
   private final List<Pair> pairs = new CopyOnWriteArrayList<>();
+  private @Nullable DatagramSocket datagrams;
   private volatile boolean holdsNew;
 
   private Relay(ServerSocket server, InetSocketAddress target) {
@@ -48,10 +57,48 @@
     }
   }
 
-  static Relay to(InetSocketAddress target) throws IOException {
-    Relay relay = new Relay(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), target);
-    start(relay::accept);
-    return relay;
+  static Relay to(InetSocketAddress target) {
+    try {
+      Relay relay = new Relay(new ServerSocket(0, BACKLOG, loopback()), target);
+      start(relay::accept);
+      return relay;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns a relay that also passes on the datagrams that come to its port. */
+  static Relay withDatagrams(InetSocketAddress target) {
+    for (int i = 0; i < MAX_TRIES; i++) {
+      Relay relay = to(target);
+      try {
+        DatagramSocket datagrams = new DatagramSocket(relay.address());
+        relay.datagrams = datagrams;
+        start(() -> relay.passDatagrams(datagrams));
+        return relay;
+      } catch (SocketException e) {
+        relay.close();
+      }
+    }
+    throw new IllegalStateException("no port is free for TCP and UDP");
+  }
+
+  private static InetAddress loopback() {
+    return InetAddress.getLoopbackAddress();
+  }
+
+  private void passDatagrams(DatagramSocket socket) {
+    byte[] buffer = new byte[MAX_DATAGRAM_BYTES];
+    InetSocketAddress to = new InetSocketAddress(target.getAddress(), target.getPort());
+    try {
+      while (!socket.isClosed()) {
+        DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+        socket.receive(packet);
+        socket.send(new DatagramPacket(buffer, packet.getLength(), to));
+      }
+    } catch (IOException e) {
+      socket.close();
+    }
   }
 
   InetSocketAddress address() {
@@ -130,8 +177,16 @@
   }
 
   @Override
-  public void close() throws IOException {
-    server.close();
+  public void close() {
+    try {
+      server.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    DatagramSocket socket = datagrams;
+    if (socket != null) {
+      socket.close();
+    }
     pairs.forEach(Pair::close);
   }
 }
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/World.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/promises/World.java
@@ -13,9 +13,12 @@
 import io.samphiredyke.daemon.testing.TestCluster;
 import io.samphiredyke.daemon.testing.TestConfiguration;
 import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.schema.settings.DaemonSettings;
 import io.samphiredyke.standins.engine.EngineOptions;
 import io.samphiredyke.standins.engine.EngineSettings;
 import io.samphiredyke.standins.plain.PlainSettings;
+import io.samphiredyke.standins.plain.PlainStandIn;
+import io.samphiredyke.standins.server.StandInRuntime;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -44,9 +47,12 @@
   private final List<AutoCloseable> opened = new ArrayList<>();
   private final Set<String> stopped = new HashSet<>();
   private final TicketCodec tickets;
+  private final List<Relay> callerLinks = new ArrayList<>();
+  private final List<Relay> peerLinks = new ArrayList<>();
+  private final List<PlainStandIn> runners = new ArrayList<>();
   private long records = 1;
 
-  World(Map<String, String> dataCentreByHost, Set<String> permitted) {
+  World(Map<String, String> dataCentreByHost, Set<String> permitted, boolean hasLinks) {
     dataCentres.putAll(dataCentreByHost);
     TestCluster.Builder builder =
         TestCluster.builder()
@@ -54,12 +60,65 @@
             .engine(engineSettings())
             .plain(new PlainSettings("runner1", TestCluster.HOME, CALL_TIME, 16));
     dataCentres.forEach(builder::host);
+    if (hasLinks) {
+      builder.settings(this::withLinks);
+    }
     cluster = builder.start();
     byte[] secret = new byte[KEY_BYTES];
     java.util.Arrays.fill(secret, KEY_BYTE);
     tickets = new TicketCodec(List.of(new TicketKey(1, secret)));
   }
 
+  /** Puts relays before a host's addresses. */
+  private DaemonSettings withLinks(DaemonSettings settings) {
+    Relay callers = closeAtEnd(Relay.to(settings.address()));
+    Relay peers = closeAtEnd(Relay.withDatagrams(settings.peerAddress()));
+    callerLinks.add(callers);
+    peerLinks.add(peers);
+    return settings.toBuilder()
+        .advertisedAddress(callers.address())
+        .advertisedPeerAddress(peers.address())
+        .build();
+  }
+
+  List<Relay> callerLinks() {
+    return callerLinks;
+  }
+
+  List<Relay> peerLinks() {
+    return peerLinks;
+  }
+
+  /** Returns the addresses that callers are told. */
+  List<String> advertised() {
+    if (!callerLinks.isEmpty()) {
+      return callerLinks.stream().map(link -> format(link.address())).toList();
+    }
+    return hosts().stream().map(host -> format(cluster.callerAddress(host))).toList();
+  }
+
+  void startHost(String host) {
+    cluster.startHost(host);
+    stopped.remove(host);
+  }
+
+  /** Starts a host that has been drained. */
+  void restart(String host) {
+    cluster.stopHost(host);
+    cluster.startHost(host);
+    cluster.awaitMembers(hosts().size());
+  }
+
+  PlainStandIn startRunner(String name) {
+    StandInRuntime runtime = StandInRuntime.system(cluster.group().next());
+    InetSocketAddress anyPort = new InetSocketAddress("127.0.0.1", 0);
+    PlainSettings settings = new PlainSettings(name, TestCluster.HOME, CALL_TIME, 16);
+    PlainStandIn runner = TestCluster.join(PlainStandIn.start(runtime, anyPort, settings));
+    runners.add(runner);
+    closeAtEnd(runner::stop);
+    return runner;
+  }
+
   static EngineSettings engineSettings() {
     return EngineSettings.builder()
         .name("engine1")
@@ -164,7 +223,11 @@
 
   /** Returns how many effects a request had at the plain service. */
   long effects(String id) {
-    return counts(cluster.plain().address()).path("requests").path(id).asLong();
+    long effects = counts(cluster.plain().address()).path("requests").path(id).asLong();
+    for (PlainStandIn runner : runners) {
+      effects += counts(runner.address()).path("requests").path(id).asLong();
+    }
+    return effects;
   }
 
   JsonNode counts(InetSocketAddress address) {
--- a/test.sh
+++ b/test.sh
@@ -3,3 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mvn -B -ntp verify
+echo "Known failing checks:"
+cat KNOWN-RED.txt
