--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -50,6 +50,7 @@
 import io.samphiredyke.net.http.HttpExchange;
 import io.samphiredyke.net.http.HttpServer;
 import io.samphiredyke.net.http.HttpServerOptions;
+import io.samphiredyke.net.peer.PeerCounters;
 import io.samphiredyke.net.peer.PeerIdentity;
 import io.samphiredyke.net.peer.PeerKey;
 import io.samphiredyke.net.peer.PeerKeys;
@@ -246,6 +247,7 @@
     stops.add(orders::stop);
     parts = new Parts(membership, witness, brokers, entry, callers, admin, orders);
     connect(new PeerRecords(loop, peers, membership, configuration));
+    countBytes(node.counters(), gossip);
     return null;
   }
 
@@ -270,6 +272,19 @@
         .isPresent();
   }
 
+  private void countBytes(PeerCounters links, GossipTransport gossip) {
+    String sent = "Payload bytes sent to other hosts as ";
+    String received = "Payload bytes received from other hosts as ";
+    metrics.counter("samphiredyke_gossip_sent_bytes_total", sent + "datagrams.", gossip::bytesSent);
+    metrics.counter(
+        "samphiredyke_gossip_received_bytes_total",
+        received + "datagrams.",
+        gossipCounters::bytesReceived);
+    metrics.counter("samphiredyke_links_sent_bytes_total", sent + "streams.", links::bytesSent);
+    metrics.counter(
+        "samphiredyke_links_received_bytes_total", received + "streams.", links::bytesReceived);
+  }
+
   private Member self() {
     return Member.builder()
         .name(host.name())
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/Metrics.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/admin/Metrics.java
@@ -1,8 +1,10 @@
 package io.samphiredyke.daemon.admin;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.LongSupplier;
 
 /**
  * The metrics of one process. Safe for use by several threads.
@@ -53,6 +55,21 @@
     return registry;
   }
 
+  /**
+   * Shows a counter that is kept elsewhere.
+   *
+   * @param name its name, which ends in {@code _total}
+   * @param help what it counts
+   * @param value reads it, from any thread
+   */
+  public void counter(String name, String help, LongSupplier value) {
+    CounterWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsLong()))
+        .register(registry);
+  }
+
   /** Records the time from arrival to dispatch, in nanoseconds. */
   public void waited(String tier, String customer, long nanos) {
     waiting.labelValues(tier, customer).observe(nanos / NANOS);
