Tickets are renewed when a host of their chain leaves; a rolling stop is green

Cause: a caller kept its ticket for its whole lifetime while the hosts of its chain were drained one after the other. Once both successors were gone the owner could neither dispatch nor prove that a new id had not run: 996 answers of unknown and 3 requests without an outcome in one run of shutdown.feature. Ruled out: closing such ids without a register, since a successor may have taken them before. Change: an answer under a ticket whose chain has a leaving or replaced member carries samphiredyke-renew-ticket, and the client drops such a ticket, as it does after an unknown outcome. samphiredykectl and the daemon now have the same default stream. Result: shutdown.feature passes (45 s, six hosts in turn under load); the placement scenario passes since the 421 carries addresses.

--- a/samphiredyke-cli/src/main/java/io/samphiredyke/cli/command/CommandLine.java
+++ b/samphiredyke-cli/src/main/java/io/samphiredyke/cli/command/CommandLine.java
@@ -165,7 +165,7 @@
     flag(command, "log", "the address of the log service, ip:port");
     Argument stream = flag(command, "stream", "the name of the configuration stream");
     if (!environment.containsKey(environmentName("stream"))) {
-      stream.setDefault("configuration");
+      stream.setDefault("samphiredyke-configuration");
     }
   }
 
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -183,6 +183,7 @@
   }
 
   private void event(SseEvent event, ResponseReader.Head head) {
+    renewTicket(head);
     Reception.Result taken = reception.accept(event);
     if (taken != Reception.Result.ACCEPTED) {
       refused(event, head, taken);
@@ -234,6 +235,13 @@
     later(this::connect, Math.max(pauseNanos(), leastPauseNanos));
   }
 
+  /** Lets the next request ask for a new ticket; this one goes on under the old. */
+  private void renewTicket(ResponseReader.Head head) {
+    if (lease != null && head.renewsTicket()) {
+      client.book().invalidate(call.service(), lease);
+    }
+  }
+
   private void forgetLease() {
     if (lease != null && route.isFirst()) {
       client.book().invalidate(call.service(), lease);
@@ -241,6 +249,7 @@
   }
 
   private void judge(ResponseReader.Head head, byte[] body) {
+    renewTicket(head);
     Problem problem = head.isProblem() ? Problem.parse(body) : Problem.NONE;
     Verdict verdict = Verdict.of(call.kind(), head.status(), problem.ran(), head.hasRetryAfter());
     if (verdict == Verdict.ANSWER) {
@@ -331,6 +340,9 @@
       patienceEndNanos = now + client.options().unknownPatience().toNanos();
     }
     unknowns++;
+    if (lease != null) {
+      client.book().invalidate(call.service(), lease);
+    }
     if (now - patienceEndNanos < 0) {
       askAgain(0);
       return;
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -138,6 +138,11 @@
       return headers.getOrDefault("content-type", "");
     }
 
+    /** Returns whether the ticket of the request names a host that is leaving or gone. */
+    boolean renewsTicket() {
+      return headers.containsKey("samphiredyke-renew-ticket");
+    }
+
     boolean hasRetryAfter() {
       return headers.containsKey("retry-after");
     }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CallerStream.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/answer/CallerStream.java
@@ -19,10 +19,14 @@
  */
 public final class CallerStream implements AnswerBuffer.Reader {
 
+  /** Header of an answer whose ticket names a host that is leaving or gone. */
+  private static final String RENEW_HEADER = "samphiredyke-renew-ticket";
+
   private final HttpExchange exchange;
   private final AnswerBuffer buffer;
   private final String requestId;
   private final boolean wantsStream;
+  private final boolean renewsTicket;
   private long delivered;
   private volatile long deliveredBytes;
   private @Nullable ResponseStream stream;
@@ -33,18 +37,21 @@
    *
    * @param afterPart the last part that the caller has
    * @param wantsStream whether the caller asked for server-sent events
+   * @param renewsTicket whether the caller should ask for a new ticket before its next request
    */
   public CallerStream(
       HttpExchange exchange,
       AnswerBuffer buffer,
       String requestId,
       long afterPart,
-      boolean wantsStream) {
+      boolean wantsStream,
+      boolean renewsTicket) {
     this.exchange = exchange;
     this.buffer = buffer;
     this.requestId = requestId;
     this.delivered = afterPart;
     this.wantsStream = wantsStream;
+    this.renewsTicket = renewsTicket;
     this.deliveredBytes = wantsStream ? buffer.bytesUpTo(afterPart) : Long.MAX_VALUE;
   }
 
@@ -155,6 +162,9 @@
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("content-type", contentType);
     headers.put("idempotency-key", requestId);
+    if (renewsTicket) {
+      headers.put(RENEW_HEADER, "1");
+    }
     return headers;
   }
 
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AddressBook.java
@@ -85,6 +85,20 @@
     return ticket(self(), customer, service);
   }
 
+  /** Returns whether every host of a ticket's chain still runs and stays. */
+  boolean isChainWhole(Ticket ticket) {
+    return ticket.chain().stream().allMatch(this::stays);
+  }
+
+  private boolean stays(ChainMember member) {
+    return context
+        .membership()
+        .find(member.address())
+        .filter(known -> known.incarnation().toString().equals(member.incarnation().toString()))
+        .filter(known -> known.state() == MemberState.ALIVE && !known.draining())
+        .isPresent();
+  }
+
   private Member self() {
     return context
         .membership()
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
@@ -265,12 +265,19 @@
     long after = lastEventId(exchange);
     boolean wantsStream =
         payload == null ? exchange.path().endsWith(STREAM_SUFFIX) : payload.wantsStream();
+    boolean renewsTicket = !addresses.isChainWhole(request.ticket());
     Optional<CallerStream> caller =
         entry.submit(
             request,
             payload,
             session ->
-                new CallerStream(exchange, session.buffer(), request.idText(), after, wantsStream));
+                new CallerStream(
+                    exchange,
+                    session.buffer(),
+                    request.idText(),
+                    after,
+                    wantsStream,
+                    renewsTicket));
     if (caller.isEmpty()) {
       EntryService.tableFull(ranOf(exchange)).send(exchange);
       return;
--- a/samphiredyke-daemon/src/test/resources/io/samphiredyke/daemon/placement.feature
+++ b/samphiredyke-daemon/src/test/resources/io/samphiredyke/daemon/placement.feature
@@ -1,6 +1,5 @@
 Feature: A payload stays in the data centres that its service permits
 
-  @known-red
   Scenario: A host elsewhere refuses a request by its head and names the right hosts
     Given 3 hosts in 3 data centres and services limited to data centre dc1
     And a caller has a ticket for a chat request
--- a/samphiredyke-daemon/src/test/resources/io/samphiredyke/daemon/shutdown.feature
+++ b/samphiredyke-daemon/src/test/resources/io/samphiredyke/daemon/shutdown.feature
@@ -1,6 +1,5 @@
 Feature: A planned stop cuts off no request in flight
 
-  @known-red
   Scenario: Six hosts are stopped one after the other under load
     Given 6 hosts in 3 data centres
     And clients that send chat requests and registrations all the time
