--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
@@ -1,6 +1,8 @@
 package io.samphiredyke.bench;
 
 import io.samphiredyke.bench.capacity.CapacityCommand;
+import io.samphiredyke.bench.decisions.DecisionBench;
+import io.samphiredyke.bench.jmh.DecisionJmh;
 import io.samphiredyke.bench.load.LoadCommand;
 import io.samphiredyke.bench.load.OverheadCommand;
 import io.samphiredyke.bench.membership.MembershipBench;
@@ -21,6 +23,8 @@
   private enum Command {
     CAPACITY(
         "measures costs and works out those of a host at the planned size", CapacityCommand::run),
+    DECISIONS("measures the decisions under load against baselines", DecisionBench::run),
+    JMH("measures the time that one decision takes", DecisionJmh::run),
     MEMBERSHIP("simulates failure detection among many hosts", MembershipBench::run),
     OWNERSHIP("compares ways to dispatch at most once", OwnershipComparison::run),
     LOAD("makes a load and checks what came of it", LoadCommand::run),
