Checks of a request's head in a class of their own

Change: HeadChecks holds key, ticket, service and place; CallerApi routes and delivers. No behaviour changes.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/CallerApi.java
@@ -2,24 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
-import io.samphiredyke.core.config.Configuration;
 import io.samphiredyke.core.config.Customer;
 import io.samphiredyke.core.config.Service;
 import io.samphiredyke.core.config.ServiceKind;
-import io.samphiredyke.core.ownership.Incarnation;
 import io.samphiredyke.core.ownership.RequestId;
 import io.samphiredyke.core.ownership.Ticket;
-import io.samphiredyke.core.ownership.TicketException;
 import io.samphiredyke.daemon.answer.CallerStream;
 import io.samphiredyke.daemon.answer.Problem;
 import io.samphiredyke.daemon.answer.Problem.Ran;
 import io.samphiredyke.net.http.HttpException;
 import io.samphiredyke.net.http.HttpExchange;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -34,7 +26,6 @@
 public final class CallerApi {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final String SERVICE_HEADER = "samphiredyke-service";
   private static final String ID_HEADER = "idempotency-key";
   private static final String CHAT_PATH = "/v1/chat/completions";
   private static final String SERVICES_PATH = "/v1/services/";
@@ -44,6 +35,7 @@
   private final EntryContext context;
   private final EntryService entry;
   private final AddressBook addresses;
+  private final HeadChecks checks;
   private final BooleanSupplier isReady;
 
   /**
@@ -56,6 +48,7 @@
     this.context = context;
     this.entry = entry;
     this.addresses = new AddressBook(context, random);
+    this.checks = new HeadChecks(context);
     this.isReady = isReady;
   }
 
@@ -135,12 +128,12 @@
   }
 
   private void sendAddresses(HttpExchange exchange) {
-    Customer customer = customer(exchange);
+    Customer customer = checks.customer(exchange);
     String name = exchange.query().get("service");
     if (name == null) {
       throw new HttpException(400, "the parameter service is missing");
     }
-    Service service = openService(customer, name);
+    Service service = checks.openService(customer, name);
     context
         .loop()
         .execute(
@@ -155,13 +148,13 @@
   }
 
   private void chat(HttpExchange exchange) {
-    Customer customer = customer(exchange);
-    Optional<RequestTicket> ticket = ticket(exchange, customer);
-    Service known = knownService(exchange, customer, ticket);
+    Customer customer = checks.customer(exchange);
+    Optional<RequestTicket> ticket = checks.ticket(exchange, customer);
+    Service known = checks.knownService(exchange, customer, ticket);
     if (known == null) {
-      requireAllPermitted(customer);
+      checks.requireAllPermitted(customer);
     } else {
-      requirePermitted(known, ticket);
+      checks.requirePermitted(known, ticket);
     }
     if (refusedForMemory(exchange)) {
       return;
@@ -181,7 +174,7 @@
       @Nullable Service known,
       byte[] body) {
     JsonNode chat = Payload.parse(body);
-    Service service = known == null ? serviceOfModel(customer, chat) : known;
+    Service service = known == null ? checks.serviceOfModel(customer, chat) : known;
     if (service.kind() != ServiceKind.MODEL) {
       throw new HttpException(400, service.name() + " is not a service of a model");
     }
@@ -189,18 +182,18 @@
   }
 
   private void callService(HttpExchange exchange) {
-    Customer customer = customer(exchange);
+    Customer customer = checks.customer(exchange);
     String rest = exchange.path().substring(SERVICES_PATH.length());
     int slash = rest.indexOf('/');
     String name = slash < 0 ? rest : rest.substring(0, slash);
     String path = slash < 0 ? "/" : rest.substring(slash);
-    Service service = openService(customer, name);
+    Service service = checks.openService(customer, name);
     if (service.kind() != ServiceKind.PLAIN) {
       throw new HttpException(400, name + " is not a plain service");
     }
-    Optional<RequestTicket> ticket = ticket(exchange, customer);
-    requireService(ticket, service);
-    requirePermitted(service, ticket);
+    Optional<RequestTicket> ticket = checks.ticket(exchange, customer);
+    HeadChecks.requireService(ticket, service);
+    checks.requirePermitted(service, ticket);
     if (refusedForMemory(exchange)) {
       return;
     }
@@ -215,13 +208,13 @@
   }
 
   private void showRequest(HttpExchange exchange) {
-    Customer customer = customer(exchange);
+    Customer customer = checks.customer(exchange);
     String rest = exchange.path().substring(REQUESTS_PATH.length());
     boolean wantsStream = rest.endsWith(STREAM_SUFFIX);
     String text = wantsStream ? rest.substring(0, rest.length() - STREAM_SUFFIX.length()) : rest;
-    RequestTicket ticket = ticket(text, customer);
-    Service service = openService(customer, ticket.ticket().service());
-    requirePermitted(service, Optional.of(ticket));
+    RequestTicket ticket = checks.ticket(text, customer);
+    Service service = checks.openService(customer, ticket.ticket().service());
+    checks.requirePermitted(service, Optional.of(ticket));
     submit(exchange, customer, service, Optional.of(ticket), null);
   }
 
@@ -238,8 +231,6 @@
     }
   }
 
-  private record RequestTicket(RequestId id, Ticket ticket) {}
-
   private void submit(
       HttpExchange exchange,
       Customer customer,
@@ -304,125 +295,4 @@
     RequestId id = new RequestId(context.tickets().encode(ticket), 0);
     return new RequestTicket(id, ticket);
   }
-
-  private Customer customer(HttpExchange exchange) {
-    String header = exchange.header("authorization");
-    if (header == null || !header.startsWith("Bearer ")) {
-      throw new HttpException(401, "the header Authorization with a bearer key is missing");
-    }
-    String key = header.substring("Bearer ".length()).trim();
-    return context
-        .configuration()
-        .get()
-        .customerByKeyDigest(digest(key))
-        .orElseThrow(() -> new HttpException(401, "the key is not known"));
-  }
-
-  private static String digest(String key) {
-    try {
-      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-      return HexFormat.of().formatHex(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
-  }
-
-  private Service openService(Customer customer, String name) {
-    return context
-        .configuration()
-        .get()
-        .service(name)
-        .filter(service -> service.isOpenTo(customer.name()))
-        .orElseThrow(() -> new HttpException(404, "no service " + name + " for this customer"));
-  }
-
-  private Optional<RequestTicket> ticket(HttpExchange exchange, Customer customer) {
-    String text = exchange.header(ID_HEADER);
-    return text == null ? Optional.empty() : Optional.of(ticket(text, customer));
-  }
-
-  private RequestTicket ticket(String text, Customer customer) {
-    RequestId id =
-        RequestId.parse(text)
-            .orElseThrow(() -> new HttpException(400, "the request id is not ticket.sequence"));
-    Ticket ticket;
-    try {
-      ticket = context.tickets().decode(id.token(), context.loop().epochMillis());
-    } catch (TicketException e) {
-      boolean isExpired = e.reason() == TicketException.Reason.EXPIRED;
-      throw new HttpException(isExpired ? 410 : 400, "the ticket of the id is " + e.reason());
-    }
-    if (!ticket.customer().equals(customer.name())) {
-      throw new HttpException(404, "no such request");
-    }
-    return new RequestTicket(id, ticket);
-  }
-
-  private @Nullable Service knownService(
-      HttpExchange exchange, Customer customer, Optional<RequestTicket> ticket) {
-    if (ticket.isPresent()) {
-      return openService(customer, ticket.get().ticket().service());
-    }
-    String name = exchange.header(SERVICE_HEADER);
-    return name == null ? null : openService(customer, name);
-  }
-
-  private Service serviceOfModel(Customer customer, JsonNode chat) {
-    String name = chat.path("model").asText();
-    Configuration configuration = context.configuration().get();
-    Optional<Service> byName =
-        configuration.service(name).filter(service -> service.isOpenTo(customer.name()));
-    if (byName.isPresent()) {
-      return byName.get();
-    }
-    List<Service> byModel =
-        openModelServices(customer).stream()
-            .filter(service -> name.equals(service.model()))
-            .toList();
-    if (byModel.size() == 1) {
-      return byModel.get(0);
-    }
-    throw new HttpException(
-        400, "name the service as the model or in the header " + SERVICE_HEADER);
-  }
-
-  private List<Service> openModelServices(Customer customer) {
-    return context.configuration().get().services().stream()
-        .filter(service -> service.kind() == ServiceKind.MODEL)
-        .filter(service -> service.isOpenTo(customer.name()))
-        .toList();
-  }
-
-  /** A body whose service is not yet known may be read only where all services may run. */
-  private void requireAllPermitted(Customer customer) {
-    List<Service> open = openModelServices(customer);
-    if (!open.stream().allMatch(this::isPermittedHere)) {
-      throw new MisdirectedException(
-          "not every service may run here: name it in the header " + SERVICE_HEADER, open, null);
-    }
-  }
-
-  private boolean isPermittedHere(Service service) {
-    return service.dataCentres().contains(context.host().dataCentre());
-  }
-
-  private static void requireService(Optional<RequestTicket> ticket, Service service) {
-    boolean isOther = ticket.isPresent() && !ticket.get().ticket().service().equals(service.name());
-    if (isOther) {
-      throw new HttpException(400, "the ticket of the id is for another service");
-    }
-  }
-
-  private void requirePermitted(Service service, Optional<RequestTicket> ticket) {
-    Incarnation self = context.host().incarnation();
-    boolean isMember =
-        ticket.isEmpty() || ticket.get().ticket().placeOf(self) != Ticket.NOT_A_MEMBER;
-    if (isPermittedHere(service) && isMember) {
-      return;
-    }
-    throw new MisdirectedException(
-        "this host does not take the request",
-        List.of(service),
-        ticket.map(RequestTicket::ticket).orElse(null));
-  }
 }
