--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -0,0 +1,201 @@
+package io.samphiredyke.core.pool;
+
+import io.samphiredyke.core.serving.EndpointRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** What runs at one endpoint, how fast it is, and whether it may get more. */
+final class EndpointLoad {
+
+  /** A request that holds a place. */
+  static final class Running {
+    final Claim claim;
+    final long grantedAt;
+    final double prefillMillis;
+    final double firstEventMillis;
+    final double totalMillis;
+    boolean started;
+
+    Running(Claim claim, long grantedAt, double prefill, double firstEvent, double total) {
+      this.claim = claim;
+      this.grantedAt = grantedAt;
+      this.prefillMillis = prefill;
+      this.firstEventMillis = firstEvent;
+      this.totalMillis = total;
+    }
+  }
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** Weight of a new observation of an endpoint's speed; about the last five requests count. */
+  private static final double LEARNING_RATE = 0.2;
+
+  /** Bounds of one observation, so that a single stalled request does not condemn an endpoint. */
+  private static final double MIN_SLOWNESS = 0.2;
+
+  private static final double MAX_SLOWNESS = 8;
+
+  /** Failures in a row after which an endpoint is tried with single requests only. */
+  private static final int FAILURES_TO_SUSPECT = 2;
+
+  /** First and longest pause of a suspected endpoint, milliseconds; doubled at each failure. */
+  private static final long MIN_PAUSE_MILLIS = 250;
+
+  private static final long MAX_PAUSE_MILLIS = 2_000;
+
+  private EndpointRecord endpoint;
+  private final boolean isEngine;
+  private final PrefixCache cache;
+  private final Map<Long, Running> running = new HashMap<>();
+  private double slowness = 1;
+  private int failures;
+  private long pausedUntil = Long.MIN_VALUE;
+  private int grantLimit = Integer.MAX_VALUE;
+
+  EndpointLoad(EndpointRecord endpoint, boolean isEngine, long cacheTokens) {
+    this.endpoint = endpoint;
+    this.isEngine = isEngine;
+    this.cache = new PrefixCache(cacheTokens);
+  }
+
+  void update(EndpointRecord newer) {
+    endpoint = newer;
+  }
+
+  EndpointRecord endpoint() {
+    return endpoint;
+  }
+
+  int runningCount() {
+    return running.size();
+  }
+
+  int freePlaces(long now) {
+    if (now < pausedUntil) {
+      return 0;
+    }
+    int limit = failures >= FAILURES_TO_SUSPECT ? 1 : Math.min(endpoint.slots(), grantLimit);
+    return Math.max(0, limit - running.size());
+  }
+
+  /** Returns whether the endpoint is healthy enough to count as capacity. */
+  boolean isUsable(long now) {
+    return now >= pausedUntil;
+  }
+
+  double slowness() {
+    return slowness;
+  }
+
+  /** Expected time to the first event or the answer if the claim were granted now. */
+  double firstEventMillis(Claim claim) {
+    if (!claim.work().isGeneration()) {
+      return plainMillis() * (1 + (double) running.size() / (4 * endpoint.slots()));
+    }
+    double waiting = 0;
+    for (Running other : running.values()) {
+      waiting += other.started ? 0 : other.prefillMillis;
+    }
+    return slowness * (PlacementModel.firstEventMillis() + waiting + prefillMillis(claim.work()));
+  }
+
+  double totalMillis(Claim claim) {
+    if (!claim.work().isGeneration()) {
+      return plainMillis();
+    }
+    double decode = PlacementModel.decodeMillis(claim.work().outputTokens(), running.size() + 1);
+    return firstEventMillis(claim) + slowness * decode;
+  }
+
+  private double plainMillis() {
+    return slowness * PlacementModel.PLAIN_MILLIS;
+  }
+
+  private double prefillMillis(Work work) {
+    int uncached = Math.max(1, work.promptTokens() - cache.cachedTokens(work.parts()));
+    return PlacementModel.prefillMillis(uncached, work.promptTokens());
+  }
+
+  void grant(Claim claim, long now) {
+    double prefill = claim.work().isGeneration() ? prefillMillis(claim.work()) : 0;
+    Running entry = new Running(claim, now, prefill, firstEventMillis(claim), totalMillis(claim));
+    running.put(claim.id(), entry);
+    if (isEngine) {
+      cache.add(claim.work().parts());
+    }
+  }
+
+  /** Notes the first event of a stream. */
+  void started(long claimId, double observedMillis) {
+    Running entry = running.get(claimId);
+    if (entry == null || entry.started) {
+      return;
+    }
+    entry.started = true;
+    learn(observedMillis, entry.firstEventMillis);
+  }
+
+  /** Frees the place of a claim. */
+  @Nullable Running release(long claimId, Outcome outcome, double observedMillis, long now) {
+    Running entry = running.remove(claimId);
+    switch (outcome) {
+      case SERVED -> {
+        failures = 0;
+        grantLimit = Integer.MAX_VALUE;
+        if (entry != null && !entry.claim.work().isGeneration()) {
+          learn(observedMillis, entry.firstEventMillis);
+        }
+      }
+      case FAILED -> fail(now);
+      case FULL -> grantLimit = Math.max(1, running.size());
+      default -> {}
+    }
+    return entry;
+  }
+
+  private void fail(long now) {
+    failures++;
+    if (failures >= FAILURES_TO_SUSPECT) {
+      int doublings = Math.min(failures - FAILURES_TO_SUSPECT, 4);
+      long pause = Math.min(MAX_PAUSE_MILLIS, MIN_PAUSE_MILLIS << doublings);
+      pausedUntil = now + (long) (pause * NANOS_PER_MILLI);
+    }
+  }
+
+  private void learn(double observed, double expected) {
+    double sample = observed * slowness / Math.max(1, expected);
+    double bounded = Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, sample));
+    slowness += LEARNING_RATE * (bounded - slowness);
+  }
+
+  /** Adds the times at which places become free, nanoseconds. */
+  void addFreeTimes(long now, List<Long> times) {
+    for (Running entry : running.values()) {
+      long end = entry.grantedAt + (long) (entry.totalMillis * NANOS_PER_MILLI);
+      times.add(Math.max(now, end));
+    }
+    for (int i = 0; i < freePlaces(now); i++) {
+      times.add(now);
+    }
+  }
+
+  /** Returns the claims of an owner that are not among those it still holds. */
+  List<Long> forgotten(String owner, Set<Long> held, long grantedBefore) {
+    List<Long> forgotten = new ArrayList<>();
+    for (Running entry : running.values()) {
+      boolean isOwners = entry.claim.owner().equals(owner);
+      if (isOwners && entry.grantedAt < grantedBefore && !held.contains(entry.claim.id())) {
+        forgotten.add(entry.claim.id());
+      }
+    }
+    return forgotten;
+  }
+
+  boolean holds(long claimId) {
+    return running.containsKey(claimId);
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/Outcome.java
@@ -0,0 +1,13 @@
+package io.samphiredyke.core.pool;
+
+/** How a request left its place. */
+public enum Outcome {
+  /** The endpoint answered. */
+  SERVED,
+  /** The endpoint failed, broke off or could not be reached. */
+  FAILED,
+  /** The endpoint refused it because it was full. */
+  FULL,
+  /** The host gave it up for reasons of its own. */
+  WITHDRAWN
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -0,0 +1,218 @@
+package io.samphiredyke.core.pool;
+
+import io.samphiredyke.core.serving.CustomerSpec;
+import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.serving.ServiceSpec;
+import io.samphiredyke.core.serving.ServingConfiguration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which waiting request gets which place at which endpoint, and which one is turned away.
+ *
+ * <p>A state machine without I/O and threads. Each host runs one; in a group one host's schedules
+ * for all, so that importance and places are seen as a whole. Its state is soft: owners report what
+ * they hold, and a scheduler that starts anew learns it from them.
+ */
+public final class PoolScheduler {
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final PoolOptions options;
+  private final PoolListener listener;
+  private final PoolListener poolListener;
+  private final RandomGenerator random;
+  private final Map<String, ServicePool> pools = new HashMap<>();
+  private final Map<String, TokenQuota> quotas = new HashMap<>();
+  private @Nullable ServingConfiguration configuration;
+
+  /** Creates a scheduler that knows no endpoint. */
+  public PoolScheduler(PoolOptions options, PoolListener listener, RandomGenerator random) {
+    this.options = options;
+    this.listener = listener;
+    this.random = random;
+    this.poolListener =
+        new PoolListener() {
+          @Override
+          public void granted(Claim claim, String endpointId) {
+            listener.granted(claim, endpointId);
+          }
+
+          @Override
+          public void refused(Claim claim, Refusal refusal) {
+            giveBack(claim);
+            listener.refused(claim, refusal);
+          }
+        };
+  }
+
+  /** Takes the configuration in force. */
+  public void configure(ServingConfiguration newer, long now) {
+    configuration = newer;
+    quotas.forEach(
+        (name, quota) -> {
+          CustomerSpec customer = newer.customer(name);
+          if (customer != null) {
+            quota.update(customer, now);
+          }
+        });
+    pools.forEach((name, pool) -> configurePool(name, pool));
+  }
+
+  private void configurePool(String service, ServicePool pool) {
+    ServingConfiguration current = configuration;
+    ServiceSpec spec = current == null ? null : current.service(service);
+    if (spec != null) {
+      pool.configure(spec);
+    }
+  }
+
+  /** Takes an endpoint that may get requests. */
+  public void put(EndpointRecord endpoint, long now) {
+    ServicePool pool = pool(endpoint.service());
+    pool.put(endpoint);
+    pool.dispatch(now);
+  }
+
+  /** Drops an endpoint; what runs there is no longer counted. */
+  public void remove(EndpointRecord endpoint) {
+    pool(endpoint.service()).remove(endpoint.id());
+  }
+
+  /** Takes a claim; the listener learns the decision, now or later. */
+  public void claim(Claim claim, long now) {
+    if (!claim.isRepeat() && !takeQuota(claim, now)) {
+      return;
+    }
+    pool(claim.service()).claim(claim, now);
+  }
+
+  private boolean takeQuota(Claim claim, long now) {
+    TokenQuota quota = quota(claim.customer(), now);
+    if (quota == null || quota.take(claim.quotaUnits(), now)) {
+      return true;
+    }
+    listener.refused(claim, new Refusal(Refusal.Reason.OVER_QUOTA, quota.millisUntilPositive()));
+    return false;
+  }
+
+  private void giveBack(Claim claim) {
+    TokenQuota quota = quotas.get(claim.customer());
+    if (quota != null && !claim.isRepeat()) {
+      quota.giveBack(claim.quotaUnits());
+    }
+  }
+
+  private @Nullable TokenQuota quota(String name, long now) {
+    ServingConfiguration current = configuration;
+    CustomerSpec customer = current == null ? null : current.customer(name);
+    if (customer == null) {
+      return null;
+    }
+    return quotas.computeIfAbsent(name, key -> new TokenQuota(customer, now));
+  }
+
+  /** Returns whether a claim waits here. */
+  public boolean isWaiting(String service, long claimId) {
+    return pool(service).isWaiting(claimId);
+  }
+
+  /** Returns whether any claim waits here. */
+  public boolean hasWaiting() {
+    for (ServicePool pool : pools.values()) {
+      if (pool.waitingCount() > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the endpoint at which a claim holds a place, or null. */
+  public @Nullable String endpointOf(String service, long claimId) {
+    for (EndpointLoad endpoint : pool(service).endpoints()) {
+      if (endpoint.holds(claimId)) {
+        return endpoint.endpoint().id();
+      }
+    }
+    return null;
+  }
+
+  /** Forgets a claim that waits. */
+  public void withdraw(String service, long claimId) {
+    pool(service).withdraw(claimId);
+  }
+
+  /** Notes the first event of a stream. */
+  public void started(String service, String endpointId, long claimId, double observedMillis) {
+    EndpointLoad endpoint = pool(service).endpoint(endpointId);
+    if (endpoint != null) {
+      endpoint.started(claimId, observedMillis);
+    }
+  }
+
+  /**
+   * Frees the place of a claim.
+   *
+   * @param service its service, empty if the owner does not know the claim any more
+   */
+  public void release(
+      String service,
+      String endpointId,
+      long claimId,
+      Outcome outcome,
+      double observedMillis,
+      long now) {
+    ServicePool pool = service.isEmpty() ? poolOf(endpointId) : pool(service);
+    if (pool == null) {
+      return;
+    }
+    EndpointLoad endpoint = pool.endpoint(endpointId);
+    if (endpoint != null) {
+      endpoint.release(claimId, outcome, observedMillis, now);
+    }
+    pool.dispatch(now);
+  }
+
+  /** Compares what an owner holds with what it was granted. */
+  public void reconcile(String owner, Set<Long> held, long now) {
+    long grantedBefore = now - options.reportGraceMillis() * NANOS_PER_MILLI;
+    pools.values().forEach(pool -> pool.reconcile(owner, held, grantedBefore, now));
+  }
+
+  /** Takes the steps that are due: places after a pause, refusals of what waits in vain. */
+  public void tick(long now) {
+    for (ServicePool pool : pools.values()) {
+      pool.dispatch(now);
+      pool.refuseHopeless(now);
+    }
+  }
+
+  /** Returns how many claims wait for a service. */
+  public int waitingCount(String service) {
+    return pool(service).waitingCount();
+  }
+
+  private @Nullable ServicePool poolOf(String endpointId) {
+    for (ServicePool pool : pools.values()) {
+      if (pool.endpoint(endpointId) != null) {
+        return pool;
+      }
+    }
+    return null;
+  }
+
+  private ServicePool pool(String service) {
+    ServicePool known = pools.get(service);
+    if (known != null) {
+      return known;
+    }
+    RepeatBudget budget = new RepeatBudget(options.repeatRatio(), options.repeatReserve());
+    ServicePool pool = new ServicePool(poolListener, random, budget);
+    pools.put(service, pool);
+    configurePool(service, pool);
+    return pool;
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -0,0 +1,226 @@
+package io.samphiredyke.core.pool;
+
+import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.serving.ServiceSpec;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/** The endpoints of one service and the claims that wait for them. */
+final class ServicePool {
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** Memory assumed for the prefix cache where an engine states none, tokens. */
+  private static final long DEFAULT_CACHE_TOKENS = 400_000;
+
+  /** Shortest and longest time after which a refused caller is asked to return, milliseconds. */
+  private static final long MIN_RETRY_MILLIS = 50;
+
+  private static final long MAX_RETRY_MILLIS = 5_000;
+
+  private final PoolListener listener;
+  private final RandomGenerator random;
+  private final RepeatBudget budget;
+  private final Map<String, EndpointLoad> endpoints = new HashMap<>();
+  private final List<Claim> waiting = new ArrayList<>();
+  private boolean isEngine;
+  private long cacheTokens = DEFAULT_CACHE_TOKENS;
+
+  ServicePool(PoolListener listener, RandomGenerator random, RepeatBudget budget) {
+    this.listener = listener;
+    this.random = random;
+    this.budget = budget;
+  }
+
+  void configure(ServiceSpec spec) {
+    isEngine = spec.isEngine();
+    cacheTokens = spec.kvCapacityTokens() > 0 ? spec.kvCapacityTokens() : DEFAULT_CACHE_TOKENS;
+  }
+
+  void put(EndpointRecord endpoint) {
+    EndpointLoad known = endpoints.get(endpoint.id());
+    if (known != null) {
+      known.update(endpoint);
+      return;
+    }
+    endpoints.put(endpoint.id(), new EndpointLoad(endpoint, isEngine, cacheTokens));
+  }
+
+  void remove(String endpointId) {
+    endpoints.remove(endpointId);
+  }
+
+  @Nullable EndpointLoad endpoint(String id) {
+    return endpoints.get(id);
+  }
+
+  Iterable<EndpointLoad> endpoints() {
+    return endpoints.values();
+  }
+
+  int waitingCount() {
+    return waiting.size();
+  }
+
+  /** Takes a claim: grants, queues or refuses it at once. */
+  void claim(Claim claim, long now) {
+    if (claim.isRepeat()) {
+      if (!budget.takeRepeat()) {
+        refuse(claim, Refusal.Reason.NO_RETRY_BUDGET, now);
+        return;
+      }
+    } else {
+      budget.first();
+    }
+    if (endpoints.isEmpty()) {
+      refuse(claim, Refusal.Reason.NO_ENDPOINT, now);
+      return;
+    }
+    waiting.add(claim);
+    dispatch(now);
+    if (waiting.contains(claim)) {
+      refuseHopeless(now);
+    }
+  }
+
+  /** Forgets a waiting claim. */
+  boolean withdraw(long claimId) {
+    return waiting.removeIf(claim -> claim.id() == claimId);
+  }
+
+  boolean isWaiting(long claimId) {
+    return waiting.stream().anyMatch(claim -> claim.id() == claimId);
+  }
+
+  /** Grants free places to the claims that wait, best first. */
+  void dispatch(long now) {
+    while (!waiting.isEmpty() && hasFreePlace(now)) {
+      Claim best = null;
+      EndpointLoad place = null;
+      for (Claim claim : inOrder(now)) {
+        EndpointLoad candidate = bestPlace(claim, now);
+        if (candidate != null) {
+          best = claim;
+          place = candidate;
+          break;
+        }
+      }
+      if (best == null || place == null) {
+        return;
+      }
+      waiting.remove(best);
+      place.grant(best, now);
+      listener.granted(best, place.endpoint().id());
+    }
+  }
+
+  private boolean hasFreePlace(long now) {
+    for (EndpointLoad endpoint : endpoints.values()) {
+      if (endpoint.freePlaces(now) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private List<Claim> inOrder(long now) {
+    if (waiting.size() == 1) {
+      return waiting;
+    }
+    List<Claim> ordered = new ArrayList<>(waiting);
+    ordered.sort(new ClaimOrder(now));
+    return ordered;
+  }
+
+  private @Nullable EndpointLoad bestPlace(Claim claim, long now) {
+    EndpointLoad best = null;
+    double bestMillis = Double.MAX_VALUE;
+    for (EndpointLoad endpoint : endpoints.values()) {
+      if (endpoint.freePlaces(now) == 0 || claim.excluded().contains(endpoint.endpoint().id())) {
+        continue;
+      }
+      double millis = endpoint.totalMillis(claim) + random.nextDouble();
+      if (millis < bestMillis) {
+        bestMillis = millis;
+        best = endpoint;
+      }
+    }
+    return best;
+  }
+
+  /** Refuses the claims that are not expected to start while that still serves their callers. */
+  void refuseHopeless(long now) {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<Long> free = new ArrayList<>();
+    for (EndpointLoad endpoint : endpoints.values()) {
+      endpoint.addFreeTimes(now, free);
+    }
+    Collections.sort(free);
+    double meanMillis = meanTotalMillis();
+    int position = 0;
+    for (Claim claim : List.copyOf(inOrder(now))) {
+      long startsAt = startOf(position, free, meanMillis, now);
+      if (startsAt <= claim.patienceUntil() && !free.isEmpty()) {
+        position++;
+        continue;
+      }
+      if (waiting.remove(claim)) {
+        refuseUntil(claim, startsAt, now);
+      }
+    }
+  }
+
+  private static long startOf(int position, List<Long> free, double meanMillis, long now) {
+    if (free.isEmpty()) {
+      return now + (long) (MAX_RETRY_MILLIS * NANOS_PER_MILLI);
+    }
+    int turns = position / free.size();
+    long first = free.get(position % free.size());
+    return first + (long) (turns * meanMillis * NANOS_PER_MILLI);
+  }
+
+  private double meanTotalMillis() {
+    double sum = 0;
+    for (Claim claim : waiting) {
+      double fastest = Double.MAX_VALUE;
+      for (EndpointLoad endpoint : endpoints.values()) {
+        fastest = Math.min(fastest, endpoint.totalMillis(claim));
+      }
+      sum += fastest;
+    }
+    return waiting.isEmpty() ? 0 : sum / waiting.size();
+  }
+
+  private void refuse(Claim claim, Refusal.Reason reason, long now) {
+    refuseAt(claim, reason, now + (long) (500 * NANOS_PER_MILLI), now);
+  }
+
+  private void refuseUntil(Claim claim, long startsAt, long now) {
+    refuseAt(claim, Refusal.Reason.OVERLOADED, startsAt, now);
+  }
+
+  private void refuseAt(Claim claim, Refusal.Reason reason, long startsAt, long now) {
+    double spread = 0.8 + 0.4 * random.nextDouble();
+    long millis = (long) ((startsAt - now) / NANOS_PER_MILLI * spread);
+    long bounded = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, millis));
+    listener.refused(claim, new Refusal(reason, bounded));
+  }
+
+  /** Compares an owner's report with what it was granted, and frees what it no longer holds. */
+  void reconcile(String owner, Set<Long> held, long grantedBefore, long now) {
+    for (EndpointLoad endpoint : endpoints.values()) {
+      for (long id : endpoint.forgotten(owner, held, grantedBefore)) {
+        endpoint.release(id, Outcome.WITHDRAWN, 0, now);
+      }
+    }
+    dispatch(now);
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
@@ -0,0 +1,23 @@
+package io.samphiredyke.core.serving;
+
+/**
+ * What an endpoint says of itself.
+ *
+ * @param id instance id, new at most starts
+ * @param service service that it serves
+ * @param address {@code ip:port}
+ * @param dataCentre where it runs
+ * @param slots requests that it runs at once, at least 1
+ * @param isDraining whether it takes no new work
+ * @param coldLeftMillis how much longer it is slow after its start
+ * @param bornMillis time of its start, milliseconds since the epoch; 0 if not stated
+ */
+public record EndpointRecord(
+    String id,
+    String service,
+    String address,
+    String dataCentre,
+    int slots,
+    boolean isDraining,
+    long coldLeftMillis,
+    long bornMillis) {}
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/configuration/PeerRecords.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/configuration/PeerRecords.java
@@ -2,12 +2,12 @@
 
 import io.samphiredyke.core.config.PeerAnswer;
 import io.samphiredyke.core.membership.Member;
-import io.samphiredyke.daemon.control.ControlLoop;
 import io.samphiredyke.daemon.membership.MembershipService;
 import io.samphiredyke.daemon.peer.MessageRouter;
 import io.samphiredyke.daemon.peer.PeerClient;
 import io.samphiredyke.net.configuration.ConfigurationCodec;
 import io.samphiredyke.net.configuration.ConfigurationFormatException;
+import io.samphiredyke.net.control.ControlLoop;
 import io.samphiredyke.net.peer.PeerIdentity;
 import io.samphiredyke.schema.message.FetchRecords;
 import io.samphiredyke.schema.message.PeerMessage;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AbstractEndpointCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/AbstractEndpointCall.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.samphiredyke.core.config.Endpoint;
 import io.samphiredyke.daemon.answer.AnswerBuffer;
-import io.samphiredyke.daemon.control.Addresses;
+import io.samphiredyke.net.control.Addresses;
 import io.samphiredyke.net.http.HttpClient;
 import java.net.InetSocketAddress;
 import java.time.Duration;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SessionHistory.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SessionHistory.java
@@ -1,7 +1,7 @@
 package io.samphiredyke.daemon.entry;
 
-import io.samphiredyke.daemon.control.ControlLoop;
 import io.samphiredyke.net.admin.RequestExplanation;
+import io.samphiredyke.net.control.ControlLoop;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/GossipTransport.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/GossipTransport.java
@@ -12,7 +12,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.samphiredyke.core.membership.GossipMessage;
-import io.samphiredyke.daemon.control.Addresses;
+import io.samphiredyke.net.control.Addresses;
 import io.samphiredyke.net.membership.GossipCodec;
 import io.samphiredyke.net.peer.PeerKeys;
 import java.io.IOException;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/HostListPoller.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/HostListPoller.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
-import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.net.control.ControlLoop;
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpResponse;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
@@ -11,7 +11,7 @@
 import io.samphiredyke.core.membership.Membership;
 import io.samphiredyke.core.membership.MembershipSettings;
 import io.samphiredyke.core.membership.MembershipSink;
-import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.net.control.ControlLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/MessageRouter.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/MessageRouter.java
@@ -1,7 +1,7 @@
 package io.samphiredyke.daemon.peer;
 
 import io.samphiredyke.core.invariant.InvariantViolationException;
-import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.net.control.ControlLoop;
 import io.samphiredyke.net.peer.PeerHandler;
 import io.samphiredyke.net.peer.PeerIdentity;
 import io.samphiredyke.schema.message.PeerMessage;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/PeerClient.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/peer/PeerClient.java
@@ -1,8 +1,8 @@
 package io.samphiredyke.daemon.peer;
 
-import io.samphiredyke.daemon.control.Addresses;
-import io.samphiredyke.daemon.control.ControlLoop;
 import io.samphiredyke.daemon.control.Host;
+import io.samphiredyke.net.control.Addresses;
+import io.samphiredyke.net.control.ControlLoop;
 import io.samphiredyke.net.peer.PeerHandler;
 import io.samphiredyke.net.peer.PeerIdentity;
 import io.samphiredyke.net.peer.PeerNode;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/witness/WitnessService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/witness/WitnessService.java
@@ -10,7 +10,7 @@
 import io.samphiredyke.core.ownership.TicketCodec;
 import io.samphiredyke.core.ownership.TicketException;
 import io.samphiredyke.core.ownership.WitnessRegister;
-import io.samphiredyke.daemon.control.ControlLoop;
+import io.samphiredyke.net.control.ControlLoop;
 import java.time.Duration;
 import java.util.Optional;
 
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -0,0 +1,256 @@
+package io.samphiredyke.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.samphiredyke.core.membership.IncarnationId;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.pool.PoolOptions;
+import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.core.serving.EndpointDirectory;
+import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.serving.ServingConfiguration;
+import io.samphiredyke.gateway.front.FrontServer;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.place.PeerGroup;
+import io.samphiredyke.gateway.request.Belief;
+import io.samphiredyke.gateway.request.RequestService;
+import io.samphiredyke.gateway.store.ConfigurationReceiver;
+import io.samphiredyke.gateway.store.EndpointReceiver;
+import io.samphiredyke.gateway.store.HostRegistry;
+import io.samphiredyke.gateway.store.TopicFollower;
+import io.samphiredyke.gateway.upstream.EndpointConnections;
+import io.samphiredyke.net.control.Addresses;
+import io.samphiredyke.net.control.ControlLoop;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpClientOptions;
+import io.samphiredyke.platform.HostSettings;
+import io.samphiredyke.platform.StoreClient;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+/** All parts of the process, wired together on one event loop. */
+final class Gateway {
+
+  /** How long lapsed entries may stay away after the store's return, as the platform promises. */
+  private static final Duration LAPSE_GRACE = Duration.ofMillis(1_700);
+
+  /** Longest wait at the store for the next configuration; probes notice a silent connection. */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(20);
+
+  /** Pause between two reads of the endpoints' entries; half of the shortest drain bound known. */
+  private static final Duration ENDPOINT_PACE = Duration.ofMillis(800);
+
+  private static final Duration SWEEP = Duration.ofMillis(250);
+
+  /** Share of the repeat budget that is used; the rest covers hosts that decide alone. */
+  private static final double REPEAT_SHARE = 0.6;
+
+  /** How long a grant may be missing from its owner's report, milliseconds. */
+  private static final long REPORT_GRACE_MILLIS = 300;
+
+  private final HostSettings settings;
+  private final EventLoop eventLoop;
+  private final ControlLoop loop;
+  private final DecisionLog log;
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final EndpointDirectory directory;
+  private final Belief belief;
+  private final PeerGroup peers;
+  private final EndpointConnections connections;
+  private final FrontServer front;
+  private final EndpointReceiver endpoints;
+  private final TopicFollower configurationFollower;
+  private final TopicFollower endpointFollower;
+  private final HostRegistry registry;
+  private boolean stopping;
+  private boolean ready;
+
+  Gateway(HostSettings settings, EventLoopGroup group, RandomGenerator random, DecisionLog log) {
+    this.settings = settings;
+    this.log = log;
+    this.eventLoop = group.next();
+    this.loop = new ControlLoop(eventLoop, Clock.systemUTC());
+    this.directory = new EndpointDirectory(LAPSE_GRACE.toNanos(), new DirectoryListener());
+    this.belief = new Belief(directory);
+    PoolOptions options =
+        new PoolOptions(
+            settings.repeatRatio() * REPEAT_SHARE,
+            settings.repeatReserve() * REPEAT_SHARE,
+            REPORT_GRACE_MILLIS);
+    this.peers = new PeerGroup(loop, self(settings, random), options, random, log);
+    this.connections = new EndpointConnections(eventLoop);
+    RequestService service =
+        new RequestService(loop, belief, peers.places(), connections, log, metrics, random);
+    this.front = new FrontServer(eventLoop, service, this::limits);
+    StoreClient store =
+        new StoreClient(
+            new HttpClient(group, HttpClientOptions.defaults()),
+            Addresses.parse(settings.storeAddress()));
+    this.endpoints = new EndpointReceiver(loop, directory, log);
+    this.configurationFollower =
+        new TopicFollower(
+            loop,
+            store,
+            StoreClient.OPERATOR_TOPIC,
+            CONFIGURATION_WAIT,
+            Duration.ZERO,
+            new ConfigurationReceiver(this::configure, log),
+            log,
+            random);
+    this.endpointFollower =
+        new TopicFollower(
+            loop,
+            store,
+            StoreClient.ENDPOINT_TOPIC,
+            Duration.ZERO,
+            ENDPOINT_PACE,
+            endpoints,
+            log,
+            random);
+    this.registry =
+        new HostRegistry(
+            loop, store, settings.hostName(), settings.peerAddress(), peers::seed, log);
+    new GatewayGauges(metrics)
+        .register(front, peers, connections, directory, configurationFollower, endpointFollower);
+  }
+
+  private static Member self(HostSettings settings, RandomGenerator random) {
+    return Member.builder()
+        .name(settings.hostName())
+        .address(settings.peerAddress())
+        .incarnation(IncarnationId.random(random))
+        .dataCentre(settings.dataCentre())
+        .generation(System.currentTimeMillis() / 1_000)
+        .draining(true)
+        .callerAddress(settings.callerAddress())
+        .build();
+  }
+
+  private CallerLimits limits() {
+    ServingConfiguration configuration = belief.configuration();
+    return configuration == null ? CallerLimits.defaults() : configuration.limits();
+  }
+
+  /** Binds all addresses and starts to learn what requests need. */
+  CompletableFuture<Void> start() {
+    OperatorPages pages = new OperatorPages(this, metrics);
+    return front
+        .start(Addresses.parse(settings.callerAddress()))
+        .thenCompose(done -> pages.start(eventLoop, settings))
+        .thenCompose(done -> peers.start(eventLoop, settings.seedAddresses()))
+        .thenRun(() -> loop.execute(this::follow));
+  }
+
+  private void follow() {
+    configurationFollower.start();
+    endpointFollower.start();
+    registry.start();
+    loop.repeat(this::sweep, SWEEP);
+  }
+
+  private void sweep() {
+    front.sweep();
+    connections.sweep();
+    directory.tick(loop.now());
+    updateReady();
+  }
+
+  private void configure(ServingConfiguration newer) {
+    ServingConfiguration known = belief.configuration();
+    if (belief.configure(newer)) {
+      log.event(
+          "config",
+          "version",
+          newer.version(),
+          "before",
+          known == null ? -1 : known.version(),
+          "routes",
+          newer.routes().size());
+      peers.places().scheduler().configure(newer, loop.now());
+      updateReady();
+    }
+  }
+
+  private void updateReady() {
+    boolean now = !stopping && belief.configuration() != null && endpoints.isListed();
+    if (now != ready) {
+      ready = now;
+      log.event("readiness", "ready", now);
+      peers.draining(!now);
+    }
+  }
+
+  boolean isReady() {
+    return ready;
+  }
+
+  /** Returns the caller addresses of the hosts that are ready. */
+  List<String> readyAddresses() {
+    return peers.liveMembers().stream()
+        .filter(member -> !member.draining() && !member.callerAddress().isEmpty())
+        .map(Member::callerAddress)
+        .limit(OperatorPages.MAX_ADDRESSES)
+        .toList();
+  }
+
+  double callerTtlSeconds() {
+    return Math.min(OperatorPages.TTL_SECONDS, settings.maxCallerTtlSeconds());
+  }
+
+  ControlLoop loop() {
+    return loop;
+  }
+
+  FrontServer front() {
+    return front;
+  }
+
+  PeerGroup peers() {
+    return peers;
+  }
+
+  /** Takes no new callers from now on; what runs goes on. */
+  void drain() {
+    if (!stopping) {
+      stopping = true;
+      front.drain();
+      updateReady();
+    }
+  }
+
+  private final class DirectoryListener implements EndpointDirectory.Listener {
+
+    @Override
+    public void available(EndpointRecord endpoint) {
+      log.event(
+          "endpoint_up",
+          "endpoint",
+          endpoint.id(),
+          "service",
+          endpoint.service(),
+          "address",
+          endpoint.address(),
+          "slots",
+          endpoint.slots(),
+          "cold_ms",
+          endpoint.coldLeftMillis());
+      scheduler().put(endpoint, loop.now());
+    }
+
+    @Override
+    public void unavailable(EndpointRecord endpoint, String reason) {
+      log.event("endpoint_down", "endpoint", endpoint.id(), "reason", reason);
+      scheduler().remove(endpoint);
+      connections.dropIdle(endpoint.address());
+    }
+
+    private PoolScheduler scheduler() {
+      return peers.places().scheduler();
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -0,0 +1,43 @@
+package io.samphiredyke.gateway;
+
+import io.samphiredyke.core.serving.EndpointDirectory;
+import io.samphiredyke.gateway.front.FrontServer;
+import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.place.PeerGroup;
+import io.samphiredyke.gateway.store.TopicFollower;
+import io.samphiredyke.gateway.upstream.EndpointConnections;
+
+/** Values on the metrics page that are read from the parts when they are asked for. */
+final class GatewayGauges {
+
+  private final GatewayMetrics metrics;
+
+  GatewayGauges(GatewayMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  void register(
+      FrontServer front,
+      PeerGroup peers,
+      EndpointConnections connections,
+      EndpointDirectory directory,
+      TopicFollower configuration,
+      TopicFollower endpoints) {
+    metrics.gauge("samphiredyke_caller_connections", "Open connections.", front::openConnections);
+    metrics.gauge("samphiredyke_live_hosts", "Hosts seen alive.", () -> peers.liveMembers().size());
+    metrics.gauge(
+        "samphiredyke_held_places", "Places held here.", () -> peers.places().heldPlaces());
+    metrics.gauge(
+        "samphiredyke_malformed_datagrams", "Datagrams not understood.", peers::malformed);
+    metrics.gauge(
+        "samphiredyke_endpoint_connections_opened",
+        "Connections opened to endpoints.",
+        connections::opened);
+    metrics.gauge(
+        "samphiredyke_endpoints", "Endpoints that take requests.", () -> directory.all().size());
+    metrics.gauge(
+        "samphiredyke_store_calls",
+        "Calls to the store.",
+        () -> configuration.calls() + endpoints.calls());
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
@@ -0,0 +1,89 @@
+package io.samphiredyke.gateway;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.platform.HostSettings;
+import io.samphiredyke.platform.SettingsException;
+import io.samphiredyke.platform.SettingsFile;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
+import sun.misc.Signal;
+
+/** Starts the process, follows its signals and ends it. */
+public final class GatewayMain {
+
+  private static final int BAD_SETTINGS = 2;
+  private static final int START_FAILED = 1;
+
+  private GatewayMain() {}
+
+  /** Runs the process until it is told to stop. */
+  public static void main(String[] arguments) {
+    DecisionLog log =
+        new DecisionLog(new FileOutputStream(FileDescriptor.out), System::currentTimeMillis);
+    Path path = settingsPath(arguments);
+    HostSettings settings = readSettings(path);
+    if (settings == null) {
+      System.exit(BAD_SETTINGS);
+      return;
+    }
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
+    Gateway gateway = new Gateway(settings, group, random, log);
+    Shutdown shutdown = new Shutdown(gateway, log, settings.graceMillis());
+    Signal.handle(new Signal("HUP"), signal -> reload(path, settings, log));
+    Signal.handle(new Signal("TERM"), signal -> shutdown.begin());
+    Signal.handle(new Signal("INT"), signal -> shutdown.begin());
+    log.event(
+        "start",
+        "host",
+        settings.hostName(),
+        "address",
+        settings.callerAddress(),
+        "peer",
+        settings.peerAddress());
+    gateway
+        .start()
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                log.event("start_failed", "reason", String.valueOf(failure));
+                log.close();
+                System.exit(START_FAILED);
+              }
+            });
+  }
+
+  private static Path settingsPath(String[] arguments) {
+    if (arguments.length > 0) {
+      return Path.of(arguments[0]);
+    }
+    String path = System.getenv(SettingsFile.PATH_VARIABLE);
+    return Path.of(path == null ? "settings.conf" : path);
+  }
+
+  private static @Nullable HostSettings readSettings(Path path) {
+    try {
+      return SettingsFile.read(path);
+    } catch (IOException | SettingsException e) {
+      System.err.println("settings: " + e.getMessage());
+      return null;
+    }
+  }
+
+  private static void reload(Path path, HostSettings inForce, DecisionLog log) {
+    try {
+      HostSettings read = SettingsFile.read(path);
+      log.event("reload", "changed", !read.equals(inForce), "needs_restart", !read.equals(inForce));
+    } catch (IOException | SettingsException e) {
+      log.event("reload_rejected", "reason", String.valueOf(e.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
@@ -0,0 +1,69 @@
+package io.samphiredyke.gateway;
+
+import io.netty.channel.EventLoop;
+import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.net.control.Addresses;
+import io.samphiredyke.net.http.HttpExchange;
+import io.samphiredyke.net.http.HttpServer;
+import io.samphiredyke.net.http.HttpServerOptions;
+import io.samphiredyke.platform.CallerCalls;
+import io.samphiredyke.platform.HostSettings;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** The pages beside the callers' requests: addresses, readiness, metrics. */
+final class OperatorPages {
+
+  /** Addresses that a caller takes from one answer. */
+  static final int MAX_ADDRESSES = 64;
+
+  /** How long callers may keep the addresses; short, so that they follow stops and starts. */
+  static final double TTL_SECONDS = 2;
+
+  private static final String METRICS_PATH = "/metrics";
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final Gateway gateway;
+  private final GatewayMetrics metrics;
+
+  OperatorPages(Gateway gateway, GatewayMetrics metrics) {
+    this.gateway = gateway;
+    this.metrics = metrics;
+  }
+
+  CompletableFuture<Void> start(EventLoop loop, HostSettings settings) {
+    return listen(loop, settings.readinessAddress())
+        .thenCompose(done -> listen(loop, settings.directoryAddress()))
+        .thenCompose(done -> listen(loop, settings.metricsAddress()))
+        .thenAccept(done -> {});
+  }
+
+  private CompletableFuture<HttpServer> listen(EventLoop loop, String address) {
+    return HttpServer.start(
+        loop, Addresses.parse(address), HttpServerOptions.defaults(), this::handle);
+  }
+
+  private void handle(HttpExchange exchange) {
+    switch (exchange.path()) {
+      case CallerCalls.READINESS_PATH ->
+          exchange.respond(gateway.isReady() ? OK : UNAVAILABLE, Map.of(), new byte[0]);
+      case CallerCalls.ADDRESSES_PATH -> addresses(exchange);
+      case METRICS_PATH ->
+          exchange.respond(OK, Map.of("content-type", "text/plain"), metrics.page());
+      default -> exchange.respond(NOT_FOUND, Map.of(), new byte[0]);
+    }
+  }
+
+  private void addresses(HttpExchange exchange) {
+    List<String> ready = gateway.readyAddresses();
+    if (ready.isEmpty()) {
+      exchange.respond(UNAVAILABLE, Map.of(), new byte[0]);
+      return;
+    }
+    byte[] body = CallerCalls.addresses(ready, gateway.callerTtlSeconds());
+    exchange.respond(OK, Map.of("content-type", "application/json"), body);
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Shutdown.java
@@ -0,0 +1,65 @@
+package io.samphiredyke.gateway;
+
+import io.samphiredyke.gateway.log.DecisionLog;
+import java.time.Duration;
+
+/**
+ * The planned stop: not ready at once, then serving until callers have moved on, then the end.
+ *
+ * <p>Callers keep addresses for a while and connect themselves, so requests go on arriving for some
+ * seconds; all of them are served.
+ */
+final class Shutdown {
+
+  /** Time before the kill by which the process ends on its own, milliseconds. */
+  private static final int KILL_MARGIN_MILLIS = 600;
+
+  /** Callers keep addresses for up to three times the stated time. */
+  private static final int TTL_FACTOR = 3;
+
+  private static final Duration CHECK = Duration.ofMillis(50);
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final Gateway gateway;
+  private final DecisionLog log;
+  private final int graceMillis;
+  private boolean begun;
+  private long begunAt;
+
+  Shutdown(Gateway gateway, DecisionLog log, int graceMillis) {
+    this.gateway = gateway;
+    this.log = log;
+    this.graceMillis = graceMillis;
+  }
+
+  /** Begins the stop; called from any thread. */
+  void begin() {
+    gateway.loop().execute(this::beginOnLoop);
+  }
+
+  private void beginOnLoop() {
+    if (begun) {
+      return;
+    }
+    begun = true;
+    begunAt = gateway.loop().now();
+    log.event("stop_begun", "grace_ms", graceMillis, "busy", gateway.front().busyConnections());
+    gateway.drain();
+    gateway.loop().repeat(this::check, CHECK);
+  }
+
+  private void check() {
+    long millis = (gateway.loop().now() - begunAt) / NANOS_PER_MILLI;
+    long callersGone = (long) (gateway.callerTtlSeconds() * TTL_FACTOR * 1_000);
+    boolean isQuiet =
+        gateway.front().busyConnections() == 0
+            && (gateway.front().openConnections() == 0 || millis > callersGone);
+    boolean mayEnd = isQuiet && millis > callersGone / 2;
+    if (mayEnd || millis > graceMillis - KILL_MARGIN_MILLIS) {
+      gateway.peers().leave();
+      log.event("stop", "ms", millis, "busy", gateway.front().busyConnections());
+      log.close();
+      Runtime.getRuntime().halt(0);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/front/FrontAnswer.java
@@ -0,0 +1,108 @@
+package io.samphiredyke.gateway.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Writes the answer to one request on a caller's connection. */
+final class FrontAnswer implements CallerAnswer {
+
+  private final FrontConnection connection;
+  private final ChannelHandlerContext ctx;
+  private final boolean keepAlive;
+  private boolean started;
+  private boolean ended;
+
+  FrontAnswer(FrontConnection connection, ChannelHandlerContext ctx, boolean keepAlive) {
+    this.connection = connection;
+    this.ctx = ctx;
+    this.keepAlive = keepAlive;
+  }
+
+  private boolean keepsConnection() {
+    return keepAlive && !connection.isDraining();
+  }
+
+  private void setConnection(HttpResponse response) {
+    if (!keepsConnection()) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  @Override
+  public void send(int status, HttpHeaders headers, ByteBuf body) {
+    if (started || ended) {
+      body.release();
+      return;
+    }
+    ended = true;
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
+    response.headers().set(headers);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    setConnection(response);
+    boolean keeps = keepsConnection();
+    ctx.writeAndFlush(response);
+    connection.answered(keeps);
+  }
+
+  @Override
+  public void start(int status, HttpHeaders headers) {
+    if (started || ended) {
+      return;
+    }
+    started = true;
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    response.headers().set(headers);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    setConnection(response);
+    ctx.write(response);
+  }
+
+  @Override
+  public void write(ByteBuf piece) {
+    if (ended) {
+      piece.release();
+      return;
+    }
+    ctx.writeAndFlush(new DefaultHttpContent(piece));
+  }
+
+  @Override
+  public void end() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    boolean keeps = keepsConnection();
+    ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    connection.answered(keeps);
+  }
+
+  @Override
+  public void abort() {
+    if (!ended) {
+      ended = true;
+      ctx.close();
+    }
+  }
+
+  void close() {
+    ended = true;
+  }
+
+  @Override
+  public boolean isWritable() {
+    return ended || ctx.channel().isWritable();
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/front/FrontServer.java
@@ -0,0 +1,125 @@
+package io.samphiredyke.gateway.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.samphiredyke.core.serving.CallerLimits;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** The listener for callers. All methods run on its event loop. */
+public final class FrontServer {
+
+  /** Bytes that may wait for a caller that reads slowly before its endpoint is slowed down. */
+  private static final WriteBufferWaterMark WATER_MARK =
+      new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+
+  private static final int BACKLOG = 1_024;
+
+  private final EventLoop loop;
+  private final RequestHandler handler;
+  private final Supplier<CallerLimits> limits;
+  private final Set<FrontConnection> connections = new HashSet<>();
+  private boolean draining;
+
+  /** Creates a server that does not listen yet. */
+  public FrontServer(EventLoop loop, RequestHandler handler, Supplier<CallerLimits> limits) {
+    this.loop = loop;
+    this.handler = handler;
+    this.limits = limits;
+  }
+
+  /** Binds an address. */
+  public CompletableFuture<Void> start(InetSocketAddress address) {
+    ChannelFuture bind =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+            .childHandler(new Initializer())
+            .bind(address);
+    CompletableFuture<Void> started = new CompletableFuture<>();
+    bind.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            started.complete(null);
+          } else {
+            started.completeExceptionally(done.cause());
+          }
+        });
+    return started;
+  }
+
+  /** Closes connections that are idle for too long or send their request too slowly. */
+  public void sweep() {
+    long now = loop.ticker().nanoTime();
+    for (FrontConnection connection : List.copyOf(connections)) {
+      connection.checkTimes(limits.get(), now);
+    }
+  }
+
+  /** Announces the end on each connection with its next answer. */
+  public void drain() {
+    draining = true;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  CallerLimits limits() {
+    return limits.get();
+  }
+
+  RequestHandler handler() {
+    return handler;
+  }
+
+  void closed(FrontConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** Returns how many connections are open. */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  /** Returns how many connections serve a request. */
+  public int busyConnections() {
+    int busy = 0;
+    for (FrontConnection connection : new ArrayList<>(connections)) {
+      busy += connection.isBusy() ? 1 : 0;
+    }
+    return busy;
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      HttpDecoderConfig decoder =
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(limits().maxHeaderBytes())
+              .setMaxHeaderSize(limits().maxHeaderBytes());
+      FrontConnection connection = new FrontConnection(FrontServer.this);
+      connections.add(connection);
+      channel.pipeline().addLast(connection.arrivals());
+      channel.pipeline().addLast(new HttpServerCodec(decoder));
+      channel.pipeline().addLast(connection);
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/package-info.java
@@ -0,0 +1,5 @@
+/** Structured log lines. */
+@NullMarked
+package io.samphiredyke.gateway.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** Counters and histograms. */
+@NullMarked
+package io.samphiredyke.gateway.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -0,0 +1,204 @@
+package io.samphiredyke.gateway.place;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.Future;
+import io.samphiredyke.core.membership.GossipMessage;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberChange;
+import io.samphiredyke.core.membership.Membership;
+import io.samphiredyke.core.membership.MembershipSettings;
+import io.samphiredyke.core.membership.MembershipSink;
+import io.samphiredyke.core.pool.PoolOptions;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.control.Addresses;
+import io.samphiredyke.net.control.ControlLoop;
+import io.samphiredyke.net.membership.GossipCodec;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The other hosts: who is alive, and the datagrams to them.
+ *
+ * <p>A datagram is one byte for its kind and a MessagePack message. Datagrams suit them: each
+ * message stands alone, is repeated by its sender, and no connection can go silent.
+ */
+public final class PeerGroup implements MembershipSink {
+
+  private static final byte GOSSIP = 0;
+  private static final byte PLACE = 1;
+
+  private final ControlLoop loop;
+  private final DecisionLog log;
+  private final Membership membership;
+  private final PlaceClient places;
+  private @Nullable Channel channel;
+  private @Nullable Future<?> timer;
+  private long malformed;
+
+  /** Creates a group of this host alone. */
+  public PeerGroup(
+      ControlLoop loop, Member self, PoolOptions options, RandomGenerator random, DecisionLog log) {
+    this.loop = loop;
+    this.log = log;
+    this.membership = new Membership(self, MembershipSettings.builder().build(), random, this);
+    this.places =
+        new PlaceClient(
+            loop,
+            self.address(),
+            options,
+            random,
+            log,
+            (to, message) -> send(to, PLACE, PlaceCodec.encode(message)));
+  }
+
+  /** Binds the socket and starts to probe the seeds. */
+  public CompletableFuture<Void> start(EventLoop eventLoop, Collection<String> seeds) {
+    ChannelFuture bind =
+        new Bootstrap()
+            .group(eventLoop)
+            .channel(NioDatagramChannel.class)
+            .handler(new Receiver())
+            .bind(Addresses.parse(membership.self().address()));
+    CompletableFuture<Void> started = new CompletableFuture<>();
+    bind.addListener(
+        done -> {
+          if (!done.isSuccess()) {
+            started.completeExceptionally(done.cause());
+            return;
+          }
+          channel = bind.channel();
+          membership.start(loop.now());
+          membership.seed(seeds, loop.now());
+          places.start();
+          changed();
+          started.complete(null);
+        });
+    return started;
+  }
+
+  /** Replaces the addresses that are worth a contact. */
+  public void seed(Collection<String> addresses) {
+    membership.seed(addresses, loop.now());
+    changed();
+  }
+
+  /** Returns the way to places. */
+  public PlaceClient places() {
+    return places;
+  }
+
+  /** Returns the hosts that are alive, this one included. */
+  public List<Member> liveMembers() {
+    return membership.liveMembers();
+  }
+
+  /** Sets whether other hosts should pass this one over. */
+  public void draining(boolean draining) {
+    membership.draining(draining);
+    changed();
+  }
+
+  /** Announces that this host goes. */
+  public void leave() {
+    membership.leave(loop.now());
+    changed();
+  }
+
+  @Override
+  public void send(String address, GossipMessage message) {
+    send(address, GOSSIP, GossipCodec.encode(message));
+  }
+
+  private void send(String address, byte kind, byte[] message) {
+    Channel open = channel;
+    if (open != null) {
+      ByteBuf datagram = Unpooled.buffer(message.length + 1).writeByte(kind).writeBytes(message);
+      open.writeAndFlush(new DatagramPacket(datagram, Addresses.parse(address)));
+    }
+  }
+
+  @Override
+  public void memberChanged(MemberChange change) {
+    if (change.old() != change.current()) {
+      log.event(
+          "member",
+          "host",
+          change.member().name(),
+          "address",
+          change.member().address(),
+          "state",
+          change.current(),
+          "cause",
+          change.cause());
+    }
+    if (!change.current().isLive()) {
+      places.ownerGone(change.member().address());
+    }
+  }
+
+  private void changed() {
+    places.choice().members(membership.liveMembers());
+    Future<?> pending = timer;
+    if (pending != null) {
+      pending.cancel(false);
+    }
+    long next = membership.nextTick();
+    if (next != Long.MAX_VALUE) {
+      timer = loop.schedule(this::tick, Duration.ofNanos(Math.max(0, next - loop.now())));
+    }
+  }
+
+  private void tick() {
+    membership.tick(loop.now());
+    changed();
+  }
+
+  /** Returns how many datagrams could not be read. */
+  public long malformed() {
+    return malformed;
+  }
+
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket datagram) {
+      ByteBuf content = datagram.content();
+      if (content.readableBytes() < 2) {
+        malformed++;
+        return;
+      }
+      byte kind = content.readByte();
+      byte[] message = ByteBufUtil.getBytes(content);
+      try {
+        if (kind == GOSSIP) {
+          membership.received(GossipCodec.decode(message), loop.now());
+          changed();
+        } else {
+          places.received(Addresses.format(datagram.sender()), PlaceCodec.decode(message));
+        }
+      } catch (IOException e) {
+        malformed++;
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      log.event("datagram_failed", "reason", String.valueOf(cause));
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
@@ -0,0 +1,409 @@
+package io.samphiredyke.gateway.place;
+
+import io.samphiredyke.core.pool.Claim;
+import io.samphiredyke.core.pool.Outcome;
+import io.samphiredyke.core.pool.PoolListener;
+import io.samphiredyke.core.pool.PoolOptions;
+import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.pool.Refusal;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.control.ControlLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Gets places for the requests of this host, and schedules for other hosts where this one is
+ * chosen.
+ *
+ * <p>A question that gets no sign within {@link #ASK_AGAIN_MILLIS} is sent again; after {@link
+ * #MAX_UNANSWERED} of them the next host in the ranking is asked, at last this host's own
+ * scheduler. Nothing waits on a host that is gone, frozen or cut off for longer than that.
+ */
+public final class PlaceClient implements PoolListener {
+
+  /** Time to an answer on a busy host between two data centres is a few milliseconds. */
+  static final long ASK_AGAIN_MILLIS = 25;
+
+  /** Questions without a sign after which another scheduler is asked. */
+  static final int MAX_UNANSWERED = 2;
+
+  /** How often a waiting claim is repeated to its scheduler as a sign of life. */
+  private static final long CONFIRM_MILLIS = 150;
+
+  private static final Duration TICK = Duration.ofMillis(15);
+  private static final Duration REPORT = Duration.ofMillis(500);
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final ControlLoop loop;
+  private final String self;
+  private final PoolScheduler scheduler;
+  private final SchedulerChoice choice;
+  private final BiConsumer<String, PlaceMessage> transport;
+  private final DecisionLog log;
+  private final Map<Long, PendingClaim> claims = new HashMap<>();
+  private final Set<String> reportedTo = new HashSet<>();
+  private final RandomGenerator random;
+  private boolean ticking;
+
+  /**
+   * Creates a client that asks only its own scheduler until members are known.
+   *
+   * @param transport sends a message to a peer address
+   */
+  PlaceClient(
+      ControlLoop loop,
+      String self,
+      PoolOptions options,
+      RandomGenerator random,
+      DecisionLog log,
+      BiConsumer<String, PlaceMessage> transport) {
+    this.loop = loop;
+    this.self = self;
+    this.random = random;
+    this.log = log;
+    this.transport = transport;
+    this.choice = new SchedulerChoice(self);
+    this.scheduler = new PoolScheduler(options, this, random);
+  }
+
+  /** Starts the reports to other schedulers. */
+  void start() {
+    loop.repeat(this::report, REPORT);
+  }
+
+  /** Returns the scheduler of this host, to feed it with endpoints and configuration. */
+  public PoolScheduler scheduler() {
+    return scheduler;
+  }
+
+  SchedulerChoice choice() {
+    return choice;
+  }
+
+  /** Asks for a place; returns the claim's number. */
+  public long ask(PlaceRequest request, PlaceListener listener) {
+    long id = random.nextLong();
+    Claim claim =
+        new Claim(
+            id,
+            self,
+            request.service(),
+            request.rank(),
+            request.value(),
+            request.work(),
+            request.customer(),
+            request.quotaUnits(),
+            request.isRepeat(),
+            request.excluded(),
+            request.dueAt(),
+            request.patienceUntil());
+    PendingClaim pending = new PendingClaim(this, claim, listener);
+    claims.put(id, pending);
+    askScheduler(pending);
+    return id;
+  }
+
+  private void askScheduler(PendingClaim pending) {
+    long now = loop.now();
+    String chosen = choice.scheduler(pending.claim.service(), now);
+    pending.scheduler = chosen;
+    pending.unanswered = 0;
+    if (chosen.equals(self)) {
+      scheduler.claim(pending.claim, now);
+    } else {
+      sendAsk(pending, now);
+    }
+    startTicking();
+  }
+
+  private void sendAsk(PendingClaim pending, long now) {
+    pending.askedAt = now;
+    pending.unanswered++;
+    Claim claim = pending.claim;
+    transport.accept(
+        pending.scheduler,
+        new PlaceMessage.Ask(
+            claim.id(),
+            claim.service(),
+            claim.rank(),
+            claim.value(),
+            claim.work(),
+            claim.customer(),
+            claim.quotaUnits(),
+            claim.isRepeat(),
+            claim.excluded(),
+            millis(claim.dueAt() - now),
+            millis(claim.patienceUntil() - now)));
+  }
+
+  private static long millis(long nanos) {
+    return (long) (nanos / NANOS_PER_MILLI);
+  }
+
+  /** Forgets a claim that has no place yet. */
+  public void withdraw(long claimId) {
+    PendingClaim pending = claims.remove(claimId);
+    if (pending == null || pending.isGranted()) {
+      return;
+    }
+    pending.done = true;
+    String service = pending.claim.service();
+    if (pending.scheduler.equals(self)) {
+      scheduler.withdraw(service, claimId);
+    } else {
+      transport.accept(pending.scheduler, new PlaceMessage.Withdrawn(service, claimId));
+    }
+  }
+
+  void started(PendingClaim pending) {
+    double millis = (loop.now() - pending.grantedAt) / NANOS_PER_MILLI;
+    String service = pending.claim.service();
+    long id = pending.claim.id();
+    if (pending.scheduler.equals(self)) {
+      scheduler.started(service, pending.endpointId(), id, millis);
+    } else {
+      transport.accept(
+          pending.scheduler, new PlaceMessage.Started(service, pending.endpointId(), id, millis));
+    }
+  }
+
+  void release(PendingClaim pending, Outcome outcome) {
+    if (pending.done) {
+      return;
+    }
+    pending.done = true;
+    claims.remove(pending.claim.id());
+    double millis = (loop.now() - pending.grantedAt) / NANOS_PER_MILLI;
+    sendRelease(pending, pending.endpointId(), outcome, millis);
+  }
+
+  private void sendRelease(PendingClaim pending, String endpoint, Outcome outcome, double millis) {
+    String service = pending.claim.service();
+    long id = pending.claim.id();
+    if (pending.scheduler.equals(self)) {
+      scheduler.release(service, endpoint, id, outcome, millis, loop.now());
+    } else {
+      transport.accept(
+          pending.scheduler, new PlaceMessage.Released(service, endpoint, id, outcome, millis));
+    }
+  }
+
+  private void startTicking() {
+    if (!ticking) {
+      ticking = true;
+      loop.schedule(this::tick, TICK);
+    }
+  }
+
+  private void tick() {
+    ticking = false;
+    long now = loop.now();
+    scheduler.tick(now);
+    boolean isWaiting = false;
+    for (PendingClaim pending : List.copyOf(claims.values())) {
+      if (!pending.isGranted()) {
+        isWaiting = true;
+        check(pending, now);
+      }
+    }
+    if (isWaiting || scheduler.hasWaiting()) {
+      startTicking();
+    }
+  }
+
+  private void check(PendingClaim pending, long now) {
+    if (pending.scheduler.equals(self)) {
+      return;
+    }
+    double sinceAsked = (now - pending.askedAt) / NANOS_PER_MILLI;
+    if (pending.unanswered >= MAX_UNANSWERED && sinceAsked > ASK_AGAIN_MILLIS) {
+      log.event("scheduler_silent", "host", pending.scheduler, "service", pending.claim.service());
+      choice.silent(pending.scheduler, now);
+      transport.accept(
+          pending.scheduler,
+          new PlaceMessage.Withdrawn(pending.claim.service(), pending.claim.id()));
+      askScheduler(pending);
+    } else if (sinceAsked > (pending.unanswered > 0 ? ASK_AGAIN_MILLIS : CONFIRM_MILLIS)) {
+      sendAsk(pending, now);
+    }
+  }
+
+  /** Tells schedulers which of their places are held here, so that lost messages do no harm. */
+  private void report() {
+    Map<String, List<PlaceMessage.Held>> held = new HashMap<>();
+    for (PendingClaim pending : claims.values()) {
+      if (pending.isGranted() && !pending.scheduler.equals(self)) {
+        Claim claim = pending.claim;
+        held.computeIfAbsent(pending.scheduler, key -> new ArrayList<>())
+            .add(
+                new PlaceMessage.Held(
+                    claim.id(),
+                    claim.service(),
+                    pending.endpointId(),
+                    claim.work().promptTokens(),
+                    claim.work().outputTokens()));
+      }
+    }
+    reportedTo.forEach(scheduler -> held.computeIfAbsent(scheduler, key -> List.of()));
+    reportedTo.clear();
+    held.forEach(
+        (scheduler, places) -> {
+          transport.accept(scheduler, new PlaceMessage.Holding(places));
+          if (!places.isEmpty()) {
+            reportedTo.add(scheduler);
+          }
+        });
+  }
+
+  /** Forgets what a host held that is gone. */
+  void ownerGone(String owner) {
+    scheduler.reconcile(owner, Set.of(), loop.now());
+  }
+
+  /** Takes a message of another host. */
+  void received(String from, PlaceMessage message) {
+    long now = loop.now();
+    if (message instanceof PlaceMessage.Ask ask) {
+      receivedAsk(from, ask, now);
+    } else if (message instanceof PlaceMessage.Queued queued) {
+      PendingClaim pending = claims.get(queued.claimId());
+      if (pending != null && pending.scheduler.equals(from)) {
+        pending.unanswered = 0;
+      }
+    } else if (message instanceof PlaceMessage.Granted granted) {
+      receivedGrant(from, granted, now);
+    } else if (message instanceof PlaceMessage.Refused refused) {
+      receivedRefusal(from, refused);
+    } else if (message instanceof PlaceMessage.Withdrawn withdrawn) {
+      scheduler.withdraw(withdrawn.service(), withdrawn.claimId());
+    } else if (message instanceof PlaceMessage.Started started) {
+      scheduler.started(
+          started.service(), started.endpointId(), started.claimId(), started.millis());
+    } else if (message instanceof PlaceMessage.Released released) {
+      scheduler.release(
+          released.service(),
+          released.endpointId(),
+          released.claimId(),
+          released.outcome(),
+          released.millis(),
+          now);
+    } else if (message instanceof PlaceMessage.Holding holding) {
+      receivedHolding(from, holding, now);
+    }
+  }
+
+  private void receivedAsk(String from, PlaceMessage.Ask ask, long now) {
+    String holder = scheduler.endpointOf(ask.service(), ask.claimId());
+    if (holder != null) {
+      transport.accept(from, new PlaceMessage.Granted(ask.claimId(), holder));
+      return;
+    }
+    if (!scheduler.isWaiting(ask.service(), ask.claimId())) {
+      Claim claim =
+          new Claim(
+              ask.claimId(),
+              from,
+              ask.service(),
+              ask.rank(),
+              ask.value(),
+              ask.work(),
+              ask.customer(),
+              ask.quotaUnits(),
+              ask.isRepeat(),
+              ask.excluded(),
+              now + (long) (ask.dueMillis() * NANOS_PER_MILLI),
+              now + (long) (ask.patienceMillis() * NANOS_PER_MILLI));
+      scheduler.claim(claim, now);
+      startTicking();
+    }
+    if (scheduler.isWaiting(ask.service(), ask.claimId())) {
+      transport.accept(from, new PlaceMessage.Queued(ask.claimId()));
+    }
+  }
+
+  private void receivedGrant(String from, PlaceMessage.Granted grant, long now) {
+    PendingClaim pending = claims.get(grant.claimId());
+    if (pending != null && pending.isGranted() && pending.scheduler.equals(from)) {
+      return;
+    }
+    if (pending == null || pending.isGranted() || !pending.scheduler.equals(from)) {
+      transport.accept(
+          from,
+          new PlaceMessage.Released("", grant.endpointId(), grant.claimId(), Outcome.WITHDRAWN, 0));
+      return;
+    }
+    take(pending, grant.endpointId(), now);
+  }
+
+  private static void take(PendingClaim pending, String endpointId, long now) {
+    pending.endpointId = endpointId;
+    pending.grantedAt = now;
+    pending.listener.granted(pending);
+  }
+
+  private void receivedRefusal(String from, PlaceMessage.Refused refused) {
+    PendingClaim pending = claims.get(refused.claimId());
+    if (pending == null || pending.isGranted() || !pending.scheduler.equals(from)) {
+      return;
+    }
+    claims.remove(refused.claimId());
+    pending.done = true;
+    pending.listener.refused(new Refusal(refused.reason(), refused.retryAfterMillis()));
+  }
+
+  private void receivedHolding(String from, PlaceMessage.Holding holding, long now) {
+    Set<Long> ids = new HashSet<>();
+    for (PlaceMessage.Held held : holding.places()) {
+      ids.add(held.claimId());
+    }
+    scheduler.reconcile(from, ids, now);
+  }
+
+  @Override
+  public void granted(Claim claim, String endpointId) {
+    if (!claim.owner().equals(self)) {
+      transport.accept(claim.owner(), new PlaceMessage.Granted(claim.id(), endpointId));
+      return;
+    }
+    PendingClaim pending = claims.get(claim.id());
+    if (pending == null) {
+      loop.execute(
+          () ->
+              scheduler.release(
+                  claim.service(), endpointId, claim.id(), Outcome.WITHDRAWN, 0, loop.now()));
+      return;
+    }
+    take(pending, endpointId, loop.now());
+  }
+
+  @Override
+  public void refused(Claim claim, Refusal refusal) {
+    if (!claim.owner().equals(self)) {
+      transport.accept(
+          claim.owner(),
+          new PlaceMessage.Refused(claim.id(), refusal.reason(), refusal.retryAfterMillis()));
+      return;
+    }
+    PendingClaim pending = claims.remove(claim.id());
+    if (pending != null) {
+      pending.done = true;
+      pending.listener.refused(refusal);
+    }
+  }
+
+  /** Returns how many places are held here. */
+  public int heldPlaces() {
+    int held = 0;
+    for (PendingClaim pending : claims.values()) {
+      held += pending.isGranted() ? 1 : 0;
+    }
+    return held;
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceMessage.java
@@ -0,0 +1,59 @@
+package io.samphiredyke.gateway.place;
+
+import io.samphiredyke.core.pool.Outcome;
+import io.samphiredyke.core.pool.Refusal;
+import io.samphiredyke.core.pool.Work;
+import java.util.List;
+import java.util.Set;
+
+/** Messages between the holder of a request and a scheduler. Each may be lost or repeated. */
+sealed interface PlaceMessage {
+
+  /**
+   * Asks for a place; repeated until it is answered.
+   *
+   * @param dueMillis time left to be on time, may be negative
+   * @param patienceMillis time left until a start is of no use
+   */
+  record Ask(
+      long claimId,
+      String service,
+      int rank,
+      double value,
+      Work work,
+      String customer,
+      long quotaUnits,
+      boolean isRepeat,
+      Set<String> excluded,
+      long dueMillis,
+      long patienceMillis)
+      implements PlaceMessage {}
+
+  /** The claim waits in the scheduler's queue. */
+  record Queued(long claimId) implements PlaceMessage {}
+
+  /** The claim got a place. */
+  record Granted(long claimId, String endpointId) implements PlaceMessage {}
+
+  /** The claim gets no place. */
+  record Refused(long claimId, Refusal.Reason reason, long retryAfterMillis)
+      implements PlaceMessage {}
+
+  /** The claim is not needed any more. */
+  record Withdrawn(String service, long claimId) implements PlaceMessage {}
+
+  /** The first event of a stream arrived. */
+  record Started(String service, String endpointId, long claimId, double millis)
+      implements PlaceMessage {}
+
+  /** The place is free. */
+  record Released(String service, String endpointId, long claimId, Outcome outcome, double millis)
+      implements PlaceMessage {}
+
+  /** A place that the sender holds. */
+  record Held(
+      long claimId, String service, String endpointId, int promptTokens, int outputTokens) {}
+
+  /** All places that the sender holds from the receiver. */
+  record Holding(List<Held> places) implements PlaceMessage {}
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -0,0 +1,158 @@
+package io.samphiredyke.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.serving.RouteKind;
+import io.samphiredyke.gateway.place.Place;
+import io.samphiredyke.gateway.upstream.EndpointExchange;
+import io.samphiredyke.gateway.upstream.ExchangeFailure;
+import io.samphiredyke.gateway.upstream.ExchangeListener;
+import io.samphiredyke.gateway.upstream.OutgoingRequest;
+import io.samphiredyke.platform.EndpointAnswerHead;
+import org.jspecify.annotations.Nullable;
+
+/** One sending of a request to one endpoint. */
+final class EndpointAttempt implements ExchangeListener {
+
+  private static final int SERVER_ERROR = 500;
+
+  /**
+   * Statuses that promise that a request did not run; only an endpoint that says so may use them.
+   */
+  private static boolean isPromise(int status) {
+    return status == 429 || status == 503 || status == 408 || status == 421;
+  }
+
+  private final RequestFlow flow;
+  private final EndpointRecord endpoint;
+  private final Place place;
+  private @Nullable EndpointExchange exchange;
+  private @Nullable String unusable;
+  private boolean isUnrun;
+  private boolean isDone;
+  private boolean hasStarted;
+  private int status;
+
+  EndpointAttempt(RequestFlow flow, EndpointRecord endpoint, Place place) {
+    this.flow = flow;
+    this.endpoint = endpoint;
+    this.place = place;
+  }
+
+  EndpointRecord endpoint() {
+    return endpoint;
+  }
+
+  Place place() {
+    return place;
+  }
+
+  void open(OutgoingRequest outgoing) {
+    exchange = flow.context().connections().open(endpoint.address(), outgoing, true, this);
+  }
+
+  void cancel() {
+    isDone = true;
+    EndpointExchange open = exchange;
+    if (open != null) {
+      open.cancel();
+    }
+  }
+
+  void setReading(boolean reading) {
+    EndpointExchange open = exchange;
+    if (open != null) {
+      open.setReading(reading);
+    }
+  }
+
+  @Override
+  public void onHead(EndpointAnswerHead head, HttpResponse response) {
+    if (isDone) {
+      return;
+    }
+    status = head.status();
+    isUnrun = head.statesNotRun();
+    unusable = isUnrun ? null : defectOf(head);
+    if (isUnrun || unusable != null) {
+      return;
+    }
+    flow.relay().head(response, head.isSuccess());
+  }
+
+  private @Nullable String defectOf(EndpointAnswerHead head) {
+    if (head.isEncoded()) {
+      return "the answer has a content encoding";
+    }
+    if (head.isSuccess()) {
+      return head.hasDigest() ? null : "a success without digest";
+    }
+    if (isPromise(head.status())) {
+      return "status " + head.status() + " without a statement that it did not run";
+    }
+    boolean isFailure = head.status() >= SERVER_ERROR;
+    boolean isRepeatable = flow.route().kind() == RouteKind.IDEMPOTENT;
+    return isFailure && (isRepeatable || flow.relay().hasStarted())
+        ? "status " + head.status()
+        : null;
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (isDone || isUnrun || unusable != null) {
+      return;
+    }
+    if (!hasStarted) {
+      hasStarted = true;
+      place.started();
+    }
+    if (!flow.relay().content(content)) {
+      fail("the answer does not continue the stream");
+      return;
+    }
+    EndpointExchange open = exchange;
+    if (open != null && !flow.relay().isWritable()) {
+      open.setReading(false);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (isDone) {
+      return;
+    }
+    isDone = true;
+    String defect = unusable;
+    if (isUnrun) {
+      flow.notRun(this, status);
+    } else if (defect != null) {
+      flow.failed(this, defect);
+    } else if (flow.relay().endsWithinEvent()) {
+      flow.failed(this, "the stream ended within an event");
+    } else {
+      flow.relay().end();
+      flow.served(this, status);
+    }
+  }
+
+  private void fail(String reason) {
+    cancel();
+    flow.failed(this, reason);
+  }
+
+  @Override
+  public void onFailure(ExchangeFailure failure) {
+    if (isDone) {
+      return;
+    }
+    isDone = true;
+    if (failure.isUnsent()) {
+      flow.notConnected(this, failure.reason());
+    } else if (isUnrun) {
+      flow.notRun(this, status);
+    } else {
+      flow.failed(this, failure.reason());
+    }
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
@@ -0,0 +1,50 @@
+package io.samphiredyke.gateway.store;
+
+import io.samphiredyke.core.serving.ServingConfiguration;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.platform.ConfigurationDecoder;
+import io.samphiredyke.platform.MalformedRecordException;
+import io.samphiredyke.platform.StoreClient;
+import io.samphiredyke.platform.StoreRecord;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Decodes configurations and hands on the newest one. */
+public final class ConfigurationReceiver implements TopicFollower.Receiver {
+
+  private final Consumer<ServingConfiguration> receiver;
+  private final DecisionLog log;
+
+  /** Creates a receiver. */
+  public ConfigurationReceiver(Consumer<ServingConfiguration> receiver, DecisionLog log) {
+    this.receiver = receiver;
+    this.log = log;
+  }
+
+  @Override
+  public void listed(List<StoreRecord> records) {
+    read(records);
+  }
+
+  @Override
+  public void read(List<StoreRecord> records) {
+    for (int i = records.size() - 1; i >= 0; i--) {
+      StoreRecord record = records.get(i);
+      byte[] value = record.value();
+      if (!record.key().equals(StoreClient.CONFIGURATION_KEY) || value == null) {
+        continue;
+      }
+      try {
+        receiver.accept(ConfigurationDecoder.decode(value));
+        return;
+      } catch (MalformedRecordException e) {
+        log.event("config_rejected", "offset", record.offset(), "reason", e.getMessage());
+      }
+    }
+  }
+
+  @Override
+  public void lost(String reason) {
+    // The configuration in force stays in force until a newer one is read.
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -0,0 +1,147 @@
+package io.samphiredyke.gateway.store;
+
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.control.ControlLoop;
+import io.samphiredyke.platform.StoreBatch;
+import io.samphiredyke.platform.StoreClient;
+import io.samphiredyke.platform.StoreException;
+import io.samphiredyke.platform.StoreRecord;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.random.RandomGenerator;
+
+/**
+ * Follows a topic of the store: lists it once, reads what is appended, lists again after a gap.
+ *
+ * <p>Either it waits at the store for the next record, or it reads at a pace of its own, which is
+ * cheaper where records come all the time.
+ */
+public final class TopicFollower {
+
+  /** Receives what was read, on the loop. */
+  public interface Receiver {
+
+    /** All keys as they are now. */
+    void listed(List<StoreRecord> records);
+
+    /** Records in their order. */
+    void read(List<StoreRecord> records);
+
+    /** The store did not answer, or answered with an error. */
+    void lost(String reason);
+  }
+
+  /** Time without an answer after which a call has failed; an answer takes some milliseconds. */
+  private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
+
+  private static final long FIRST_PAUSE_MILLIS = 100;
+  private static final long LONGEST_PAUSE_MILLIS = 1_000;
+
+  private final ControlLoop loop;
+  private final StoreClient store;
+  private final String topic;
+  private final Duration wait;
+  private final Duration pace;
+  private final Receiver receiver;
+  private final DecisionLog log;
+  private final RandomGenerator random;
+  private long next = -1;
+  private long failures;
+  private long calls;
+  private long lastReadAt = Long.MIN_VALUE;
+
+  /**
+   * Creates a follower.
+   *
+   * @param wait how long a read waits at the store for a record
+   * @param pace pause between two reads
+   */
+  public TopicFollower(
+      ControlLoop loop,
+      StoreClient store,
+      String topic,
+      Duration wait,
+      Duration pace,
+      Receiver receiver,
+      DecisionLog log,
+      RandomGenerator random) {
+    this.loop = loop;
+    this.store = store;
+    this.topic = topic;
+    this.wait = wait;
+    this.pace = pace;
+    this.receiver = receiver;
+    this.log = log;
+    this.random = random;
+  }
+
+  /** Starts to follow. */
+  public void start() {
+    list();
+  }
+
+  private void list() {
+    calls++;
+    loop.whenDone(store.newest(topic, CALL_TIMEOUT), this::listed, this::failed);
+  }
+
+  private void listed(StoreBatch batch) {
+    next = batch.next();
+    answered();
+    receiver.listed(batch.records());
+    schedule();
+  }
+
+  private void read() {
+    calls++;
+    loop.whenDone(store.read(topic, next, wait, CALL_TIMEOUT), this::readDone, this::failed);
+  }
+
+  private void readDone(StoreBatch batch) {
+    next = batch.next();
+    answered();
+    receiver.read(batch.records());
+    schedule();
+  }
+
+  private void answered() {
+    if (failures > 0) {
+      log.event("store_back", "topic", topic, "failures", failures);
+    }
+    failures = 0;
+    lastReadAt = loop.now();
+  }
+
+  private void schedule() {
+    loop.schedule(this::read, pace);
+  }
+
+  private void failed(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof StoreException store && store.isHistoryGone()) {
+      log.event("store_history_gone", "topic", topic, "from", next);
+      list();
+      return;
+    }
+    failures++;
+    String reason = cause == null ? "unknown" : String.valueOf(cause.getMessage());
+    if (failures == 1) {
+      log.event("store_lost", "topic", topic, "reason", reason);
+    }
+    receiver.lost(reason);
+    long longest = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, 5));
+    long pause = longest / 2 + random.nextLong(longest / 2);
+    loop.schedule(next < 0 ? this::list : this::read, Duration.ofMillis(pause));
+  }
+
+  /** Returns how many calls were made. */
+  public long calls() {
+    return calls;
+  }
+
+  /** Returns when the topic was last read, nanoseconds of the loop's clock. */
+  public long lastReadAt() {
+    return lastReadAt;
+  }
+}
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/control/Addresses.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/control/Addresses.java
@@ -1,4 +1,4 @@
-package io.samphiredyke.daemon.control;
+package io.samphiredyke.net.control;
 
 import java.net.InetSocketAddress;
 
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/control/ControlLoop.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlLoop.java
@@ -1,4 +1,4 @@
-package io.samphiredyke.daemon.control;
+package io.samphiredyke.net.control;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -78,7 +78,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis)
             .handler(new Initializer(options.tls()));
-    ChannelFuture connecting = bootstrap.connect(address);
+    ChannelFuture connecting = KeepAliveProbes.enable(bootstrap).connect(address);
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
