--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -112,7 +112,8 @@
     if (customer == null) {
       return null;
     }
-    return quotas.computeIfAbsent(name, key -> new TokenQuota(customer, now));
+    return quotas.computeIfAbsent(
+        name, key -> new TokenQuota(customer, options.quotaTolerance(), options.quotaSlack(), now));
   }
 
   /** Returns whether a claim waits here. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
@@ -2,25 +2,48 @@
 
 import io.samphiredyke.core.serving.CustomerSpec;
 
-/** A customer's quota as a bucket that fills at the configured rate. */
+/**
+ * A customer's quota as a bucket that fills at the configured rate.
+ *
+ * <p>The platform tolerates some units beyond the quota. The bucket gives a share of them away, so
+ * that requests within the quota are not refused because hosts count slightly apart.
+ */
 final class TokenQuota {
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  private final double tolerance;
+  private final double slackUnits;
   private CustomerSpec customer;
   private double units;
   private long filledAt;
 
-  TokenQuota(CustomerSpec customer, long now) {
+  /**
+   * Creates a full bucket.
+   *
+   * @param tolerance share of rate and burst that may be used beyond them
+   * @param slackUnits units that may be used beyond that
+   */
+  TokenQuota(CustomerSpec customer, double tolerance, double slackUnits, long now) {
     this.customer = customer;
-    this.units = customer.burst();
+    this.tolerance = tolerance;
+    this.slackUnits = slackUnits;
+    this.units = capacity();
     this.filledAt = now;
   }
 
+  private double capacity() {
+    return customer.burst() * (1 + tolerance) + slackUnits;
+  }
+
+  private double ratePerSecond() {
+    return customer.ratePerSecond() * (1 + tolerance);
+  }
+
   void update(CustomerSpec newer, long now) {
     fill(now);
     customer = newer;
-    units = Math.min(units, newer.burst());
+    units = Math.min(units, capacity());
   }
 
   /**
@@ -41,17 +64,17 @@
 
   /** Returns the units of a request that did not run. */
   void giveBack(long unused) {
-    units = Math.min(customer.burst(), units + unused);
+    units = Math.min(capacity(), units + unused);
   }
 
   /** Time until units are left again, milliseconds. */
   long millisUntilPositive() {
-    return units > 0 ? 0 : (long) (-units / customer.ratePerSecond() * 1000) + 1;
+    return units > 0 ? 0 : (long) (-units / ratePerSecond() * 1000) + 1;
   }
 
   private void fill(long now) {
     double seconds = Math.max(0, now - filledAt) / NANOS_PER_SECOND;
-    units = Math.min(customer.burst(), units + seconds * customer.ratePerSecond());
+    units = Math.min(capacity(), units + seconds * ratePerSecond());
     filledAt = now;
   }
 }
--- /dev/null
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
@@ -0,0 +1,167 @@
+package io.samphiredyke.core.pool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiredyke.core.serving.EndpointRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class PoolSchedulerTest implements PoolListener {
+
+  private static final long MILLI = 1_000_000;
+
+  private final Map<Long, String> grants = new HashMap<>();
+  private final List<Long> grantOrder = new ArrayList<>();
+  private final Map<Long, Refusal> refusals = new HashMap<>();
+  private final PoolScheduler scheduler =
+      new PoolScheduler(new PoolOptions(0.2, 10, 0, 0, 300), this, new SplittableRandom(7));
+
+  @Override
+  public void granted(Claim claim, String endpointId) {
+    grants.put(claim.id(), endpointId);
+    grantOrder.add(claim.id());
+  }
+
+  @Override
+  public void refused(Claim claim, Refusal refusal) {
+    refusals.put(claim.id(), refusal);
+  }
+
+  private static EndpointRecord endpoint(String id, int slots) {
+    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", slots, false, 0, 1);
+  }
+
+  private static Claim claim(long id, int rank, long now, long patienceMillis) {
+    return new Claim(
+        id,
+        "host",
+        "s",
+        rank,
+        1,
+        new Work(4_000, 120, List.of(new PromptPart(id, 4_000))),
+        "",
+        0,
+        false,
+        Set.of(),
+        now + 800 * MILLI,
+        now + patienceMillis * MILLI);
+  }
+
+  @Test
+  void sendsNoMoreToAnEngineThanItCanStart() {
+    scheduler.put(endpoint("e", 2), 0);
+    for (long id = 1; id <= 4; id++) {
+      scheduler.claim(claim(id, 0, 0, 2_000), 0);
+    }
+    assertThat(grants).containsOnlyKeys(1L, 2L);
+    scheduler.release("s", "e", 1, Outcome.SERVED, 500, 500 * MILLI);
+    assertThat(grants).hasSize(3);
+  }
+
+  @Test
+  void servesTheMoreImportantFirst() {
+    scheduler.put(endpoint("e", 1), 0);
+    scheduler.claim(claim(1, 0, 0, 2_000), 0);
+    scheduler.claim(claim(2, 2, 0, 2_000), 0);
+    scheduler.claim(claim(3, 0, 0, 2_000), MILLI);
+    scheduler.release("s", "e", 1, Outcome.SERVED, 400, 400 * MILLI);
+    assertThat(grantOrder).containsExactly(1L, 3L);
+  }
+
+  @Test
+  void refusesAtOnceWhatCannotStartInTime() {
+    scheduler.put(endpoint("e", 1), 0);
+    for (long id = 1; id <= 20; id++) {
+      scheduler.claim(claim(id, 0, 0, 1_000), 0);
+    }
+    assertThat(refusals.size()).isGreaterThan(10);
+    refusals.values().forEach(r -> assertThat(r.reason()).isEqualTo(Refusal.Reason.OVERLOADED));
+  }
+
+  @Test
+  void refusesNothingWhilePlacesAreFree() {
+    scheduler.put(endpoint("e", 4), 0);
+    for (long id = 1; id <= 4; id++) {
+      scheduler.claim(claim(id, 2, 0, 1), 0);
+    }
+    assertThat(refusals).isEmpty();
+    assertThat(grants).hasSize(4);
+  }
+
+  @Test
+  void doesNotSendToAnEndpointThatTheClaimExcludes() {
+    scheduler.put(endpoint("e", 4), 0);
+    scheduler.put(endpoint("f", 4), 0);
+    Claim repeat =
+        new Claim(9, "host", "s", 0, 1, Work.PLAIN, "", 0, true, Set.of("e"), MILLI, 1_000 * MILLI);
+    scheduler.claim(repeat, 0);
+    assertThat(grants).containsEntry(9L, "f");
+  }
+
+  @Test
+  void boundsRepeatsByTheBudget() {
+    scheduler.put(endpoint("e", 1_000), 0);
+    for (long id = 1; id <= 30; id++) {
+      scheduler.claim(
+          new Claim(id, "h", "s", 0, 1, Work.PLAIN, "", 0, true, Set.of(), MILLI, 1_000 * MILLI),
+          0);
+    }
+    assertThat(grants).hasSize(10);
+    assertThat(refusals).hasSize(20);
+  }
+
+  @Test
+  void freesWhatAnOwnerNoLongerHolds() {
+    scheduler.put(endpoint("e", 1), 0);
+    scheduler.claim(claim(1, 0, 0, 2_000), 0);
+    scheduler.claim(claim(2, 0, 0, 2_000), 0);
+    scheduler.reconcile("host", Set.of(), 200 * MILLI);
+    assertThat(grants).as("a young grant may still be on its way").hasSize(1);
+    scheduler.reconcile("host", Set.of(), 400 * MILLI);
+    assertThat(grants).containsKey(2L);
+  }
+
+  @Test
+  void prefersTheEndpointThatKeepsThePrompt() {
+    scheduler.put(endpoint("e", 4), 0);
+    scheduler.put(endpoint("f", 4), 0);
+    scheduler.claim(claim(1, 0, 0, 2_000), 0);
+    scheduler.release("s", grants.get(1L), 1, Outcome.SERVED, 400, 400 * MILLI);
+    Claim again =
+        new Claim(
+            2,
+            "host",
+            "s",
+            0,
+            1,
+            new Work(4_000, 120, List.of(new PromptPart(1, 4_000))),
+            "",
+            0,
+            false,
+            Set.of(),
+            2_000 * MILLI,
+            3_000 * MILLI);
+    scheduler.claim(again, 500 * MILLI);
+    assertThat(grants.get(2L)).isEqualTo(grants.get(1L));
+  }
+
+  @Test
+  void pausesAnEndpointThatFailsAgainAndAgain() {
+    scheduler.put(endpoint("e", 4), 0);
+    scheduler.put(endpoint("f", 4), 0);
+    for (long id = 1; id <= 40; id++) {
+      long now = id * MILLI;
+      scheduler.claim(claim(id, 0, now, 2_000), now);
+      String endpoint = grants.get(id);
+      Outcome outcome = endpoint.equals("e") ? Outcome.FAILED : Outcome.SERVED;
+      scheduler.release("s", endpoint, id, outcome, 10, now);
+    }
+    long onFailing = grants.values().stream().filter("e"::equals).count();
+    assertThat(onFailing).isLessThanOrEqualTo(4);
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/TokenQuotaTest.java
@@ -0,0 +1,59 @@
+package io.samphiredyke.core.pool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiredyke.core.serving.CustomerSpec;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class TokenQuotaTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private static CustomerSpec customer(long rate, long burst) {
+    return new CustomerSpec("c", Set.of("k"), -1, rate, burst, true, 200);
+  }
+
+  /** Units granted in one window to a customer that asks for everything it can get. */
+  private static long unitsInWindow(TokenQuota quota, long from, int seconds, long request) {
+    long units = 0;
+    for (long t = from; t <= from + seconds * SECOND; t += SECOND / 100) {
+      while (quota.take(request, t)) {
+        units += request;
+      }
+    }
+    return units;
+  }
+
+  @Test
+  void staysWithinTheToleratedUnitsInAnyWindow() {
+    long rate = 70_000;
+    long burst = 70_000;
+    TokenQuota quota = new TokenQuota(customer(rate, burst), 0.06, 114_000, 0);
+    double allowed = (rate * 8 + burst) * 1.1 + 190_000;
+    assertThat(unitsInWindow(quota, 0, 8, 4_000)).isLessThanOrEqualTo((long) allowed);
+    assertThat(unitsInWindow(quota, 8 * SECOND, 8, 4_000)).isLessThanOrEqualTo((long) allowed);
+  }
+
+  @Test
+  void doesNotRefuseWhatLiesWithinTheQuota() {
+    TokenQuota quota = new TokenQuota(customer(1_000, 1_000), 0, 0, 0);
+    for (long t = 0; t < 100; t++) {
+      assertThat(quota.take(100, t * SECOND / 10)).isTrue();
+    }
+  }
+
+  @Test
+  void bindsALowerLimitWithoutCreditFromBefore() {
+    TokenQuota quota = new TokenQuota(customer(70_000, 70_000), 0, 0, 0);
+    quota.update(customer(100, 100), SECOND);
+    assertThat(unitsInWindow(quota, SECOND, 8, 50)).isLessThanOrEqualTo(100 + 800 + 50);
+  }
+
+  @Test
+  void limitsNoCustomerWithoutRate() {
+    TokenQuota quota = new TokenQuota(customer(0, 0), 0, 0, 0);
+    assertThat(quota.take(1_000_000, 1)).isTrue();
+    assertThat(quota.take(1_000_000, 1)).isTrue();
+  }
+}
--- /dev/null
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/serving/EndpointDirectoryTest.java
@@ -0,0 +1,79 @@
+package io.samphiredyke.core.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class EndpointDirectoryTest {
+
+  private static final long GRACE = 1_700;
+
+  private final List<String> events = new ArrayList<>();
+  private final EndpointDirectory directory =
+      new EndpointDirectory(
+          GRACE,
+          new EndpointDirectory.Listener() {
+            @Override
+            public void available(EndpointRecord endpoint) {
+              events.add("+" + endpoint.id());
+            }
+
+            @Override
+            public void unavailable(EndpointRecord endpoint, String reason) {
+              events.add("-" + endpoint.id() + " " + reason);
+            }
+          });
+
+  private static EndpointRecord endpoint(String id, boolean draining) {
+    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", 4, draining, 0, 1);
+  }
+
+  @Test
+  void dropsAnEndpointThatDrains() {
+    directory.put(endpoint("i-1", false));
+    directory.put(endpoint("i-1", true));
+    assertThat(events).containsExactly("+i-1", "-i-1 draining");
+    assertThat(directory.find("i-1")).isNull();
+  }
+
+  @Test
+  void dropsRemovedEntriesAtOnceInSteadyState() {
+    directory.put(endpoint("i-1", false));
+    directory.remove("i-1", 10);
+    assertThat(directory.find("i-1")).isNull();
+  }
+
+  @Test
+  void keepsLapsedEntriesForTheGraceAfterAnOutage() {
+    directory.put(endpoint("i-1", false));
+    directory.registryLost();
+    directory.registryRead(1_000);
+    directory.remove("i-1", 1_000);
+    directory.tick(1_000 + GRACE - 1);
+    assertThat(directory.find("i-1")).isNotNull();
+    directory.put(endpoint("i-1", false));
+    directory.tick(1_000 + GRACE);
+    assertThat(directory.find("i-1")).isNotNull();
+  }
+
+  @Test
+  void dropsEntriesThatAreStillMissingAfterTheGrace() {
+    directory.put(endpoint("i-1", false));
+    directory.registryLost();
+    directory.registryRead(1_000);
+    directory.replaceAll(List.of(), 1_000);
+    directory.tick(1_000 + GRACE);
+    assertThat(directory.find("i-1")).isNull();
+  }
+
+  @Test
+  void drainingBindsDuringTheGraceToo() {
+    directory.put(endpoint("i-1", false));
+    directory.registryLost();
+    directory.registryRead(1_000);
+    directory.put(endpoint("i-1", true));
+    assertThat(directory.find("i-1")).isNull();
+  }
+}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -50,6 +50,9 @@
   /** Share of the repeat budget that is used; the rest covers hosts that decide alone. */
   private static final double REPEAT_SHARE = 0.6;
 
+  /** Share of the tolerated overuse of quotas that is given away; the rest covers the same. */
+  private static final double QUOTA_SHARE = 0.6;
+
   /** How long a grant may be missing from its owner's report, milliseconds. */
   private static final long REPORT_GRACE_MILLIS = 300;
 
@@ -81,6 +84,8 @@
         new PoolOptions(
             settings.repeatRatio() * REPEAT_SHARE,
             settings.repeatReserve() * REPEAT_SHARE,
+            settings.quotaTolerance() * QUOTA_SHARE,
+            settings.quotaSlack() * QUOTA_SHARE,
             REPORT_GRACE_MILLIS);
     this.peers = new PeerGroup(loop, self(settings, random), options, random, log);
     this.connections = new EndpointConnections(eventLoop);
