Gateway tests over stand-ins of store and endpoints

Change: GatewayTest drives whole gateways over loopback; the stand-ins speak the published protocol.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -168,6 +168,14 @@
     changed();
   }
 
+  /** Closes the socket without a word, as a cut or a kill would. */
+  public void silence() {
+    Channel open = channel;
+    if (open != null) {
+      open.close();
+    }
+  }
+
   /** Returns how many datagrams could not be read. */
   public long malformed() {
     return malformed;
--- /dev/null
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -0,0 +1,356 @@
+package io.samphiredyke.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.platform.HostSettings;
+import io.samphiredyke.platform.StoreClient;
+import io.samphiredyke.platform.standin.EndpointStandIn;
+import io.samphiredyke.platform.standin.EndpointStandIn.Behaviour;
+import io.samphiredyke.platform.standin.StoreStandIn;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Whole gateways before stand-ins of store and endpoints, over loopback connections. */
+class GatewayTest {
+
+  private static final String CONFIGURATION =
+      "{\"Version\":%d,\"Routes\":["
+          + route("safe", "safe", 2, false)
+          + ","
+          + route("unsafe", "unsafe", 1, false)
+          + ","
+          + route("stream", "streaming", 1, false)
+          + ","
+          + route("resumable", "streaming", 2, true)
+          + "],\"Services\":[{\"Name\":\"plain\"},{\"Name\":\"model\","
+          + "\"Engine\":{\"BatchSlots\":4,\"KvCapacity\":100000}}],"
+          + "\"Limits\":{\"MaxHeaderBytes\":2048,\"MaxBodyBytes\":4096,"
+          + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
+          + "\"Tenants\":[{\"Name\":\"customer\",\"ApiKeys\":[\"key\"],\"RatePerS\":0}]}";
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final StoreStandIn store = new StoreStandIn();
+  private final List<EndpointStandIn> plain = new ArrayList<>();
+  private final List<EndpointStandIn> models = new ArrayList<>();
+  private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+  private final HttpClient client = HttpClient.newHttpClient();
+  private int requests;
+
+  private static String route(String name, String kind, int attempts, boolean resumable) {
+    String service = kind.equals("streaming") ? "model" : "plain";
+    return "{\"Name\":\""
+        + name
+        + "\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/"
+        + name
+        + "/\",\"Kind\":\""
+        + kind
+        + "\",\"TimeoutMs\":20000,\"TargetLatencyMs\":5000,\"Priority\":0,\"Service\":\""
+        + service
+        + "\",\"MaxAttempts\":"
+        + attempts
+        + ",\"Resumable\":"
+        + resumable
+        + "}";
+  }
+
+  @BeforeEach
+  void startPlatform() {
+    store.start(group);
+    for (int i = 1; i <= 2; i++) {
+      plain.add(new EndpointStandIn("p-" + i, "plain", false).start(group));
+      models.add(new EndpointStandIn("m-" + i, "model", true).start(group));
+    }
+    register("ready", plain);
+    register("ready", models);
+  }
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+  }
+
+  private void register(String state, List<EndpointStandIn> endpoints) {
+    for (EndpointStandIn endpoint : endpoints) {
+      store.put(StoreClient.ENDPOINT_TOPIC, endpoint.id(), endpoint.entry(state));
+    }
+  }
+
+  private void configure(int version) {
+    store.put(
+        StoreClient.OPERATOR_TOPIC,
+        StoreClient.CONFIGURATION_KEY,
+        String.format(CONFIGURATION, version));
+  }
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  /** A gateway and where callers reach it. */
+  private record Running(Gateway gateway, String address, String peer) {}
+
+  private Running startGateway(String name, List<String> seeds) {
+    String address = "127.0.0.1:" + freePort();
+    String peer = "127.0.0.1:" + freePort();
+    HostSettings settings =
+        new HostSettings(
+            name,
+            "a",
+            address,
+            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + freePort(),
+            peer,
+            "127.0.0.1:" + freePort(),
+            seeds,
+            store.address(),
+            1_200,
+            8_000,
+            0.2,
+            50,
+            0.1,
+            1_000,
+            5);
+    DecisionLog log = new DecisionLog(lines, System::currentTimeMillis);
+    Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log);
+    gateway.start().join();
+    return new Running(gateway, address, peer);
+  }
+
+  private Running startReady() {
+    configure(1);
+    Running running = startGateway("host-1", List.of());
+    await(running.gateway()::isReady);
+    return running;
+  }
+
+  private static void await(BooleanSupplier condition) {
+    for (int i = 0; i < 3_000 && !condition.getAsBoolean(); i++) {
+      try {
+        Thread.sleep(10);
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  private HttpRequest.Builder request(Running to, String path) {
+    requests++;
+    return HttpRequest.newBuilder(URI.create("http://" + to.address() + path))
+        .header("Authorization", "Bearer key")
+        .header("X-Samphiredyke-Request-Id", "r-" + requests)
+        .header("X-Samphiredyke-Deadline-Ms", "15000")
+        .timeout(Duration.ofSeconds(40));
+  }
+
+  private HttpResponse<String> get(Running to, String path) {
+    return send(request(to, path).build());
+  }
+
+  private HttpResponse<String> post(Running to, String path, String body) {
+    return send(request(to, path).POST(HttpRequest.BodyPublishers.ofString(body)).build());
+  }
+
+  private HttpResponse<String> send(HttpRequest request) {
+    return client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).join();
+  }
+
+  private static int runs(List<EndpointStandIn> endpoints) {
+    return endpoints.stream().mapToInt(endpoint -> endpoint.runs().size()).sum();
+  }
+
+  @Test
+  void passesAnAnswerOnUnchanged() {
+    Running running = startReady();
+    HttpResponse<String> response = post(running, "/unsafe/x?a=b%20c", "body");
+    assertThat(response.statusCode()).isEqualTo(200);
+    String digest = response.headers().firstValue("X-Samphiredyke-Server-Signature").orElse("");
+    assertThat(digest).startsWith("d.p-");
+    assertThat(response.body()).startsWith("answer of p-");
+    EndpointStandIn.Run run =
+        plain.stream().flatMap(endpoint -> endpoint.runs().stream()).findFirst().orElseThrow();
+    assertThat(run.body()).isEqualTo("body");
+    assertThat(run.headers()).containsEntry("x-samphiredyke-tenant", "customer");
+    assertThat(run.headers()).doesNotContainKey("authorization");
+    assertThat(Integer.parseInt(run.headers().get("x-samphiredyke-deadline-ms")))
+        .isLessThanOrEqualTo(15_000);
+  }
+
+  @Test
+  void refusesWhatTheConfigurationDoesNotAllow() {
+    Running running = startReady();
+    assertThat(get(running, "/unknown/x").statusCode()).isEqualTo(404);
+    HttpRequest foreign =
+        HttpRequest.newBuilder(URI.create("http://" + running.address() + "/safe/x"))
+            .header("Authorization", "Bearer other")
+            .build();
+    assertThat(send(foreign).statusCode()).isEqualTo(401);
+    assertThat(post(running, "/unsafe/x", "x".repeat(5_000)).statusCode()).isEqualTo(413);
+    HttpRequest longHead = request(running, "/safe/x").header("X-Long", "x".repeat(3_000)).build();
+    assertThat(send(longHead).statusCode()).isEqualTo(431);
+    assertThat(runs(plain)).isZero();
+  }
+
+  @Test
+  void answers503UntilItKnowsAConfiguration() {
+    Running running = startGateway("host-1", List.of());
+    HttpResponse<String> response = get(running, "/safe/x");
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.headers().firstValue("Retry-After")).isPresent();
+  }
+
+  @Test
+  void repeatsAnIdempotentRequestAtAnotherEndpoint() {
+    Running running = startReady();
+    plain.get(0).behave(Behaviour.ERROR);
+    for (int i = 0; i < 6; i++) {
+      assertThat(get(running, "/safe/x").statusCode()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void neverRepeatsANonIdempotentRequestThatMayHaveRun() {
+    Running running = startReady();
+    plain.forEach(endpoint -> endpoint.behave(Behaviour.LOSE_ANSWER));
+    assertThat(post(running, "/unsafe/x", "body").statusCode()).isEqualTo(502);
+    assertThat(runs(plain)).isEqualTo(1);
+  }
+
+  @Test
+  void repeatsANonIdempotentRequestThatDidNotRun() {
+    Running running = startReady();
+    plain.get(0).behave(Behaviour.REFUSE_UNRUN);
+    for (int i = 0; i < 4; i++) {
+      assertThat(post(running, "/unsafe/x", "body").statusCode()).isEqualTo(200);
+    }
+    assertThat(runs(plain)).isEqualTo(4);
+  }
+
+  @Test
+  void saysTruthfullyThatNothingRan() {
+    Running running = startReady();
+    plain.forEach(endpoint -> endpoint.behave(Behaviour.REFUSE_UNRUN));
+    HttpResponse<String> response = post(running, "/unsafe/x", "body");
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(runs(plain)).isZero();
+  }
+
+  @Test
+  void resumesAStreamExactlyWhereItBrokeOff() {
+    Running running = startReady();
+    models.get(0).behave(Behaviour.BREAK_OFF);
+    for (int i = 0; i < 4; i++) {
+      HttpResponse<String> response = post(running, "/resumable/x", "prompt");
+      assertThat(response.statusCode()).isEqualTo(200);
+      assertThat(response.body())
+          .isEqualTo(
+              "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\n"
+                  + "id: 4\ndata: token\n\nid: 5\ndata: token\n\n");
+    }
+  }
+
+  @Test
+  void leavesAStreamIncompleteThatMayNotBeResumed() {
+    Running running = startReady();
+    models.forEach(endpoint -> endpoint.behave(Behaviour.BREAK_OFF));
+    CompletableFuture<HttpResponse<String>> response =
+        client.sendAsync(
+            request(running, "/stream/x").POST(HttpRequest.BodyPublishers.ofString("p")).build(),
+            HttpResponse.BodyHandlers.ofString());
+    assertThat(response.handle((done, failure) -> failure != null).join()).isTrue();
+    assertThat(runs(models)).isEqualTo(1);
+  }
+
+  @Test
+  void sendsNothingToAnEndpointThatDrains() {
+    Running running = startReady();
+    register("draining", plain.subList(0, 1));
+    await(() -> logged("endpoint_down"));
+    for (int i = 0; i < 6; i++) {
+      assertThat(get(running, "/safe/x").statusCode()).isEqualTo(200);
+    }
+    assertThat(plain.get(0).runs()).isEmpty();
+  }
+
+  @Test
+  void stopsTheEndpointWhenTheCallerLeaves() {
+    Running running = startReady();
+    plain.forEach(endpoint -> endpoint.behave(Behaviour.HANG));
+    HttpRequest impatient = request(running, "/safe/x").timeout(Duration.ofMillis(300)).build();
+    CompletableFuture<Boolean> failed =
+        client
+            .sendAsync(impatient, HttpResponse.BodyHandlers.ofString())
+            .handle((done, failure) -> failure != null);
+    assertThat(failed.join()).isTrue();
+    await(() -> plain.stream().mapToInt(EndpointStandIn::abandoned).sum() == 1);
+  }
+
+  @Test
+  void followsTheStoreThroughAnOutageAndAfterItsHistoryIsGone() {
+    Running running = startReady();
+    store.mode(StoreStandIn.Mode.BUSY);
+    await(() -> logged("store_lost"));
+    assertThat(get(running, "/safe/x").statusCode()).isEqualTo(200);
+    configure(2);
+    store.compact(StoreClient.OPERATOR_TOPIC);
+    store.mode(StoreStandIn.Mode.UP);
+    await(() -> logged("\"version\":2"));
+    assertThat(get(running, "/safe/x").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void hostsScheduleForEachOtherAndGoOnWithoutTheOther() {
+    Running first = startReady();
+    Running second = startGateway("host-2", List.of(first.peer()));
+    await(second.gateway()::isReady);
+    await(() -> first.gateway().readyAddresses().size() == 2);
+    await(() -> second.gateway().readyAddresses().size() == 2);
+    for (int i = 0; i < 10; i++) {
+      assertThat(get(first, "/safe/x").statusCode()).isEqualTo(200);
+      assertThat(post(second, "/resumable/x", "p").statusCode()).isEqualTo(200);
+    }
+    second.gateway().peers().silence();
+    for (int i = 0; i < 10; i++) {
+      assertThat(get(first, "/safe/x").statusCode()).isEqualTo(200);
+      assertThat(post(first, "/resumable/x", "p").statusCode()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void isNotReadyOnceItDrainsAndServesOn() {
+    Running running = startReady();
+    running.gateway().loop().execute(running.gateway()::drain);
+    await(() -> !running.gateway().isReady());
+    HttpResponse<String> response = get(running, "/safe/x");
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.headers().firstValue("connection")).hasValue("close");
+  }
+
+  private boolean logged(String text) {
+    return lines.toString(StandardCharsets.UTF_8).contains(text);
+  }
+}
