--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -32,7 +32,7 @@
 /** Whole gateways before stand-ins of store and endpoints, over loopback connections. */
 class GatewayTest {
 
-  private static final String CONFIGURATION =
+  static final String CONFIGURATION =
       "{\"Version\":%d,\"Routes\":["
           + route("safe", "safe", 2, false)
           + ","
