Planned stop: addresses live for 1 s, the listener closes after 3 s, the log no longer delays the end

Ruled out: a runner's silence (it was generating); the client's list (6 s old, as the pages allow). Change: TtlS 1, no connections from 3 s on, idle ones closed then; the writer is woken at the end.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
@@ -18,8 +18,11 @@
   /** Addresses that a caller takes from one answer. */
   static final int MAX_ADDRESSES = 64;
 
-  /** How long callers may keep the addresses; short, so that they follow stops and starts. */
-  static final double TTL_SECONDS = 2;
+  /**
+   * How long callers may keep the addresses. Some keep them three times as long, and a host that
+   * stops must have served the last of them well within its grace time.
+   */
+  static final double TTL_SECONDS = 1;
 
   private static final String METRICS_PATH = "/metrics";
   private static final int OK = 200;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Shutdown.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Shutdown.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 
 /**
- * The planned stop: not ready at once, then serving until callers have moved on, then the end.
+ * The planned stop: not ready at once, then serving until callers have moved on, then no further
+ * connections, then the end.
  *
  * <p>Callers keep addresses for a while and connect themselves, so requests go on arriving for some
- * seconds; all of them are served.
+ * seconds. All of them are served; connections without a request are closed when that time is over,
+ * so that what was taken has the rest of the grace time.
  */
 final class Shutdown {
 
@@ -51,15 +53,19 @@
   private void check() {
     long millis = (gateway.loop().now() - begunAt) / NANOS_PER_MILLI;
     long callersGone = (long) (gateway.callerTtlSeconds() * TTL_FACTOR * 1_000);
-    boolean isQuiet =
-        gateway.front().busyConnections() == 0
-            && (gateway.front().openConnections() == 0 || millis > callersGone);
-    boolean mayEnd = isQuiet && millis > callersGone / 2;
-    if (mayEnd || millis > graceMillis - KILL_MARGIN_MILLIS) {
-      gateway.peers().leave();
-      log.event("stop", "ms", millis, "busy", gateway.front().busyConnections());
-      log.close();
-      Runtime.getRuntime().halt(0);
+    if (millis >= callersGone) {
+      gateway.front().stopAccepting();
     }
+    boolean isQuiet = millis >= callersGone && gateway.front().busyConnections() == 0;
+    if (isQuiet || millis > graceMillis - KILL_MARGIN_MILLIS) {
+      end(millis);
+    }
+  }
+
+  private void end(long millis) {
+    gateway.peers().leave();
+    log.event("stop", "ms", millis, "busy", gateway.front().busyConnections());
+    log.close();
+    Runtime.getRuntime().halt(0);
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/front/FrontConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/front/FrontConnection.java
@@ -216,6 +216,15 @@
     ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
+  /** Closes the connection unless a request is on it or on its way in. */
+  void closeIfIdle() {
+    ChannelHandlerContext ctx = context;
+    if (ctx != null && !isBusy() && bytesSince < 0) {
+      closing = true;
+      ctx.close();
+    }
+  }
+
   /** Applies the limits on time. */
   void checkTimes(CallerLimits limits, long now) {
     ChannelHandlerContext ctx = context;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/front/FrontServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/front/FrontServer.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway.front;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -18,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 
 /** The listener for callers. All methods run on its event loop. */
 public final class FrontServer {
@@ -32,6 +34,7 @@
   private final RequestHandler handler;
   private final Supplier<CallerLimits> limits;
   private final Set<FrontConnection> connections = new HashSet<>();
+  private @Nullable Channel listener;
   private boolean draining;
 
   /** Creates a server that does not listen yet. */
@@ -56,6 +59,7 @@
     bind.addListener(
         done -> {
           if (done.isSuccess()) {
+            listener = bind.channel();
             started.complete(null);
           } else {
             started.completeExceptionally(done.cause());
@@ -77,6 +81,15 @@
     draining = true;
   }
 
+  /** Takes no further connections and closes those without a request. */
+  public void stopAccepting() {
+    Channel open = listener;
+    if (open != null) {
+      open.close();
+    }
+    List.copyOf(connections).forEach(FrontConnection::closeIfIdle);
+  }
+
   boolean isDraining() {
     return draining;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +29,9 @@
 
   private static final long SECOND_MILLIS = 1_000;
 
+  /** How long the end of the process waits for the last lines, milliseconds. */
+  private static final long CLOSE_MILLIS = 200;
+
   private final JsonFactory json = new JsonFactory();
   private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
   private final LongAdder dropped = new LongAdder();
@@ -109,10 +111,7 @@
   private void write() {
     try {
       while (!closed || !queue.isEmpty()) {
-        String line = queue.poll(SECOND_MILLIS, TimeUnit.MILLISECONDS);
-        if (line != null) {
-          writeBatch(line);
-        }
+        writeBatch(queue.take());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -137,8 +136,9 @@
   @Override
   public void close() {
     closed = true;
+    queue.offer(""); // wakes the writer
     try {
-      writer.join(SECOND_MILLIS);
+      writer.join(CLOSE_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
