Two hosts read the endpoints' entries for all; schedulers learn what others granted of a quota

A scheduler that takes over had a full quota bucket. Change: two readers tell the others by datagram what changed; a host that hears nothing for 1.1 s reads itself. Owners report units granted elsewhere; a bucket that was idle starts with half a burst. A resumable stream that got a 5xx before its first event is repeated like other idempotent requests.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -99,6 +99,14 @@
     return false;
   }
 
+  /** Notes units that another scheduler granted. */
+  public void usedElsewhere(String customer, long units, long now) {
+    TokenQuota quota = quota(customer, now);
+    if (quota != null) {
+      quota.use(units, now);
+    }
+  }
+
   private void giveBack(Claim claim) {
     TokenQuota quota = quotas.get(claim.customer());
     if (quota != null && !claim.isRepeat()) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
@@ -12,14 +12,24 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /**
+   * Time without a request after which the bucket counts as one that takes over: another scheduler
+   * may have granted units of which no report has arrived yet.
+   */
+  private static final long IDLE_NANOS = 2_000_000_000L;
+
+  /** Share of the burst that such a bucket grants at once. */
+  private static final double TAKE_OVER_SHARE = 0.5;
+
   private final double tolerance;
   private final double slackUnits;
   private CustomerSpec customer;
   private double units;
   private long filledAt;
+  private long askedAt;
 
   /**
-   * Creates a full bucket.
+   * Creates a bucket that holds a part of the burst.
    *
    * @param tolerance share of rate and burst that may be used beyond them
    * @param slackUnits units that may be used beyond that
@@ -28,8 +38,9 @@
     this.customer = customer;
     this.tolerance = tolerance;
     this.slackUnits = slackUnits;
-    this.units = capacity();
+    this.units = customer.burst() * TAKE_OVER_SHARE;
     this.filledAt = now;
+    this.askedAt = now;
   }
 
   private double capacity() {
@@ -55,6 +66,10 @@
       return true;
     }
     fill(now);
+    if (now - askedAt > IDLE_NANOS) {
+      units = Math.min(units, customer.burst() * TAKE_OVER_SHARE);
+    }
+    askedAt = now;
     if (units <= 0) {
       return false;
     }
@@ -62,6 +77,12 @@
     return true;
   }
 
+  /** Takes units that are used already. */
+  void use(long used, long now) {
+    fill(now);
+    units -= used;
+  }
+
   /** Returns the units of a request that did not run. */
   void giveBack(long unused) {
     units = Math.min(capacity(), units + unused);
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointDirectory.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointDirectory.java
@@ -67,7 +67,7 @@
       return;
     }
     EndpointRecord known = available.put(endpoint.id(), endpoint);
-    if (!endpoint.equals(known)) {
+    if (known == null || !endpoint.withoutProgress().equals(known.withoutProgress())) {
       listener.available(endpoint);
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
@@ -20,4 +20,10 @@
     int slots,
     boolean isDraining,
     long coldLeftMillis,
-    long bornMillis) {}
+    long bornMillis) {
+
+  /** Returns the entry without what changes by itself from one heartbeat to the next. */
+  public EndpointRecord withoutProgress() {
+    return new EndpointRecord(id, service, address, dataCentre, slots, isDraining, 0, bornMillis);
+  }
+}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import io.samphiredyke.gateway.request.RequestService;
 import io.samphiredyke.gateway.request.StartGate;
 import io.samphiredyke.gateway.store.ConfigurationReceiver;
+import io.samphiredyke.gateway.store.EndpointNewsService;
 import io.samphiredyke.gateway.store.EndpointReceiver;
 import io.samphiredyke.gateway.store.HostRegistry;
 import io.samphiredyke.gateway.store.TopicFollower;
@@ -41,10 +42,12 @@
   private static final Duration LAPSE_GRACE = Duration.ofMillis(1_700);
 
   /** Longest wait at the store for the next configuration; probes notice a silent connection. */
-  private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(20);
+  private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(30);
 
-  /** Pause between two reads of the endpoints' entries; half of the shortest drain bound known. */
-  private static final Duration ENDPOINT_PACE = Duration.ofMillis(800);
+  /**
+   * Pause between two reads of the endpoints' entries; a third of the shortest drain bound known.
+   */
+  private static final Duration ENDPOINT_PACE = Duration.ofMillis(600);
 
   private static final Duration SWEEP = Duration.ofMillis(250);
 
@@ -71,6 +74,7 @@
   private final EndpointReceiver endpoints;
   private final TopicFollower configurationFollower;
   private final TopicFollower endpointFollower;
+  private final EndpointNewsService news;
   private final HostRegistry registry;
   private boolean stopping;
   private boolean ready;
@@ -99,7 +103,8 @@
         new StoreClient(
             new HttpClient(group, HttpClientOptions.defaults()),
             Addresses.parse(settings.storeAddress()));
-    this.endpoints = new EndpointReceiver(loop, directory, log, this::updateReady);
+    this.endpoints =
+        new EndpointReceiver(loop, directory, log, this::updateReady, this::endpointsRead);
     this.configurationFollower =
         new TopicFollower(
             loop,
@@ -120,6 +125,9 @@
             endpoints,
             log,
             random);
+    this.news =
+        new EndpointNewsService(loop, peers, settings.peerAddress(), endpoints, endpointFollower);
+    endpointFollower.readOnlyIf(news::mustRead);
     this.registry =
         new HostRegistry(
             loop, store, settings.hostName(), settings.peerAddress(), peers::seed, log);
@@ -168,6 +176,10 @@
     updateReady();
   }
 
+  private void endpointsRead(long next) {
+    news.tell(next);
+  }
+
   private void configure(ServingConfiguration newer) {
     ServingConfiguration known = belief.configuration();
     if (belief.configure(newer)) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -23,8 +23,10 @@
 import io.samphiredyke.net.control.Addresses;
 import io.samphiredyke.net.control.ControlLoop;
 import io.samphiredyke.net.membership.GossipCodec;
+import io.samphiredyke.platform.StoreRecord;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -46,6 +48,7 @@
   private final DecisionLog log;
   private final Membership membership;
   private final PlaceClient places;
+  private @Nullable NewsListener newsListener;
   private @Nullable Channel channel;
   private @Nullable Future<?> timer;
   private long malformed;
@@ -168,6 +171,51 @@
     changed();
   }
 
+  /** Receives entries of endpoints that another host read. */
+  public interface NewsListener {
+
+    /** Some entries changed; all changes from an offset on are included. */
+    void heard(long coveredFrom, long next, List<StoreRecord> changes);
+  }
+
+  /** Sets who learns of entries that other hosts read. */
+  public void onEndpointNews(NewsListener listener) {
+    newsListener = listener;
+  }
+
+  /** Sends entries of endpoints to all other hosts. */
+  public void tellEndpointNews(long coveredFrom, long next, List<StoreRecord> changes) {
+    List<PlaceMessage.EntryChange> encoded = new ArrayList<>();
+    for (StoreRecord change : changes) {
+      byte[] value = change.value();
+      encoded.add(
+          new PlaceMessage.EntryChange(
+              change.offset(), change.key(), value == null ? new byte[0] : value));
+    }
+    byte[] message = PlaceCodec.encode(new PlaceMessage.EndpointNews(coveredFrom, next, encoded));
+    for (Member member : membership.liveMembers()) {
+      if (!member.address().equals(membership.self().address())) {
+        send(member.address(), PLACE, message);
+      }
+    }
+  }
+
+  private void received(String from, PlaceMessage message) {
+    if (!(message instanceof PlaceMessage.EndpointNews news)) {
+      places.received(from, message);
+      return;
+    }
+    NewsListener listener = newsListener;
+    if (listener != null) {
+      List<StoreRecord> changes = new ArrayList<>();
+      for (PlaceMessage.EntryChange change : news.changes()) {
+        byte[] value = change.value().length == 0 ? null : change.value();
+        changes.add(new StoreRecord(change.offset(), change.key(), value));
+      }
+      listener.heard(news.coveredFrom(), news.next(), changes);
+    }
+  }
+
   /** Closes the socket without a word, as a cut or a kill would. */
   public void silence() {
     Channel open = channel;
@@ -197,7 +245,7 @@
           membership.received(GossipCodec.decode(message), loop.now());
           changed();
         } else {
-          places.received(Addresses.format(datagram.sender()), PlaceCodec.decode(message));
+          received(Addresses.format(datagram.sender()), PlaceCodec.decode(message));
         }
       } catch (IOException e) {
         malformed++;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
@@ -5,6 +5,7 @@
 import io.samphiredyke.core.pool.PoolListener;
 import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.pool.QuotaLedger;
 import io.samphiredyke.core.pool.Refusal;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlLoop;
@@ -39,6 +40,10 @@
 
   private static final Duration TICK = Duration.ofMillis(15);
   private static final Duration REPORT = Duration.ofMillis(500);
+
+  /** Window in which the platform counts quotas. */
+  private static final Duration QUOTA_WINDOW = Duration.ofSeconds(8);
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final ControlLoop loop;
@@ -49,6 +54,7 @@
   private final DecisionLog log;
   private final Map<Long, PendingClaim> claims = new HashMap<>();
   private final Set<String> reportedTo = new HashSet<>();
+  private final QuotaLedger ledger = new QuotaLedger(QUOTA_WINDOW.toNanos());
   private final RandomGenerator random;
   private boolean ticking;
 
@@ -237,6 +243,10 @@
 
   /** Tells schedulers which of their places are held here, so that lost messages do no harm. */
   private void report() {
+    long now = loop.now();
+    ledger
+        .newsFor(self, now)
+        .forEach((customer, units) -> scheduler.usedElsewhere(customer, units, now));
     Map<String, List<PlaceMessage.Held>> held = new HashMap<>();
     for (PendingClaim pending : claims.values()) {
       if (pending.isGranted() && !pending.scheduler.equals(self)) {
@@ -255,7 +265,8 @@
     reportedTo.clear();
     held.forEach(
         (scheduler, places) -> {
-          transport.accept(scheduler, new PlaceMessage.Holding(places));
+          transport.accept(
+              scheduler, new PlaceMessage.Holding(places, ledger.newsFor(scheduler, loop.now())));
           if (!places.isEmpty()) {
             reportedTo.add(scheduler);
           }
@@ -342,7 +353,9 @@
     take(pending, grant.endpointId(), now);
   }
 
-  private static void take(PendingClaim pending, String endpointId, long now) {
+  private void take(PendingClaim pending, String endpointId, long now) {
+    Claim claim = pending.claim;
+    ledger.add(claim.customer(), claim.quotaUnits(), pending.scheduler, now);
     pending.endpointId = endpointId;
     pending.grantedAt = now;
     pending.listener.granted(pending);
@@ -364,6 +377,9 @@
       ids.add(held.claimId());
     }
     scheduler.reconcile(from, ids, now);
+    holding
+        .usedElsewhere()
+        .forEach((customer, units) -> scheduler.usedElsewhere(customer, units, now));
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceCodec.java
@@ -6,8 +6,10 @@
 import io.samphiredyke.core.pool.Work;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -26,6 +28,7 @@
   private static final int STARTED = 6;
   private static final int RELEASED = 7;
   private static final int HOLDING = 8;
+  private static final int ENDPOINT_NEWS = 9;
 
   private PlaceCodec() {}
 
@@ -59,6 +62,8 @@
       packer.packDouble(released.millis());
     } else if (message instanceof PlaceMessage.Holding holding) {
       writeHolding(packer.packInt(HOLDING), holding);
+    } else if (message instanceof PlaceMessage.EndpointNews news) {
+      writeNews(packer.packInt(ENDPOINT_NEWS), news);
     }
   }
 
@@ -85,6 +90,20 @@
       packer.packLong(held.claimId()).packString(held.service()).packString(held.endpointId());
       packer.packInt(held.promptTokens()).packInt(held.outputTokens());
     }
+    packer.packMapHeader(holding.usedElsewhere().size());
+    for (Map.Entry<String, Long> used : holding.usedElsewhere().entrySet()) {
+      packer.packString(used.getKey()).packLong(used.getValue());
+    }
+  }
+
+  private static void writeNews(MessagePacker packer, PlaceMessage.EndpointNews news)
+      throws IOException {
+    packer.packLong(news.coveredFrom()).packLong(news.next());
+    packer.packArrayHeader(news.changes().size());
+    for (PlaceMessage.EntryChange change : news.changes()) {
+      packer.packLong(change.offset()).packString(change.key());
+      packer.packBinaryHeader(change.value().length).writePayload(change.value());
+    }
   }
 
   /**
@@ -121,6 +140,7 @@
               Outcome.values()[in.unpackInt()],
               in.unpackDouble());
       case HOLDING -> readHolding(in);
+      case ENDPOINT_NEWS -> readNews(in);
       default -> throw new IOException("unknown message type " + type);
     };
   }
@@ -171,6 +191,25 @@
               in.unpackInt(),
               in.unpackInt()));
     }
-    return new PlaceMessage.Holding(List.copyOf(places));
+    int customers = in.unpackMapHeader();
+    Map<String, Long> used = new HashMap<>();
+    for (int i = 0; i < customers; i++) {
+      used.put(in.unpackString(), in.unpackLong());
+    }
+    return new PlaceMessage.Holding(List.copyOf(places), Map.copyOf(used));
+  }
+
+  private static PlaceMessage.EndpointNews readNews(MessageUnpacker in) throws IOException {
+    long coveredFrom = in.unpackLong();
+    long next = in.unpackLong();
+    int count = in.unpackArrayHeader();
+    List<PlaceMessage.EntryChange> changes = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      long offset = in.unpackLong();
+      String key = in.unpackString();
+      changes.add(
+          new PlaceMessage.EntryChange(offset, key, in.readPayload(in.unpackBinaryHeader())));
+    }
+    return new PlaceMessage.EndpointNews(coveredFrom, next, List.copyOf(changes));
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceMessage.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceMessage.java
@@ -4,6 +4,7 @@
 import io.samphiredyke.core.pool.Refusal;
 import io.samphiredyke.core.pool.Work;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** Messages between the holder of a request and a scheduler. Each may be lost or repeated. */
@@ -54,6 +55,27 @@
   record Held(
       long claimId, String service, String endpointId, int promptTokens, int outputTokens) {}
 
-  /** All places that the sender holds from the receiver. */
-  record Holding(List<Held> places) implements PlaceMessage {}
+  /**
+   * All places that the sender holds from the receiver.
+   *
+   * @param usedElsewhere units by customer that others granted the sender lately
+   */
+  record Holding(List<Held> places, Map<String, Long> usedElsewhere) implements PlaceMessage {}
+
+  /**
+   * Entries of endpoints that the sender read from the store.
+   *
+   * @param coveredFrom offset from which on all changes are included
+   * @param next offset that the sender reads next
+   * @param changes changed entries in the order of their offsets
+   */
+  record EndpointNews(long coveredFrom, long next, List<EntryChange> changes)
+      implements PlaceMessage {}
+
+  /**
+   * A changed entry.
+   *
+   * @param value its bytes, empty if it was removed
+   */
+  record EntryChange(long offset, String key, byte[] value) {}
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.samphiredyke.core.serving.EndpointRecord;
-import io.samphiredyke.core.serving.RouteKind;
 import io.samphiredyke.gateway.place.Place;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
 import io.samphiredyke.gateway.upstream.ExchangeFailure;
@@ -92,10 +91,8 @@
       return "status " + head.status() + " without a statement that it did not run";
     }
     boolean isFailure = head.status() >= SERVER_ERROR;
-    boolean isRepeatable = flow.route().kind() == RouteKind.IDEMPOTENT;
-    return isFailure && (isRepeatable || flow.relay().hasStarted())
-        ? "status " + head.status()
-        : null;
+    boolean isReplaceable = flow.mayRunAgain() || flow.relay().hasStarted();
+    return isFailure && isReplaceable ? "status " + head.status() : null;
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
@@ -245,14 +245,18 @@
     runs++;
     leavePlace(failed, Outcome.FAILED);
     boolean canResume = !relay.hasStarted() || relay.canResume();
-    boolean mayRepeat = route.kind().mayRepeat() && canResume && runs < route.maxAttempts();
-    if (mayRepeat) {
+    if (route.kind().mayRepeat() && canResume && runs < route.maxAttempts()) {
       repeat(failed, reason);
       return;
     }
     finishFailed(OwnAnswers.BAD_GATEWAY, reason);
   }
 
+  /** Returns whether another endpoint may run the request if the present one fails. */
+  boolean mayRunAgain() {
+    return route.kind().mayRepeat() && runs + 1 < route.maxAttempts();
+  }
+
   private void repeat(EndpointAttempt before, String reason) {
     context.log().event("repeat", "id", head.requestId(), "reason", reason);
     context.metrics().repeated();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
@@ -22,12 +22,12 @@
   }
 
   @Override
-  public void listed(List<StoreRecord> records) {
-    read(records);
+  public void listed(List<StoreRecord> records, long next) {
+    read(records, next);
   }
 
   @Override
-  public void read(List<StoreRecord> records) {
+  public void read(List<StoreRecord> records, long next) {
     for (int i = records.size() - 1; i >= 0; i--) {
       StoreRecord record = records.get(i);
       byte[] value = record.value();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
@@ -7,38 +7,60 @@
 import io.samphiredyke.platform.EndpointDecoder;
 import io.samphiredyke.platform.MalformedRecordException;
 import io.samphiredyke.platform.StoreRecord;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.function.LongConsumer;
 
 /** Decodes the entries of endpoints and keeps the directory of them. */
 public final class EndpointReceiver implements TopicFollower.Receiver {
 
+  /** Changes that are kept for other hosts; more come only when whole services are replaced. */
+  private static final int MAX_CHANGES = 32;
+
   private final ControlLoop loop;
   private final EndpointDirectory directory;
   private final DecisionLog log;
   private final Set<String> malformedKeys = new HashSet<>();
   private final Runnable onListed;
+  private final LongConsumer onRead;
+  private final Map<String, EndpointRecord> known = new HashMap<>();
+  private final Deque<StoreRecord> changes = new ArrayDeque<>();
+  private long coveredFrom = Long.MAX_VALUE;
   private boolean listed;
 
   /**
    * Creates a receiver.
    *
    * @param onListed is run after each whole list
+   * @param onRead learns the next offset after each read
    */
   public EndpointReceiver(
-      ControlLoop loop, EndpointDirectory directory, DecisionLog log, Runnable onListed) {
+      ControlLoop loop,
+      EndpointDirectory directory,
+      DecisionLog log,
+      Runnable onListed,
+      LongConsumer onRead) {
     this.loop = loop;
     this.directory = directory;
     this.log = log;
     this.onListed = onListed;
+    this.onRead = onRead;
   }
 
   @Override
-  public void listed(List<StoreRecord> records) {
+  public void listed(List<StoreRecord> records, long next) {
     long now = loop.now();
     listed = true;
+    changes.clear();
+    coveredFrom = next;
+    known.clear();
     directory.registryRead(now);
     List<EndpointRecord> endpoints = new ArrayList<>();
     for (StoreRecord record : records) {
@@ -47,28 +69,52 @@
         decode(record.key(), value, endpoints);
       }
     }
+    endpoints.forEach(endpoint -> known.put(endpoint.id(), endpoint.withoutProgress()));
     directory.replaceAll(endpoints, now);
     directory.tick(now);
     onListed.run();
   }
 
   @Override
-  public void read(List<StoreRecord> records) {
+  public void read(List<StoreRecord> records, long next) {
     long now = loop.now();
     directory.registryRead(now);
-    for (StoreRecord record : records) {
-      byte[] value = record.value();
-      List<EndpointRecord> endpoints = new ArrayList<>();
-      if (value != null) {
-        decode(record.key(), value, endpoints);
-      }
-      if (endpoints.isEmpty()) {
-        directory.remove(record.key(), now);
-      } else {
-        directory.put(endpoints.get(0));
-      }
-    }
+    records.forEach(record -> apply(record, now));
     directory.tick(now);
+    while (changes.size() > MAX_CHANGES) {
+      coveredFrom = changes.removeFirst().offset() + 1;
+    }
+    onRead.accept(next);
+  }
+
+  private void apply(StoreRecord record, long now) {
+    byte[] value = record.value();
+    List<EndpointRecord> endpoints = new ArrayList<>();
+    if (value != null) {
+      decode(record.key(), value, endpoints);
+    }
+    EndpointRecord newer = endpoints.isEmpty() ? null : endpoints.get(0);
+    EndpointRecord facts = newer == null ? null : newer.withoutProgress();
+    EndpointRecord before =
+        facts == null ? known.remove(record.key()) : known.put(record.key(), facts);
+    if (!Objects.equals(before, facts)) {
+      changes.addLast(record);
+    }
+    if (newer == null) {
+      directory.remove(record.key(), now);
+    } else {
+      directory.put(newer);
+    }
+  }
+
+  /** Returns the latest changes, for hosts that do not read themselves. */
+  public List<StoreRecord> changes() {
+    return List.copyOf(changes);
+  }
+
+  /** Returns the offset from which on {@link #changes} are complete. */
+  public long coveredFrom() {
+    return coveredFrom;
   }
 
   private void decode(String id, byte[] value, List<EndpointRecord> endpoints) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,11 +23,19 @@
   /** Receives what was read, on the loop. */
   public interface Receiver {
 
-    /** All keys as they are now. */
-    void listed(List<StoreRecord> records);
+    /**
+     * All keys as they are now.
+     *
+     * @param next offset from which changes follow
+     */
+    void listed(List<StoreRecord> records, long next);
 
-    /** Records in their order. */
-    void read(List<StoreRecord> records);
+    /**
+     * Records in their order.
+     *
+     * @param next offset behind them
+     */
+    void read(List<StoreRecord> records, long next);
 
     /** The store did not answer, or answered with an error. */
     void lost(String reason);
@@ -35,6 +44,9 @@
   /** Time without an answer after which a call has failed; an answer takes some milliseconds. */
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
 
+  /** How soon it is asked again whether this host has to read. */
+  private static final Duration RECHECK = Duration.ofMillis(200);
+
   private static final long FIRST_PAUSE_MILLIS = 100;
   private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
@@ -46,6 +58,8 @@
   private final Receiver receiver;
   private final DecisionLog log;
   private final RandomGenerator random;
+  private BooleanSupplier needed = () -> true;
+  private boolean reading;
   private long next = -1;
   private long failures;
   private long calls;
@@ -76,6 +90,27 @@
     this.random = random;
   }
 
+  /**
+   * Lets others read in place of this host.
+   *
+   * @param needed whether this host has to read itself now
+   */
+  public void readOnlyIf(BooleanSupplier needed) {
+    this.needed = needed;
+  }
+
+  /** Returns the offset that is read next, or -1 before the first list. */
+  public long next() {
+    return next;
+  }
+
+  /** Notes that all records before an offset are known from elsewhere. */
+  public void advance(long offset) {
+    if (next >= 0 && offset > next && !reading) {
+      next = offset;
+    }
+  }
+
   /** Starts to follow. */
   public void start() {
     list();
@@ -89,19 +124,25 @@
   private void listed(StoreBatch batch) {
     next = batch.next();
     answered();
-    receiver.listed(batch.records());
+    receiver.listed(batch.records(), next);
     schedule();
   }
 
   private void read() {
+    if (!needed.getAsBoolean()) {
+      loop.schedule(this::read, RECHECK);
+      return;
+    }
+    reading = true;
     calls++;
     loop.whenDone(store.read(topic, next, wait, CALL_TIMEOUT), this::readDone, this::failed);
   }
 
   private void readDone(StoreBatch batch) {
+    reading = false;
     next = batch.next();
     answered();
-    receiver.read(batch.records());
+    receiver.read(batch.records(), next);
     schedule();
   }
 
@@ -118,6 +159,7 @@
   }
 
   private void failed(Throwable failure) {
+    reading = false;
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof StoreException store && store.isHistoryGone()) {
       log.event("store_history_gone", "topic", topic, "from", next);
