A pause of the host is noticed; a process that starts without the store learns from another host

Cause: a process that starts while the store is away knew nothing and refused all until its return; after a freeze kept connections and entries were used as if no time had passed. Change: PeerBelief asks a ready peer for configuration and entries; WakeWatch drops idle connections and reads the entries at once.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import io.samphiredyke.gateway.store.EndpointNewsService;
 import io.samphiredyke.gateway.store.EndpointReceiver;
 import io.samphiredyke.gateway.store.HostRegistry;
+import io.samphiredyke.gateway.store.PeerBelief;
 import io.samphiredyke.gateway.store.TopicFollower;
 import io.samphiredyke.gateway.upstream.EndpointConnections;
 import io.samphiredyke.net.control.Addresses;
@@ -75,6 +76,7 @@
   private final TopicFollower configurationFollower;
   private final TopicFollower endpointFollower;
   private final EndpointNewsService news;
+  private final PeerBelief peerBelief;
   private final HostRegistry registry;
   private boolean stopping;
   private boolean ready;
@@ -99,10 +101,9 @@
         new RequestService(loop, belief, peers.places(), connections, log, metrics, random);
     this.startGate = new StartGate(loop, service);
     this.front = new FrontServer(eventLoop, startGate, this::limits);
-    StoreClient store =
-        new StoreClient(
-            new HttpClient(group, HttpClientOptions.defaults()),
-            Addresses.parse(settings.storeAddress()));
+    HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+    StoreClient store = new StoreClient(http, Addresses.parse(settings.storeAddress()));
+    ConfigurationReceiver configurations = new ConfigurationReceiver(this::configure, log);
     this.endpoints =
         new EndpointReceiver(loop, directory, log, this::updateReady, this::endpointsRead);
     this.configurationFollower =
@@ -112,7 +113,7 @@
             StoreClient.OPERATOR_TOPIC,
             CONFIGURATION_WAIT,
             Duration.ZERO,
-            new ConfigurationReceiver(this::configure, log),
+            configurations,
             log,
             random);
     this.endpointFollower =
@@ -128,6 +129,9 @@
     this.news =
         new EndpointNewsService(loop, peers, settings.peerAddress(), endpoints, endpointFollower);
     endpointFollower.readOnlyIf(news::mustRead);
+    this.peerBelief =
+        new PeerBelief(
+            loop, peers, settings.peerAddress(), http, configurations, endpoints, log, random);
     this.registry =
         new HostRegistry(
             loop, store, settings.hostName(), settings.peerAddress(), peers::seed, log);
@@ -166,7 +170,17 @@
     configurationFollower.start();
     endpointFollower.start();
     registry.start();
+    peerBelief.start();
     loop.repeat(this::sweep, SWEEP);
+    new WakeWatch(loop, this::wokeUp).start();
+  }
+
+  /** What was believed before a pause is doubtful: connections may be gone, endpoints too. */
+  private void wokeUp() {
+    log.event("woke_up", "held", peers.places().heldPlaces());
+    connections.dropIdle();
+    news.distrust();
+    endpointFollower.readNow();
   }
 
   private void sweep() {
@@ -209,6 +223,18 @@
     }
   }
 
+  EndpointDirectory directory() {
+    return directory;
+  }
+
+  boolean readsEndpointEntries() {
+    return news.mustRead();
+  }
+
+  PeerBelief peerBelief() {
+    return peerBelief;
+  }
+
   boolean isReady() {
     return ready;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.store.PeerBelief;
 import io.samphiredyke.net.control.Addresses;
 import io.samphiredyke.net.http.HttpExchange;
 import io.samphiredyke.net.http.HttpServer;
@@ -54,6 +55,9 @@
       case CallerCalls.READINESS_PATH ->
           exchange.respond(gateway.isReady() ? OK : UNAVAILABLE, Map.of(), new byte[0]);
       case CallerCalls.ADDRESSES_PATH -> addresses(exchange);
+      case PeerBelief.PATH ->
+          exchange.respond(
+              OK, Map.of("content-type", "application/json"), gateway.peerBelief().page());
       case METRICS_PATH ->
           exchange.respond(OK, Map.of("content-type", "text/plain"), metrics.page());
       default -> exchange.respond(NOT_FOUND, Map.of(), new byte[0]);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
@@ -14,6 +14,7 @@
 
   private final Consumer<ServingConfiguration> receiver;
   private final DecisionLog log;
+  private byte[] newest = new byte[0];
 
   /** Creates a receiver. */
   public ConfigurationReceiver(Consumer<ServingConfiguration> receiver, DecisionLog log) {
@@ -36,6 +37,7 @@
       }
       try {
         receiver.accept(ConfigurationDecoder.decode(value));
+        newest = value;
         return;
       } catch (MalformedRecordException e) {
         log.event("config_rejected", "offset", record.offset(), "reason", e.getMessage());
@@ -43,6 +45,11 @@
     }
   }
 
+  /** Returns the newest configuration as it was read, empty before the first one. */
+  public byte[] newest() {
+    return newest;
+  }
+
   @Override
   public void lost(String reason) {
     // The configuration in force stays in force until a newer one is read.
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointNewsService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointNewsService.java
@@ -54,6 +54,11 @@
     return isSilent || isReader();
   }
 
+  /** Forgets that others were heard, so that this host reads itself at once. */
+  public void distrust() {
+    heardAt = Long.MIN_VALUE;
+  }
+
   private boolean isReader() {
     List<Member> candidates = new ArrayList<>(peers.liveMembers());
     for (int reader = 0; reader < READERS; reader++) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
@@ -31,6 +31,7 @@
   private final Runnable onListed;
   private final LongConsumer onRead;
   private final Map<String, EndpointRecord> known = new HashMap<>();
+  private final Map<String, byte[]> entries = new HashMap<>();
   private final Deque<StoreRecord> changes = new ArrayDeque<>();
   private long coveredFrom = Long.MAX_VALUE;
   private boolean listed;
@@ -61,6 +62,7 @@
     changes.clear();
     coveredFrom = next;
     known.clear();
+    entries.clear();
     directory.registryRead(now);
     List<EndpointRecord> endpoints = new ArrayList<>();
     for (StoreRecord record : records) {
@@ -101,6 +103,7 @@
       changes.addLast(record);
     }
     if (newer == null) {
+      entries.remove(record.key());
       directory.remove(record.key(), now);
     } else {
       directory.put(newer);
@@ -117,9 +120,15 @@
     return coveredFrom;
   }
 
+  /** Returns the entries in force as they were read. */
+  public Map<String, byte[]> entries() {
+    return Map.copyOf(entries);
+  }
+
   private void decode(String id, byte[] value, List<EndpointRecord> endpoints) {
     try {
       endpoints.add(EndpointDecoder.decode(id, value));
+      entries.put(id, value);
     } catch (MalformedRecordException e) {
       if (malformedKeys.add(id)) {
         log.event("endpoint_entry_rejected", "key", id, "reason", e.getMessage());
@@ -132,6 +141,19 @@
     directory.registryLost();
   }
 
+  /** Takes entries that another host read, while the store can't be read here. */
+  public void heard(Map<String, byte[]> others) {
+    if (listed) {
+      return;
+    }
+    List<EndpointRecord> endpoints = new ArrayList<>();
+    others.forEach((id, value) -> decode(id, value, endpoints));
+    endpoints.forEach(directory::put);
+    listed = true;
+    directory.registryLost();
+    onListed.run();
+  }
+
   /** Returns whether the entries were listed once. */
   public boolean isListed() {
     return listed;
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBelief.java
@@ -0,0 +1,137 @@
+package io.samphiredyke.gateway.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.gateway.place.PeerGroup;
+import io.samphiredyke.net.codec.Json;
+import io.samphiredyke.net.control.Addresses;
+import io.samphiredyke.net.control.ControlLoop;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpResponse;
+import io.samphiredyke.platform.StoreClient;
+import io.samphiredyke.platform.StoreRecord;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * The second source of a process that starts while the store is away: what another host believes.
+ *
+ * <p>Versions of the configuration only grow, so an old one from a peer never replaces a newer one.
+ */
+public final class PeerBelief {
+
+  /** Path of the page, on the metrics address of a host. */
+  public static final String PATH = "/v1/belief";
+
+  /** Time that the store has to answer before peers are asked; it takes a few milliseconds. */
+  private static final Duration FIRST_TRY = Duration.ofMillis(250);
+
+  private static final Duration NEXT_TRY = Duration.ofMillis(300);
+  private static final Duration TIMEOUT = Duration.ofMillis(500);
+  private static final int METRICS_PORT_OFFSET = 1;
+  private static final int OK = 200;
+
+  private final ControlLoop loop;
+  private final PeerGroup peers;
+  private final String self;
+  private final HttpClient http;
+  private final ConfigurationReceiver configuration;
+  private final EndpointReceiver endpoints;
+  private final DecisionLog log;
+  private final RandomGenerator random;
+
+  /** Creates the source. */
+  public PeerBelief(
+      ControlLoop loop,
+      PeerGroup peers,
+      String self,
+      HttpClient http,
+      ConfigurationReceiver configuration,
+      EndpointReceiver endpoints,
+      DecisionLog log,
+      RandomGenerator random) {
+    this.loop = loop;
+    this.peers = peers;
+    this.self = self;
+    this.http = http;
+    this.configuration = configuration;
+    this.endpoints = endpoints;
+    this.log = log;
+    this.random = random;
+  }
+
+  /** Starts to watch whether the store answers. */
+  public void start() {
+    loop.schedule(this::check, FIRST_TRY);
+  }
+
+  private boolean isInformed() {
+    return configuration.newest().length > 0 && endpoints.isListed();
+  }
+
+  private void check() {
+    if (isInformed()) {
+      return;
+    }
+    List<Member> others = new ArrayList<>(peers.liveMembers());
+    others.removeIf(member -> member.address().equals(self) || member.draining());
+    if (!others.isEmpty()) {
+      ask(others.get(random.nextInt(others.size())));
+    }
+    loop.schedule(this::check, NEXT_TRY);
+  }
+
+  private void ask(Member member) {
+    InetSocketAddress peer = Addresses.parse(member.address());
+    InetSocketAddress page =
+        new InetSocketAddress(peer.getAddress(), peer.getPort() + METRICS_PORT_OFFSET);
+    loop.whenDone(
+        http.send(HttpRequest.get(page, PATH).timeout(TIMEOUT).build()),
+        response -> heard(member, response),
+        failure ->
+            log.event("peer_belief_failed", "host", member.name(), "reason", failure.toString()));
+  }
+
+  private void heard(Member member, HttpResponse response) {
+    if (response.status() != OK || isInformed()) {
+      return;
+    }
+    try {
+      JsonNode belief = Json.read(response.body(), JsonNode.class);
+      byte[] value = Base64.getDecoder().decode(belief.path("configuration").asText(""));
+      if (value.length > 0) {
+        StoreRecord record = new StoreRecord(-1, StoreClient.CONFIGURATION_KEY, value);
+        configuration.read(List.of(record), -1);
+      }
+      Map<String, byte[]> entries = new HashMap<>();
+      belief
+          .path("endpoints")
+          .fields()
+          .forEachRemaining(
+              field ->
+                  entries.put(
+                      field.getKey(), Base64.getDecoder().decode(field.getValue().asText())));
+      log.event("peer_belief", "host", member.name(), "endpoints", entries.size());
+      if (!entries.isEmpty()) {
+        endpoints.heard(entries);
+      }
+    } catch (IOException | IllegalArgumentException e) {
+      log.event("peer_belief_failed", "host", member.name(), "reason", e.toString());
+    }
+  }
+
+  /** Returns the page for other hosts. */
+  public byte[] page() {
+    return Json.bytes(
+        Map.of("configuration", configuration.newest(), "endpoints", endpoints.entries()));
+  }
+}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -128,7 +128,34 @@
     schedule();
   }
 
+  /** Reads at once rather than at the next turn. */
+  public void readNow() {
+    if (next >= 0 && !reading) {
+      readOnce();
+    }
+  }
+
+  private void readOnce() {
+    reading = true;
+    calls++;
+    loop.whenDone(
+        store.read(topic, next, Duration.ZERO, CALL_TIMEOUT),
+        batch -> {
+          reading = false;
+          if (batch.next() >= next) {
+            next = batch.next();
+            answered();
+            receiver.read(batch.records(), next);
+          }
+        },
+        failure -> reading = false);
+  }
+
   private void read() {
+    if (reading) {
+      loop.schedule(this::read, RECHECK);
+      return;
+    }
     if (!needed.getAsBoolean()) {
       loop.schedule(this::read, RECHECK);
       return;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -115,7 +115,8 @@
 
   private Running startGateway(String name, List<String> seeds) {
     String address = "127.0.0.1:" + freePort();
-    String peer = "127.0.0.1:" + freePort();
+    int peerPort = freePort();
+    String peer = "127.0.0.1:" + peerPort;
     HostSettings settings =
         new HostSettings(
             name,
@@ -124,7 +125,7 @@
             "127.0.0.1:" + freePort(),
             "127.0.0.1:" + freePort(),
             peer,
-            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + (peerPort + 1),
             seeds,
             store.address(),
             1_200,
@@ -340,6 +341,35 @@
     }
   }
 
+  @Test
+  void startsFromAnotherHostWhileTheStoreIsAway() {
+    Running first = startReady();
+    store.mode(StoreStandIn.Mode.BUSY);
+    Running second = startGateway("host-2", List.of(first.peer()));
+    await(second.gateway()::isReady);
+    assertThat(get(second, "/safe/x").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void hearsOfADrainThatAnotherHostRead() {
+    Running first = startReady();
+    List<Running> all = new ArrayList<>(List.of(first));
+    for (int i = 2; i <= 4; i++) {
+      all.add(startGateway("host-" + i, List.of(first.peer())));
+    }
+    all.forEach(running -> await(running.gateway()::isReady));
+    all.forEach(running -> await(() -> running.gateway().readyAddresses().size() == 4));
+    register("draining", plain.subList(0, 1));
+    all.forEach(
+        running -> await(() -> running.gateway().directory().find(plain.get(0).id()) == null));
+    for (Running running : all) {
+      assertThat(get(running, "/safe/x").statusCode()).isEqualTo(200);
+    }
+    assertThat(plain.get(0).runs()).isEmpty();
+    long reading = all.stream().filter(running -> running.gateway().readsEndpointEntries()).count();
+    assertThat(reading).isEqualTo(2);
+  }
+
   @Test
   void isNotReadyOnceItDrainsAndServesOn() {
     Running running = startReady();
