--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
@@ -2,7 +2,6 @@
 
 import io.samphiredyke.core.pool.Claim;
 import io.samphiredyke.core.pool.Outcome;
-import io.samphiredyke.core.pool.PoolListener;
 import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.PoolScheduler;
 import io.samphiredyke.core.pool.QuotaLedger;
@@ -27,7 +26,7 @@
  * #MAX_UNANSWERED} of them the next host in the ranking is asked, at last this host's own
  * scheduler. Nothing waits on a host that is gone, frozen or cut off for longer than that.
  */
-public final class PlaceClient implements PoolListener {
+public final class PlaceClient implements SchedulerService.Owner {
 
   /** Time to an answer on a busy host between two data centres is a few milliseconds. */
   static final long ASK_AGAIN_MILLIS = 25;
@@ -48,6 +47,7 @@
 
   private final ControlLoop loop;
   private final String self;
+  private final SchedulerService service;
   private final PoolScheduler scheduler;
   private final SchedulerChoice choice;
   private final BiConsumer<String, PlaceMessage> transport;
@@ -76,7 +76,8 @@
     this.log = log;
     this.transport = transport;
     this.choice = new SchedulerChoice(self);
-    this.scheduler = new PoolScheduler(options, this, random);
+    this.service = new SchedulerService(self, options, random, this, transport, this::startTicking);
+    this.scheduler = service.scheduler();
   }
 
   /** Starts the reports to other schedulers. */
@@ -281,9 +282,7 @@
   /** Takes a message of another host. */
   void received(String from, PlaceMessage message) {
     long now = loop.now();
-    if (message instanceof PlaceMessage.Ask ask) {
-      receivedAsk(from, ask, now);
-    } else if (message instanceof PlaceMessage.Queued queued) {
+    if (message instanceof PlaceMessage.Queued queued) {
       PendingClaim pending = claims.get(queued.claimId());
       if (pending != null && pending.scheduler.equals(from)) {
         pending.unanswered = 0;
@@ -292,50 +291,8 @@
       receivedGrant(from, granted, now);
     } else if (message instanceof PlaceMessage.Refused refused) {
       receivedRefusal(from, refused);
-    } else if (message instanceof PlaceMessage.Withdrawn withdrawn) {
-      scheduler.withdraw(withdrawn.service(), withdrawn.claimId());
-    } else if (message instanceof PlaceMessage.Started started) {
-      scheduler.started(
-          started.service(), started.endpointId(), started.claimId(), started.millis());
-    } else if (message instanceof PlaceMessage.Released released) {
-      scheduler.release(
-          released.service(),
-          released.endpointId(),
-          released.claimId(),
-          released.outcome(),
-          released.millis(),
-          now);
-    } else if (message instanceof PlaceMessage.Holding holding) {
-      receivedHolding(from, holding, now);
-    }
-  }
-
-  private void receivedAsk(String from, PlaceMessage.Ask ask, long now) {
-    String holder = scheduler.endpointOf(ask.service(), ask.claimId());
-    if (holder != null) {
-      transport.accept(from, new PlaceMessage.Granted(ask.claimId(), holder));
-      return;
-    }
-    if (!scheduler.isWaiting(ask.service(), ask.claimId())) {
-      Claim claim =
-          new Claim(
-              ask.claimId(),
-              from,
-              ask.service(),
-              ask.rank(),
-              ask.value(),
-              ask.work(),
-              ask.customer(),
-              ask.quotaUnits(),
-              ask.isRepeat(),
-              ask.excluded(),
-              now + (long) (ask.dueMillis() * NANOS_PER_MILLI),
-              now + (long) (ask.patienceMillis() * NANOS_PER_MILLI));
-      scheduler.claim(claim, now);
-      startTicking();
-    }
-    if (scheduler.isWaiting(ask.service(), ask.claimId())) {
-      transport.accept(from, new PlaceMessage.Queued(ask.claimId()));
+    } else {
+      service.received(from, message, now);
     }
   }
 
@@ -371,23 +328,8 @@
     pending.listener.refused(new Refusal(refused.reason(), refused.retryAfterMillis()));
   }
 
-  private void receivedHolding(String from, PlaceMessage.Holding holding, long now) {
-    Set<Long> ids = new HashSet<>();
-    for (PlaceMessage.Held held : holding.places()) {
-      ids.add(held.claimId());
-    }
-    scheduler.reconcile(from, ids, now);
-    holding
-        .usedElsewhere()
-        .forEach((customer, units) -> scheduler.usedElsewhere(customer, units, now));
-  }
-
   @Override
   public void granted(Claim claim, String endpointId) {
-    if (!claim.owner().equals(self)) {
-      transport.accept(claim.owner(), new PlaceMessage.Granted(claim.id(), endpointId));
-      return;
-    }
     PendingClaim pending = claims.get(claim.id());
     if (pending == null) {
       loop.execute(
@@ -400,14 +342,8 @@
   }
 
   @Override
-  public void refused(Claim claim, Refusal refusal) {
-    if (!claim.owner().equals(self)) {
-      transport.accept(
-          claim.owner(),
-          new PlaceMessage.Refused(claim.id(), refusal.reason(), refusal.retryAfterMillis()));
-      return;
-    }
-    PendingClaim pending = claims.remove(claim.id());
+  public void refused(long claimId, Refusal refusal) {
+    PendingClaim pending = claims.remove(claimId);
     if (pending != null) {
       pending.done = true;
       pending.listener.refused(refusal);
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/SchedulerService.java
@@ -0,0 +1,138 @@
+package io.samphiredyke.gateway.place;
+
+import io.samphiredyke.core.pool.Claim;
+import io.samphiredyke.core.pool.PoolListener;
+import io.samphiredyke.core.pool.PoolOptions;
+import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.pool.Refusal;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+/** The scheduler of this host, as it serves this host and those that chose it. */
+final class SchedulerService implements PoolListener {
+
+  /** Receives the decisions on claims of this host. */
+  interface Owner {
+
+    /** A claim of this host got a place. */
+    void granted(Claim claim, String endpointId);
+
+    /** A claim of this host gets no place. */
+    void refused(long claimId, Refusal refusal);
+  }
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final String self;
+  private final Owner owner;
+  private final BiConsumer<String, PlaceMessage> transport;
+  private final Runnable onWaiting;
+  private final PoolScheduler scheduler;
+
+  /**
+   * Creates the scheduler.
+   *
+   * @param onWaiting is run when a claim of another host arrived that may have to wait
+   */
+  SchedulerService(
+      String self,
+      PoolOptions options,
+      RandomGenerator random,
+      Owner owner,
+      BiConsumer<String, PlaceMessage> transport,
+      Runnable onWaiting) {
+    this.self = self;
+    this.owner = owner;
+    this.transport = transport;
+    this.onWaiting = onWaiting;
+    this.scheduler = new PoolScheduler(options, this, random);
+  }
+
+  PoolScheduler scheduler() {
+    return scheduler;
+  }
+
+  /** Takes a message of a host that chose this one. */
+  void received(String from, PlaceMessage message, long now) {
+    if (message instanceof PlaceMessage.Ask ask) {
+      asked(from, ask, now);
+    } else if (message instanceof PlaceMessage.Withdrawn withdrawn) {
+      scheduler.withdraw(withdrawn.service(), withdrawn.claimId());
+    } else if (message instanceof PlaceMessage.Started started) {
+      scheduler.started(
+          started.service(), started.endpointId(), started.claimId(), started.millis());
+    } else if (message instanceof PlaceMessage.Released released) {
+      scheduler.release(
+          released.service(),
+          released.endpointId(),
+          released.claimId(),
+          released.outcome(),
+          released.millis(),
+          now);
+    } else if (message instanceof PlaceMessage.Holding holding) {
+      reconcile(from, holding, now);
+    }
+  }
+
+  private void asked(String from, PlaceMessage.Ask ask, long now) {
+    String holder = scheduler.endpointOf(ask.service(), ask.claimId());
+    if (holder != null) {
+      transport.accept(from, new PlaceMessage.Granted(ask.claimId(), holder));
+      return;
+    }
+    if (!scheduler.isWaiting(ask.service(), ask.claimId())) {
+      scheduler.claim(claim(from, ask, now), now);
+      onWaiting.run();
+    }
+    if (scheduler.isWaiting(ask.service(), ask.claimId())) {
+      transport.accept(from, new PlaceMessage.Queued(ask.claimId()));
+    }
+  }
+
+  private static Claim claim(String from, PlaceMessage.Ask ask, long now) {
+    return new Claim(
+        ask.claimId(),
+        from,
+        ask.service(),
+        ask.rank(),
+        ask.value(),
+        ask.work(),
+        ask.customer(),
+        ask.quotaUnits(),
+        ask.isRepeat(),
+        ask.excluded(),
+        now + (long) (ask.dueMillis() * NANOS_PER_MILLI),
+        now + (long) (ask.patienceMillis() * NANOS_PER_MILLI));
+  }
+
+  private void reconcile(String from, PlaceMessage.Holding holding, long now) {
+    Set<Long> ids = new HashSet<>();
+    holding.places().forEach(held -> ids.add(held.claimId()));
+    scheduler.reconcile(from, ids, now);
+    holding
+        .usedElsewhere()
+        .forEach((customer, units) -> scheduler.usedElsewhere(customer, units, now));
+  }
+
+  @Override
+  public void granted(Claim claim, String endpointId) {
+    if (!claim.owner().equals(self)) {
+      transport.accept(claim.owner(), new PlaceMessage.Granted(claim.id(), endpointId));
+    } else {
+      owner.granted(claim, endpointId);
+    }
+  }
+
+  @Override
+  public void refused(Claim claim, Refusal refusal) {
+    if (!claim.owner().equals(self)) {
+      transport.accept(
+          claim.owner(),
+          new PlaceMessage.Refused(claim.id(), refusal.reason(), refusal.retryAfterMillis()));
+    } else {
+      owner.refused(claim.id(), refusal);
+    }
+  }
+}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
@@ -30,11 +30,14 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  /** Time that an answer of this host needs to reach a caller before it gives up. */
-  private static final long ANSWER_MARGIN_MILLIS = 20;
-
   /** Sends that were refused unrun, after which the caller is told to come back instead. */
-  private static final int MAX_UNRUN_SENDS = 2;
+  private static final int MAX_UNRUN_SENDS = 3;
+
+  /** When a caller should come back whose request several endpoints refused unrun. */
+  private static final long UNRUN_RETRY_MILLIS = 100;
+
+  /** A customer's importance goes before the route's; routes have a handful of ranks. */
+  private static final int ROUTE_RANKS = 16;
 
   private final RequestService.Context context;
   private final CallerRequest request;
@@ -46,6 +49,7 @@
   private final double value;
   private final Set<String> excluded = new HashSet<>();
   private final AnswerRelay relay;
+  private final FlowLog log;
   private @Nullable Future<?> timer;
   private long claimId;
   private @Nullable Place place;
@@ -71,6 +75,7 @@
     this.service = route.service(context.random().nextDouble());
     this.value =
         context.values().value(route.name(), head.work().promptTokens(), head.maxOutputTokens());
+    this.log = new FlowLog(context.log(), context.metrics(), head.requestId(), route.name());
     this.relay = new AnswerRelay(request.answer(), route.kind().isStream());
   }
 
@@ -82,10 +87,6 @@
     return route;
   }
 
-  String requestId() {
-    return head.requestId();
-  }
-
   AnswerRelay relay() {
     return relay;
   }
@@ -103,7 +104,10 @@
       units = quotaUnits(payer);
       quotaTaken = true;
     }
-    int rank = payer != null && payer.rank() >= 0 ? payer.rank() * 16 + route.rank() : route.rank();
+    int rank =
+        payer != null && payer.rank() >= 0
+            ? payer.rank() * ROUTE_RANKS + route.rank()
+            : route.rank();
     PlaceRequest ask =
         new PlaceRequest(
             head.requestId(),
@@ -161,26 +165,13 @@
             request.head().uri(),
             headers,
             request.body());
-    context
-        .log()
-        .event(
-            "sent",
-            "id",
-            head.requestId(),
-            "endpoint",
-            endpoint.id(),
-            "address",
-            endpoint.address(),
-            "by",
-            granted.grantedBy(),
-            "waited_ms",
-            sinceArrival(),
-            "left_ms",
-            leftMillis,
-            "attempt",
-            runs + unrunSends + 1,
-            "after_event",
-            relay.lastEvent());
+    log.sent(
+        endpoint,
+        granted.grantedBy(),
+        sinceArrival(),
+        leftMillis,
+        runs + unrunSends + 1,
+        relay.lastEvent());
     EndpointAttempt started = new EndpointAttempt(this, endpoint, granted);
     attempt = started;
     started.open(outgoing);
@@ -213,30 +204,24 @@
     leavePlace(refusing, status == OwnAnswers.UNAVAILABLE ? Outcome.FULL : Outcome.WITHDRAWN);
     unrunSends++;
     String reason = "the endpoint answered " + status + " without running it";
-    if (unrunSends >= MAX_UNRUN_SENDS) {
-      if (runs > 0) {
-        finishFailed(OwnAnswers.BAD_GATEWAY, reason);
-      } else {
-        finishUnrun(OwnAnswers.UNAVAILABLE, reason, 100);
-      }
-      return;
-    }
-    repeat(refusing, reason);
+    repeatUnrun(refusing, reason);
   }
 
   /** No connection to the endpoint was made. */
   void notConnected(EndpointAttempt failed, String reason) {
     leavePlace(failed, Outcome.FAILED);
     unrunSends++;
-    if (unrunSends > MAX_UNRUN_SENDS) {
-      if (runs > 0) {
-        finishFailed(OwnAnswers.BAD_GATEWAY, reason);
-      } else {
-        finishUnrun(OwnAnswers.UNAVAILABLE, reason, 100);
-      }
-      return;
+    repeatUnrun(failed, reason);
+  }
+
+  private void repeatUnrun(EndpointAttempt before, String reason) {
+    if (unrunSends < MAX_UNRUN_SENDS) {
+      repeat(before, reason);
+    } else if (runs > 0) {
+      finishFailed(OwnAnswers.BAD_GATEWAY, reason);
+    } else {
+      finishUnrun(OwnAnswers.UNAVAILABLE, reason, UNRUN_RETRY_MILLIS);
     }
-    repeat(failed, reason);
   }
 
   /** The endpoint may have run the request and its answer is of no use. */
@@ -258,8 +243,7 @@
   }
 
   private void repeat(EndpointAttempt before, String reason) {
-    context.log().event("repeat", "id", head.requestId(), "reason", reason);
-    context.metrics().repeated();
+    log.repeated(reason);
     excluded.add(before.endpoint().id());
     relay.nextRun();
     ask();
@@ -268,19 +252,7 @@
   /** The whole answer has been passed on. */
   void served(EndpointAttempt serving, int status) {
     leavePlace(serving, Outcome.SERVED);
-    context
-        .log()
-        .event(
-            "answered",
-            "id",
-            head.requestId(),
-            "status",
-            status,
-            "endpoint",
-            serving.endpoint().id(),
-            "ms",
-            sinceArrival());
-    context.metrics().answered(route.name(), sinceArrival());
+    log.answered(status, serving.endpoint().id(), sinceArrival());
     end();
   }
 
@@ -293,15 +265,13 @@
   }
 
   private void finishUnrun(int status, String reason, long retryAfterMillis) {
-    logEnd("refused", status, reason, retryAfterMillis);
-    context.metrics().refused(reason);
+    log.refused(status, reason, sinceArrival(), retryAfterMillis);
     end();
     OwnAnswers.send(request.answer(), status, reason, false, retryAfterMillis);
   }
 
   private void finishFailed(int status, String reason) {
-    logEnd("failed", status, reason, -1);
-    context.metrics().failed(reason);
+    log.failed(status, reason, sinceArrival(), runs, relay.lastEvent());
     end();
     if (relay.hasStarted()) {
       request.answer().abort();
@@ -310,29 +280,6 @@
     }
   }
 
-  private void logEnd(String event, int status, String reason, long retryAfterMillis) {
-    context
-        .log()
-        .event(
-            event,
-            "id",
-            head.requestId(),
-            "status",
-            status,
-            "reason",
-            reason,
-            "route",
-            route.name(),
-            "ms",
-            sinceArrival(),
-            "retry_ms",
-            retryAfterMillis,
-            "runs",
-            runs,
-            "last_event",
-            relay.lastEvent());
-  }
-
   private void timedOut() {
     if (ended) {
       return;
@@ -358,9 +305,7 @@
     if (ended) {
       return;
     }
-    context
-        .log()
-        .event("caller_gone", "id", head.requestId(), "ms", sinceArrival(), "sent", runs > 0);
+    log.callerGone(sinceArrival(), attempt != null);
     EndpointAttempt running = attempt;
     if (running == null) {
       context.places().withdraw(claimId);
@@ -391,12 +336,4 @@
     relay.release();
     request.body().release();
   }
-
-  boolean isEnded() {
-    return ended;
-  }
-
-  static long answerMarginMillis() {
-    return ANSWER_MARGIN_MILLIS;
-  }
 }
