--- a/samphiredyke-cli/src/main/java/io/samphiredyke/cli/command/CommandLine.java
+++ b/samphiredyke-cli/src/main/java/io/samphiredyke/cli/command/CommandLine.java
@@ -115,6 +115,11 @@
     addHosts(explain);
     explain.addArgument("request_id").metavar("REQUEST_ID").help("the id of the request");
 
+    Subparser trace =
+        command("trace", "show what collected logs say of a request", TraceCommand::run);
+    trace.addArgument("request_id").metavar("REQUEST_ID").help("the id of the request");
+    trace.addArgument("log").metavar("LOG").nargs("+").help("a file with the lines of a host");
+
     Subparser drain = command("drain", "begin the planned stop of a host", DrainCommand::run);
     addHosts(drain);
     drain.addArgument("host").metavar("HOST").help("the address of the host, ip:port");
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -380,6 +380,21 @@
     assertThat(response.headers().firstValue("connection")).hasValue("close");
   }
 
+  @Test
+  void linesTellWhyARequestFailed() {
+    Running running = startReady();
+    plain.forEach(endpoint -> endpoint.behave(Behaviour.LOSE_ANSWER));
+    assertThat(post(running, "/unsafe/x", "body").statusCode()).isEqualTo(502);
+    String id = "\"id\":\"r-" + requests + "\"";
+    await(() -> logged("\"event\":\"failed\""));
+    List<String> told =
+        lines.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains(id)).toList();
+    assertThat(told).hasSize(2);
+    assertThat(told.get(0)).contains("\"event\":\"sent\"", "\"endpoint\":\"p-", "\"left_ms\":");
+    assertThat(told.get(1))
+        .contains("\"event\":\"failed\"", "\"status\":502", "the connection ended", "\"runs\":1");
+  }
+
   private boolean logged(String text) {
     return lines.toString(StandardCharsets.UTF_8).contains(text);
   }
