Two tests that failed under load: causes found and mended

Cause 1 (SamphiredykeClientTest.knowsThatNothingRan...): a request counted as perhaps sent from the start of the connection attempt; when the deadline passed while the attempt was pending, it was UNKNOWN. Closing a stream now tells whether anything was sent. HttpServerTest shows it with a blocked loop. Cause 2 (PeerNodeTest.condemnsSilentLinks...): the test's 400 ms covered connect and handshake; under load nothing had been written, and the assertion that it may have arrived was wrong. The link is now up before. Ruled out: a lost frame; a port taken by another test.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -51,6 +51,7 @@
   private int unknowns;
   private long patienceEndNanos;
   private boolean maybeSent;
+  private boolean sentBefore;
   private @Nullable HttpStream stream;
   private @Nullable ResponseReader reader;
 
@@ -146,6 +147,7 @@
     Connections pool = client.connections();
     boolean first = connectionsOfId == 1;
     ResponseReader opened = new ResponseReader(loop, new Handler(maybeSent));
+    sentBefore = maybeSent;
     maybeSent = true;
     reader = opened;
     stream = (first ? pool.kept() : pool.fresh()).open(request.build(), opened);
@@ -355,7 +357,10 @@
   }
 
   private void deadlinePassed() {
-    Ran ran = maybeSent ? Ran.UNKNOWN : Ran.NO;
+    HttpStream open = stream;
+    // A connection that is still being made when the deadline passes carries nothing any more.
+    boolean unsent = open != null && open.close() && !sentBefore;
+    Ran ran = maybeSent && !unsent ? Ran.UNKNOWN : Ran.NO;
     String message = "no outcome within " + call.deadline();
     result.completeExceptionally(new DeadlineException(id, ran, message));
   }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -189,11 +189,12 @@
   }
 
   @Override
-  public void close() {
+  public boolean close() {
     closeAsked = true;
     Channel connected = channel;
     if (connected == null) {
-      return;
+      // send() sets the channel before it looks at closeAsked, so it will not send.
+      return true;
     }
     connected
         .eventLoop()
@@ -204,6 +205,7 @@
                 connected.close();
               }
             });
+    return false;
   }
 
   @Override
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +37,37 @@
     return HttpServer.start(group, ANY_PORT, options, handler).join();
   }
 
+  @Test
+  void closingBeforeTheConnectionIsMadeSendsNothing() throws InterruptedException {
+    AtomicInteger requests = new AtomicInteger();
+    HttpServer server =
+        serve(
+            exchange -> {
+              requests.incrementAndGet();
+              exchange.respond(200, Map.of(), new byte[0]);
+            });
+    EventLoopGroup single = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    CountDownLatch blocked = new CountDownLatch(1);
+    single.execute(() -> awaitQuietly(blocked));
+    HttpClient held = new HttpClient(single, HttpClientOptions.defaults());
+    HttpStream stream =
+        held.open(HttpRequest.get(server.address(), "/").build(), new IgnoringListener());
+    assertThat(stream.close()).isTrue();
+    blocked.countDown();
+    held.send(HttpRequest.get(server.address(), "/").build()).join();
+    assertThat(requests).hasValue(1);
+    server.stop().join();
+    single.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Test
   void echoesBodiesOverOneConnection() {
     HttpServer server =
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerNodeTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerNodeTest.java
@@ -87,8 +87,19 @@
   void condemnsSilentLinksAndOpensNewOnes() {
     CompletableFuture<Void> answer = new CompletableFuture<>();
     PeerNode server =
-        start("server", (from, message, reply) -> answer.thenRun(() -> reply.accept(message)), NEW);
+        start(
+            "server",
+            (from, message, reply) -> {
+              if (message.equals(read("first"))) {
+                reply.accept(message);
+              } else {
+                answer.thenRun(() -> reply.accept(message));
+              }
+            },
+            NEW);
     PeerNode client = echo("client", NEW);
+    // The link is up before the silent request, so that its time covers no connect or handshake.
+    client.request(server.address(), null, read("first"), PATIENCE).join();
     CompletableFuture<PeerMessage> silent =
         client.request(server.address(), null, read("a"), Duration.ofMillis(400));
     assertThatThrownBy(silent::join).satisfies(e -> assertThat(mayHaveArrived(e)).isTrue());
