Endpoints that hang are given up; suspect hosts leave the list of addresses at once

Cause: hung or dark endpoints held requests that may run again until the caller's time was over (keep-alive probes need 4 s); callers lost a second at each dead host that was still listed (up to 3 s of suspicion). Ruled out: shorter probes alone (a hung endpoint answers them). Change: SilenceLimit by objective, prompt and gap, only where another endpoint may run the request; addresses of hosts that leave probes unanswered are left out while others are known.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.samphiredyke.core.membership.IncarnationId;
 import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberState;
 import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.PoolScheduler;
 import io.samphiredyke.core.serving.CallerLimits;
@@ -32,7 +33,10 @@
 import io.samphiredyke.platform.StoreClient;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
@@ -239,13 +243,21 @@
     return ready;
   }
 
-  /** Returns the caller addresses of the hosts that are ready. */
+  /**
+   * Returns the caller addresses of the hosts that are ready. Hosts that leave probes unanswered
+   * are left out, unless no other is known: callers lose a second at each of them.
+   */
   List<String> readyAddresses() {
-    return peers.liveMembers().stream()
-        .filter(member -> !member.draining() && !member.callerAddress().isEmpty())
-        .map(Member::callerAddress)
-        .limit(OperatorPages.MAX_ADDRESSES)
-        .toList();
+    List<String> sound = new ArrayList<>();
+    List<String> suspect = new ArrayList<>();
+    for (Member member : peers.liveMembers()) {
+      if (!member.draining() && !member.callerAddress().isEmpty()) {
+        (member.state() == MemberState.ALIVE ? sound : suspect).add(member.callerAddress());
+      }
+    }
+    List<String> listed = sound.isEmpty() ? suspect : sound;
+    Collections.shuffle(listed, new Random(loop.now()));
+    return listed.subList(0, Math.min(listed.size(), OperatorPages.MAX_ADDRESSES));
   }
 
   double callerTtlSeconds() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.gateway.place.Place;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
@@ -9,12 +10,19 @@
 import io.samphiredyke.gateway.upstream.ExchangeListener;
 import io.samphiredyke.gateway.upstream.OutgoingRequest;
 import io.samphiredyke.platform.EndpointAnswerHead;
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 
 /** One sending of a request to one endpoint. */
 final class EndpointAttempt implements ExchangeListener {
 
   private static final int SERVER_ERROR = 500;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /**
+   * Shortest time to the next look at a silent endpoint; the caller may be the one that is slow.
+   */
+  private static final long MIN_WATCH_MILLIS = 50;
 
   /**
    * Statuses that promise that a request did not run; only an endpoint that says so may use them.
@@ -28,6 +36,8 @@
   private final Place place;
   private @Nullable EndpointExchange exchange;
   private @Nullable String unusable;
+  private @Nullable Future<?> watcher;
+  private long lastHeardAt;
   private boolean isUnrun;
   private boolean isDone;
   private boolean hasStarted;
@@ -48,11 +58,43 @@
   }
 
   void open(OutgoingRequest outgoing) {
+    lastHeardAt = flow.context().loop().now();
     exchange = flow.context().connections().open(endpoint.address(), outgoing, true, this);
+    if (!isDone && flow.mayRunAgain()) {
+      watch(SilenceLimit.beforeAnswer(flow.route(), flow.work()));
+    }
   }
 
-  void cancel() {
+  private void watch(long millis) {
+    watcher = flow.context().loop().schedule(this::checkSilence, Duration.ofMillis(millis));
+  }
+
+  private void checkSilence() {
+    if (isDone) {
+      return;
+    }
+    long limit =
+        hasStarted
+            ? SilenceLimit.withinAnswer(flow.route())
+            : SilenceLimit.beforeAnswer(flow.route(), flow.work());
+    long silent = (flow.context().loop().now() - lastHeardAt) / NANOS_PER_MILLI;
+    if (silent < limit || !flow.relay().isWritable()) {
+      watch(Math.max(MIN_WATCH_MILLIS, limit - silent));
+      return;
+    }
+    fail("the endpoint was silent for " + silent + " ms");
+  }
+
+  private void finish() {
     isDone = true;
+    Future<?> pending = watcher;
+    if (pending != null) {
+      pending.cancel(false);
+    }
+  }
+
+  void cancel() {
+    finish();
     EndpointExchange open = exchange;
     if (open != null) {
       open.cancel();
@@ -100,6 +142,7 @@
     if (isDone || isUnrun || unusable != null) {
       return;
     }
+    lastHeardAt = flow.context().loop().now();
     if (!hasStarted) {
       hasStarted = true;
       place.started();
@@ -119,7 +162,7 @@
     if (isDone) {
       return;
     }
-    isDone = true;
+    finish();
     String defect = unusable;
     if (isUnrun) {
       flow.notRun(this, status);
@@ -143,7 +186,7 @@
     if (isDone) {
       return;
     }
-    isDone = true;
+    finish();
     if (failure.isUnsent()) {
       flow.notConnected(this, failure.reason());
     } else if (isUnrun) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.pool.Refusal;
+import io.samphiredyke.core.pool.Work;
 import io.samphiredyke.core.serving.CustomerSpec;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.Route;
@@ -87,6 +88,10 @@
     return route;
   }
 
+  Work work() {
+    return head.work();
+  }
+
   AnswerRelay relay() {
     return relay;
   }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -64,7 +64,7 @@
         + name
         + "/\",\"Kind\":\""
         + kind
-        + "\",\"TimeoutMs\":20000,\"TargetLatencyMs\":5000,\"Priority\":0,\"Service\":\""
+        + "\",\"TimeoutMs\":20000,\"TargetLatencyMs\":1000,\"Priority\":0,\"Service\":\""
         + service
         + "\",\"MaxAttempts\":"
         + attempts
@@ -260,6 +260,16 @@
     assertThat(runs(plain)).isZero();
   }
 
+  @Test
+  void givesUpAnEndpointThatHangsIfAnotherMayRunTheRequest() {
+    Running running = startReady();
+    plain.get(0).behave(Behaviour.HANG);
+    for (int i = 0; i < 3; i++) {
+      assertThat(get(running, "/safe/x").statusCode()).isEqualTo(200);
+    }
+    await(() -> plain.get(0).abandoned() == plain.get(0).runs().size());
+  }
+
   @Test
   void resumesAStreamExactlyWhereItBrokeOff() {
     Running running = startReady();
