GatewayTest takes ports that are free and its own

Cause: hearsOfADrainThatAnotherHostRead failed once with 'Address already in use': the metrics port was the peer port plus one, which another gateway of the test had been given as a free port. Change: ports in a row from a counter, below the system's own range, checked for TCP and UDP.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -13,6 +13,8 @@
 import io.samphiredyke.platform.standin.StoreStandIn;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -24,6 +26,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,6 +50,10 @@
           + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
           + "\"Tenants\":[{\"Name\":\"customer\",\"ApiKeys\":[\"key\"],\"RatePerS\":0}]}";
 
+  /** Below the ports that the system gives to outgoing connections. */
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(12_000 + (int) (ProcessHandle.current().pid() % 1_500) * 8);
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final StoreStandIn store = new StoreStandIn();
@@ -102,30 +109,45 @@
         String.format(CONFIGURATION, version));
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new java.io.UncheckedIOException(e);
+  /** Returns the first of some ports in a row that nobody listens on, each time other ones. */
+  private static int freePorts(int count) {
+    while (true) {
+      int first = NEXT_PORT.getAndAdd(count);
+      if (areFree(first, count)) {
+        return first;
+      }
+    }
+  }
+
+  private static boolean areFree(int first, int count) {
+    for (int port = first; port < first + count; port++) {
+      try (ServerSocket tcp = new ServerSocket();
+          DatagramSocket udp = new DatagramSocket(null)) {
+        tcp.bind(new InetSocketAddress("127.0.0.1", port));
+        udp.bind(new InetSocketAddress("127.0.0.1", port));
+      } catch (IOException e) {
+        return false;
+      }
     }
+    return true;
   }
 
   /** A gateway and where callers reach it. */
   private record Running(Gateway gateway, String address, String peer) {}
 
   private Running startGateway(String name, List<String> seeds) {
-    String address = "127.0.0.1:" + freePort();
-    int peerPort = freePort();
-    String peer = "127.0.0.1:" + peerPort;
+    int port = freePorts(5);
+    String address = "127.0.0.1:" + port;
+    String peer = "127.0.0.1:" + (port + 1);
     HostSettings settings =
         new HostSettings(
             name,
             "a",
             address,
-            "127.0.0.1:" + freePort(),
-            "127.0.0.1:" + freePort(),
+            "127.0.0.1:" + (port + 3),
+            "127.0.0.1:" + (port + 4),
             peer,
-            "127.0.0.1:" + (peerPort + 1),
+            "127.0.0.1:" + (port + 2),
             seeds,
             store.address(),
             1_200,
