A correlated fault no longer closes a service; lists of entries fit their datagrams

Change: an endpoint's own error answers count in its share of errors, which weighs against it when placing, and do not pause it; pauses are ignored while half of a service's endpoints are paused. Change: at most 12 changes of the last 3 s, receive buffer of 16 KB. Tests: PoolSchedulerTest.staysOpenWhileAllEndpointsFail..., prefersEndpointsThatAnswerWithoutErrors.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -39,6 +39,12 @@
 
   private static final double MAX_SLOWNESS = 8;
 
+  /** Weight of a new outcome in the share of errors; about the last ten requests count. */
+  private static final double ERROR_LEARNING_RATE = 0.1;
+
+  /** How far the share of errors counts; below 1, so that an endpoint is always tried again. */
+  private static final double ERROR_WEIGHT = 0.9;
+
   /** Failures in a row after which an endpoint is tried with single requests only. */
   private static final int FAILURES_TO_SUSPECT = 2;
 
@@ -52,6 +58,7 @@
   private final PrefixCache cache;
   private final Map<Long, Running> running = new HashMap<>();
   private double slowness = 1;
+  private double errorShare;
   private int failures;
   private long pausedUntil = Long.MIN_VALUE;
   private int grantLimit = Integer.MAX_VALUE;
@@ -74,21 +81,25 @@
     return running.size();
   }
 
-  int freePlaces(long now) {
-    if (now < pausedUntil) {
+  /**
+   * Returns how many more requests it may get.
+   *
+   * @param ignorePause whether a pause after failures is ignored
+   */
+  int freePlaces(long now, boolean ignorePause) {
+    if (ignorePause) {
+      return Math.max(0, endpoint.slots() - running.size());
+    }
+    if (isPaused(now)) {
       return 0;
     }
     int limit = failures >= FAILURES_TO_SUSPECT ? 1 : Math.min(endpoint.slots(), grantLimit);
     return Math.max(0, limit - running.size());
   }
 
-  /** Returns whether the endpoint is healthy enough to count as capacity. */
-  boolean isUsable(long now) {
-    return now >= pausedUntil;
-  }
-
-  double slowness() {
-    return slowness;
+  /** Returns whether it gets nothing for a while after failures in a row. */
+  boolean isPaused(long now) {
+    return now < pausedUntil;
   }
 
   /** Expected time to the first event or the answer if the claim were granted now. */
@@ -103,6 +114,11 @@
     return slowness * (PlacementModel.firstEventMillis() + waiting + prefillMillis(claim.work()));
   }
 
+  /** Expected time of a claim here, with the work that errors of this endpoint cause elsewhere. */
+  double placementMillis(Claim claim) {
+    return totalMillis(claim) / (1 - errorShare * ERROR_WEIGHT);
+  }
+
   double totalMillis(Claim claim) {
     if (!claim.work().isGeneration()) {
       return plainMillis();
@@ -142,7 +158,12 @@
   /** Frees the place of a claim. */
   @Nullable Running release(long claimId, Outcome outcome, double observedMillis, long now) {
     Running entry = running.remove(claimId);
+    if (outcome != Outcome.WITHDRAWN) {
+      double error = outcome == Outcome.SERVED ? 0 : 1;
+      errorShare += ERROR_LEARNING_RATE * (error - errorShare);
+    }
     switch (outcome) {
+      case ERRORED -> failures = 0;
       case SERVED -> {
         failures = 0;
         grantLimit = Integer.MAX_VALUE;
@@ -173,12 +194,12 @@
   }
 
   /** Adds the times at which places become free, nanoseconds. */
-  void addFreeTimes(long now, List<Long> times) {
+  void addFreeTimes(long now, boolean ignorePause, List<Long> times) {
     for (Running entry : running.values()) {
       long end = entry.grantedAt + (long) (entry.totalMillis * NANOS_PER_MILLI);
       times.add(Math.max(now, end));
     }
-    for (int i = 0; i < freePlaces(now); i++) {
+    for (int i = 0; i < freePlaces(now, ignorePause); i++) {
       times.add(now);
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/Outcome.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/Outcome.java
@@ -4,7 +4,9 @@
 public enum Outcome {
   /** The endpoint answered. */
   SERVED,
-  /** The endpoint failed, broke off or could not be reached. */
+  /** The endpoint answered with an error of its own. */
+  ERRORED,
+  /** The endpoint broke off, stayed silent or could not be reached. */
   FAILED,
   /** The endpoint refused it because it was full. */
   FULL,
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -120,9 +120,22 @@
     }
   }
 
+  /**
+   * Returns whether pauses after failures are ignored: when most endpoints fail, the cause is
+   * common to them, and pausing them would close the service.
+   */
+  private boolean ignoresPauses(long now) {
+    int paused = 0;
+    for (EndpointLoad endpoint : endpoints.values()) {
+      paused += endpoint.isPaused(now) ? 1 : 0;
+    }
+    return paused * 2 >= endpoints.size();
+  }
+
   private boolean hasFreePlace(long now) {
+    boolean ignorePause = ignoresPauses(now);
     for (EndpointLoad endpoint : endpoints.values()) {
-      if (endpoint.freePlaces(now) > 0) {
+      if (endpoint.freePlaces(now, ignorePause) > 0) {
         return true;
       }
     }
@@ -141,11 +154,13 @@
   private @Nullable EndpointLoad bestPlace(Claim claim, long now) {
     EndpointLoad best = null;
     double bestMillis = Double.MAX_VALUE;
+    boolean ignorePause = ignoresPauses(now);
     for (EndpointLoad endpoint : endpoints.values()) {
-      if (endpoint.freePlaces(now) == 0 || claim.excluded().contains(endpoint.endpoint().id())) {
+      if (endpoint.freePlaces(now, ignorePause) == 0
+          || claim.excluded().contains(endpoint.endpoint().id())) {
         continue;
       }
-      double millis = endpoint.totalMillis(claim) + random.nextDouble();
+      double millis = endpoint.placementMillis(claim) + random.nextDouble();
       if (millis < bestMillis) {
         bestMillis = millis;
         best = endpoint;
@@ -160,8 +175,9 @@
       return;
     }
     List<Long> free = new ArrayList<>();
+    boolean ignorePause = ignoresPauses(now);
     for (EndpointLoad endpoint : endpoints.values()) {
-      endpoint.addFreeTimes(now, free);
+      endpoint.addFreeTimes(now, ignorePause, free);
     }
     Collections.sort(free);
     double meanMillis = meanTotalMillis();
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
@@ -164,4 +164,39 @@
     long onFailing = grants.values().stream().filter("e"::equals).count();
     assertThat(onFailing).isLessThanOrEqualTo(4);
   }
+
+  @Test
+  void staysOpenWhileAllEndpointsFailAShareOfTheirRequests() {
+    for (int i = 0; i < 4; i++) {
+      scheduler.put(endpoint("e" + i, 6), 0);
+    }
+    SplittableRandom random = new SplittableRandom(3);
+    for (long id = 1; id <= 400; id++) {
+      long now = id * 10 * MILLI;
+      scheduler.tick(now);
+      scheduler.claim(claim(id, 0, now, 200), now);
+      String endpoint = grants.get(id);
+      if (endpoint != null) {
+        Outcome outcome = random.nextDouble() < 0.45 ? Outcome.FAILED : Outcome.SERVED;
+        scheduler.release("s", endpoint, id, outcome, 10, now + 5 * MILLI);
+      }
+    }
+    assertThat(refusals).isEmpty();
+    assertThat(grants).hasSize(400);
+  }
+
+  @Test
+  void prefersEndpointsThatAnswerWithoutErrors() {
+    scheduler.put(endpoint("e", 6), 0);
+    scheduler.put(endpoint("f", 6), 0);
+    for (long id = 1; id <= 100; id++) {
+      long now = id * 100 * MILLI;
+      scheduler.claim(claim(id, 0, now, 200), now);
+      String endpoint = grants.get(id);
+      Outcome outcome = endpoint.equals("e") ? Outcome.ERRORED : Outcome.SERVED;
+      scheduler.release("s", endpoint, id, outcome, 100, now + 50 * MILLI);
+    }
+    long onErring = grants.values().stream().filter("e"::equals).count();
+    assertThat(onErring).isLessThan(30);
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -7,7 +7,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -41,6 +43,9 @@
  */
 public final class PeerGroup implements MembershipSink {
 
+  /** Longest datagram; Netty's own limit of 2,048 bytes cuts lists of entries off. */
+  private static final int MAX_DATAGRAM_BYTES = 16 * 1024;
+
   private static final byte GOSSIP = 0;
   private static final byte PLACE = 1;
 
@@ -75,6 +80,8 @@
         new Bootstrap()
             .group(eventLoop)
             .channel(NioDatagramChannel.class)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(new Receiver())
             .bind(Addresses.parse(membership.self().address()));
     CompletableFuture<Void> started = new CompletableFuture<>();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
+import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.gateway.place.Place;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
@@ -16,7 +17,6 @@
 /** One sending of a request to one endpoint. */
 final class EndpointAttempt implements ExchangeListener {
 
-  private static final int SERVER_ERROR = 500;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /**
@@ -49,6 +49,11 @@
     this.place = place;
   }
 
+  /** Returns how the endpoint did with a request that it may have run. */
+  Outcome failure() {
+    return status >= OwnAnswers.SERVER_ERROR ? Outcome.ERRORED : Outcome.FAILED;
+  }
+
   EndpointRecord endpoint() {
     return endpoint;
   }
@@ -132,7 +137,7 @@
     if (isPromise(head.status())) {
       return "status " + head.status() + " without a statement that it did not run";
     }
-    boolean isFailure = head.status() >= SERVER_ERROR;
+    boolean isFailure = head.status() >= OwnAnswers.SERVER_ERROR;
     boolean isReplaceable = flow.mayRunAgain() || flow.relay().hasStarted();
     return isFailure && isReplaceable ? "status " + head.status() : null;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OwnAnswers.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OwnAnswers.java
@@ -15,6 +15,7 @@
   static final int UNAUTHORIZED = 401;
   static final int NOT_FOUND = 404;
   static final int TOO_MANY = 429;
+  static final int SERVER_ERROR = 500;
   static final int BAD_GATEWAY = 502;
   static final int UNAVAILABLE = 503;
   static final int GATEWAY_TIMEOUT = 504;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
@@ -233,7 +233,7 @@
   void failed(EndpointAttempt failed, String reason) {
     reachedEndpoint = true;
     runs++;
-    leavePlace(failed, Outcome.FAILED);
+    leavePlace(failed, failed.failure());
     boolean canResume = !relay.hasStarted() || relay.canResume();
     if (route.kind().mayRepeat() && canResume && runs < route.maxAttempts()) {
       repeat(failed, reason);
@@ -256,7 +256,8 @@
 
   /** The whole answer has been passed on. */
   void served(EndpointAttempt serving, int status) {
-    leavePlace(serving, Outcome.SERVED);
+    boolean isError = status >= OwnAnswers.SERVER_ERROR;
+    leavePlace(serving, isError ? Outcome.ERRORED : Outcome.SERVED);
     log.answered(status, serving.endpoint().id(), sinceArrival());
     end();
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
@@ -17,12 +17,22 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
 
 /** Decodes the entries of endpoints and keeps the directory of them. */
 public final class EndpointReceiver implements TopicFollower.Receiver {
 
-  /** Changes that are kept for other hosts; more come only when whole services are replaced. */
-  private static final int MAX_CHANGES = 32;
+  /**
+   * Changes that are kept for other hosts, so that they fit into one datagram of some kilobytes. A
+   * host that misses older ones reads the store itself.
+   */
+  private static final int MAX_CHANGES = 12;
+
+  /** How long changes are kept; a lost datagram is made up for by the next ones. */
+  private static final long KEEP_NANOS = 3_000_000_000L;
+
+  /** A changed entry and when it was read. */
+  private record Change(StoreRecord record, long readAt) {}
 
   private final ControlLoop loop;
   private final EndpointDirectory directory;
@@ -32,7 +42,7 @@
   private final LongConsumer onRead;
   private final Map<String, EndpointRecord> known = new HashMap<>();
   private final Map<String, byte[]> entries = new HashMap<>();
-  private final Deque<StoreRecord> changes = new ArrayDeque<>();
+  private final Deque<Change> changes = new ArrayDeque<>();
   private long coveredFrom = Long.MAX_VALUE;
   private boolean listed;
 
@@ -83,8 +93,8 @@
     directory.registryRead(now);
     records.forEach(record -> apply(record, now));
     directory.tick(now);
-    while (changes.size() > MAX_CHANGES) {
-      coveredFrom = changes.removeFirst().offset() + 1;
+    while (changes.size() > MAX_CHANGES || isOutdated(changes.peekFirst(), now)) {
+      coveredFrom = changes.removeFirst().record().offset() + 1;
     }
     onRead.accept(next);
   }
@@ -100,7 +110,7 @@
     EndpointRecord before =
         facts == null ? known.remove(record.key()) : known.put(record.key(), facts);
     if (!Objects.equals(before, facts)) {
-      changes.addLast(record);
+      changes.addLast(new Change(record, now));
     }
     if (newer == null) {
       entries.remove(record.key());
@@ -112,7 +122,11 @@
 
   /** Returns the latest changes, for hosts that do not read themselves. */
   public List<StoreRecord> changes() {
-    return List.copyOf(changes);
+    return changes.stream().map(Change::record).toList();
+  }
+
+  private static boolean isOutdated(@Nullable Change change, long now) {
+    return change != null && now - change.readAt() > KEEP_NANOS;
   }
 
   /** Returns the offset from which on {@link #changes} are complete. */
