--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -21,6 +21,12 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /**
+   * Time without any claim after which this scheduler counts as one that takes over: another one
+   * was asked meanwhile. In a group in use claims come every few milliseconds.
+   */
+  private static final long TAKE_OVER_NANOS = 2_000 * NANOS_PER_MILLI;
+
   private final PoolOptions options;
   private final PoolListener listener;
   private final PoolListener poolListener;
@@ -28,6 +34,7 @@
   private final Map<String, ServicePool> pools = new HashMap<>();
   private final Map<String, TokenQuota> quotas = new HashMap<>();
   private @Nullable ServingConfiguration configuration;
+  private long lastClaimAt;
 
   /** Creates a scheduler that knows no endpoint. */
   public PoolScheduler(PoolOptions options, PoolListener listener, RandomGenerator random) {
@@ -52,6 +59,7 @@
   /** Takes the configuration in force. */
   public void configure(ServingConfiguration newer, long now) {
     configuration = newer;
+    newer.customers().forEach(customer -> quota(customer.name(), now));
     quotas.forEach(
         (name, quota) -> {
           CustomerSpec customer = newer.customer(name);
@@ -84,6 +92,10 @@
 
   /** Takes a claim; the listener learns the decision, now or later. */
   public void claim(Claim claim, long now) {
+    if (now - lastClaimAt > TAKE_OVER_NANOS) {
+      quotas.values().forEach(quota -> quota.takeOver(now));
+    }
+    lastClaimAt = now;
     if (!claim.isRepeat() && !takeQuota(claim, now)) {
       return;
     }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
@@ -12,24 +12,17 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /**
-   * Time without a request after which the bucket counts as one that takes over: another scheduler
-   * may have granted units of which no report has arrived yet.
-   */
-  private static final long IDLE_NANOS = 2_000_000_000L;
-
-  /** Share of the burst that such a bucket grants at once. */
-  private static final double TAKE_OVER_SHARE = 0.5;
+  /** Share of the burst that a scheduler grants at once when it takes over from another one. */
+  private static final double TAKE_OVER_SHARE = 0.25;
 
   private final double tolerance;
   private final double slackUnits;
   private CustomerSpec customer;
   private double units;
   private long filledAt;
-  private long askedAt;
 
   /**
-   * Creates a bucket that holds a part of the burst.
+   * Creates a full bucket.
    *
    * @param tolerance share of rate and burst that may be used beyond them
    * @param slackUnits units that may be used beyond that
@@ -38,9 +31,8 @@
     this.customer = customer;
     this.tolerance = tolerance;
     this.slackUnits = slackUnits;
-    this.units = customer.burst() * TAKE_OVER_SHARE;
+    this.units = capacity();
     this.filledAt = now;
-    this.askedAt = now;
   }
 
   private double capacity() {
@@ -66,10 +58,6 @@
       return true;
     }
     fill(now);
-    if (now - askedAt > IDLE_NANOS) {
-      units = Math.min(units, customer.burst() * TAKE_OVER_SHARE);
-    }
-    askedAt = now;
     if (units <= 0) {
       return false;
     }
@@ -77,6 +65,15 @@
     return true;
   }
 
+  /**
+   * Notes that another scheduler may have granted units of which no report has arrived yet: only a
+   * part of the burst is granted at once.
+   */
+  void takeOver(long now) {
+    fill(now);
+    units = Math.min(units, customer.burst() * TAKE_OVER_SHARE);
+  }
+
   /** Takes units that are used already. */
   void use(long used, long now) {
     fill(now);
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/ServingConfiguration.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/ServingConfiguration.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.core.serving;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -81,6 +82,11 @@
     return customersByName.get(name);
   }
 
+  /** Returns all customers. */
+  public Collection<CustomerSpec> customers() {
+    return customersByName.values();
+  }
+
   /** Returns whether any customer is configured, so that requests need keys. */
   public boolean needsKeys() {
     return !customersByName.isEmpty();
