Gateway read as a newcomer would: unused parts out, one constant for the metrics port, ages on the page

Cause: a field and two methods that nothing used, a constant that stood twice, two ways to take a batch. Change: removed or merged; dropped lines and the age of the configuration's read are on the metrics page.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -140,7 +140,8 @@
         new HostRegistry(
             loop, store, settings.hostName(), settings.peerAddress(), peers::seed, log);
     new GatewayGauges(metrics)
-        .register(front, peers, connections, directory, configurationFollower, endpointFollower);
+        .register(
+            log, front, peers, connections, directory, configurationFollower, endpointFollower);
   }
 
   private static Member self(HostSettings settings, RandomGenerator random) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -2,6 +2,7 @@
 
 import io.samphiredyke.core.serving.EndpointDirectory;
 import io.samphiredyke.gateway.front.FrontServer;
+import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
 import io.samphiredyke.gateway.place.PeerGroup;
 import io.samphiredyke.gateway.store.TopicFollower;
@@ -17,6 +18,7 @@
   }
 
   void register(
+      DecisionLog log,
       FrontServer front,
       PeerGroup peers,
       EndpointConnections connections,
@@ -25,6 +27,7 @@
       TopicFollower endpoints) {
     metrics.gauge("samphiredyke_caller_connections", "Open connections.", front::openConnections);
     metrics.gauge("samphiredyke_live_hosts", "Hosts seen alive.", () -> peers.liveMembers().size());
+    metrics.gauge("samphiredyke_log_lines_dropped", "Log lines dropped under load.", log::dropped);
     metrics.gauge(
         "samphiredyke_held_places", "Places held here.", () -> peers.places().heldPlaces());
     metrics.gauge(
@@ -35,6 +38,10 @@
         connections::opened);
     metrics.gauge(
         "samphiredyke_endpoints", "Endpoints that take requests.", () -> directory.all().size());
+    metrics.gauge(
+        "samphiredyke_configuration_read_age_seconds",
+        "Time since the store last answered about the configuration.",
+        configuration::secondsSinceRead);
     metrics.gauge(
         "samphiredyke_store_calls",
         "Calls to the store.",
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceRequest.java
@@ -6,7 +6,6 @@
 /**
  * What a request asks of the scheduler. Times are nanoseconds of this process's clock.
  *
- * @param requestId id in the log
  * @param service service that must serve it
  * @param rank importance, 0 first
  * @param value benefit against the mean of its route
@@ -19,7 +18,6 @@
  * @param patienceUntil latest start that still serves the caller
  */
 public record PlaceRequest(
-    String requestId,
     String service,
     int rank,
     double value,
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EventSplitter.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EventSplitter.java
@@ -16,7 +16,6 @@
   private final ByteBuf pending = Unpooled.buffer(256);
   private long lastEvent = -1;
   private long firstEvent = -1;
-  private int wholeEvents;
 
   /** Adds bytes and returns all whole events that are there; the receiver owns the buffer. */
   ByteBuf add(ByteBuf bytes) {
@@ -54,7 +53,6 @@
   }
 
   private void note(long id) {
-    wholeEvents++;
     if (id >= 0) {
       firstEvent = firstEvent < 0 ? id : firstEvent;
       lastEvent = id;
@@ -100,11 +98,6 @@
     return firstEvent;
   }
 
-  /** Returns how many whole events were there. */
-  int wholeEvents() {
-    return wholeEvents;
-  }
-
   /** Returns whether an event has begun and not ended. */
   boolean isWithinEvent() {
     return pending.isReadable();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestFlow.java
@@ -53,7 +53,6 @@
   private final FlowLog log;
   private @Nullable Future<?> timer;
   private long claimId;
-  private @Nullable Place place;
   private @Nullable EndpointAttempt attempt;
   private int runs;
   private int unrunSends;
@@ -115,7 +114,6 @@
             : route.rank();
     PlaceRequest ask =
         new PlaceRequest(
-            head.requestId(),
             service,
             rank,
             value,
@@ -150,7 +148,6 @@
       ask();
       return;
     }
-    place = granted;
     send(endpoint, granted);
   }
 
@@ -266,7 +263,6 @@
     leaving.place().release(outcome);
     if (attempt == leaving) {
       attempt = null;
-      place = null;
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBelief.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBelief.java
@@ -10,6 +10,7 @@
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpResponse;
+import io.samphiredyke.platform.HostSettings;
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.StoreRecord;
 import java.io.IOException;
@@ -37,7 +38,6 @@
 
   private static final Duration NEXT_TRY = Duration.ofMillis(300);
   private static final Duration TIMEOUT = Duration.ofMillis(500);
-  private static final int METRICS_PORT_OFFSET = 1;
   private static final int OK = 200;
 
   private final ControlLoop loop;
@@ -93,7 +93,7 @@
   private void ask(Member member) {
     InetSocketAddress peer = Addresses.parse(member.address());
     InetSocketAddress page =
-        new InetSocketAddress(peer.getAddress(), peer.getPort() + METRICS_PORT_OFFSET);
+        new InetSocketAddress(peer.getAddress(), peer.getPort() + HostSettings.METRICS_PORT_OFFSET);
     loop.whenDone(
         http.send(HttpRequest.get(page, PATH).timeout(TIMEOUT).build()),
         response -> heard(member, response),
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -47,6 +47,7 @@
   /** How soon it is asked again whether this host has to read. */
   private static final Duration RECHECK = Duration.ofMillis(200);
 
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final long FIRST_PAUSE_MILLIS = 100;
   private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
@@ -140,17 +141,17 @@
     calls++;
     loop.whenDone(
         store.read(topic, next, Duration.ZERO, CALL_TIMEOUT),
-        batch -> {
-          reading = false;
-          if (batch.next() >= next) {
-            next = batch.next();
-            answered();
-            receiver.read(batch.records(), next);
-          }
-        },
+        this::take,
         failure -> reading = false);
   }
 
+  private void take(StoreBatch batch) {
+    reading = false;
+    next = batch.next();
+    answered();
+    receiver.read(batch.records(), next);
+  }
+
   private void read() {
     if (reading) {
       loop.schedule(this::read, RECHECK);
@@ -166,10 +167,7 @@
   }
 
   private void readDone(StoreBatch batch) {
-    reading = false;
-    next = batch.next();
-    answered();
-    receiver.read(batch.records(), next);
+    take(batch);
     schedule();
   }
 
@@ -209,8 +207,9 @@
     return calls;
   }
 
-  /** Returns when the topic was last read, nanoseconds of the loop's clock. */
-  public long lastReadAt() {
-    return lastReadAt;
+  /** Returns how long ago the store last answered, seconds; not a number before the first time. */
+  public double secondsSinceRead() {
+    boolean wasRead = lastReadAt != Long.MIN_VALUE;
+    return wasRead ? (loop.now() - lastReadAt) / NANOS_PER_SECOND : Double.NaN;
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/EventSplitterTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/EventSplitterTest.java
@@ -24,7 +24,6 @@
     assertThat(add("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
     assertThat(events.lastEvent()).isEqualTo(2);
     assertThat(events.isWithinEvent()).isFalse();
-    assertThat(events.wholeEvents()).isEqualTo(2);
   }
 
   @Test
