--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SilenceLimit.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SilenceLimit.java
@@ -11,8 +11,14 @@
  */
 final class SilenceLimit {
 
-  /** Objectives that the first event of a stream may take on top of its prompt. */
-  private static final double OBJECTIVES_TO_FIRST_EVENT = 1.5;
+  /**
+   * Objectives that the first event of a stream may take on top of its prompt. Callers leave after
+   * as many; earlier, a late start would be thrown away, and under load there is no other place.
+   */
+  private static final int OBJECTIVES_TO_FIRST_EVENT = 4;
+
+  /** Objectives that a plain answer may take; callers wait for four or more. */
+  private static final int OBJECTIVES_TO_ANSWER = 2;
 
   /** Prompt tokens that a slow, busy engine reads in a millisecond. */
   private static final int SLOW_TOKENS_PER_MILLI = 20;
@@ -28,10 +34,10 @@
   /** Returns the limit before the first event or the answer, milliseconds. */
   static long beforeAnswer(Route route, Work work) {
     if (!route.kind().isStream()) {
-      return Math.max(MIN_MILLIS, route.objectiveMillis());
+      return Math.max(MIN_MILLIS, (long) OBJECTIVES_TO_ANSWER * route.objectiveMillis());
     }
-    double objective = route.objectiveMillis() * OBJECTIVES_TO_FIRST_EVENT;
-    return Math.max(MIN_MILLIS, (long) objective + work.promptTokens() / SLOW_TOKENS_PER_MILLI);
+    long objectives = (long) OBJECTIVES_TO_FIRST_EVENT * route.objectiveMillis();
+    return Math.max(MIN_MILLIS, objectives + work.promptTokens() / SLOW_TOKENS_PER_MILLI);
   }
 
   /** Returns the limit between two pieces of an answer, milliseconds. */
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -292,6 +292,14 @@
     await(() -> plain.get(0).abandoned() == plain.get(0).runs().size());
   }
 
+  @Test
+  void waitsForAStreamThatIsOnlyLate() {
+    Running running = startReady();
+    models.forEach(endpoint -> endpoint.behave(Behaviour.SLOW));
+    assertThat(post(running, "/resumable/x", "prompt").statusCode()).isEqualTo(200);
+    assertThat(runs(models)).as("what an engine has read is not thrown away").isEqualTo(1);
+  }
+
   @Test
   void resumesAStreamExactlyWhereItBrokeOff() {
     Running running = startReady();
