--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestRun.java
@@ -146,7 +146,7 @@
     connectionsOfId++;
     Connections pool = client.connections();
     boolean first = connectionsOfId == 1;
-    ResponseReader opened = new ResponseReader(loop, new Handler(maybeSent));
+    ResponseReader opened = new ResponseReader(loop, new Handler());
     sentBefore = maybeSent;
     maybeSent = true;
     reader = opened;
@@ -156,12 +156,6 @@
   /** Follows one response. */
   private final class Handler implements ResponseReader.Handler {
 
-    private final boolean sentBefore;
-
-    Handler(boolean sentBefore) {
-      this.sentBefore = sentBefore;
-    }
-
     @Override
     public void event(SseEvent event, ResponseReader.Head head) {
       RequestRun.this.event(event, head);
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -2,209 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.samphiredyke.gateway.log.DecisionLog;
-import io.samphiredyke.platform.HostSettings;
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.standin.EndpointStandIn;
 import io.samphiredyke.platform.standin.EndpointStandIn.Behaviour;
 import io.samphiredyke.platform.standin.StoreStandIn;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Whole gateways before stand-ins of store and endpoints, over loopback connections. */
-class GatewayTest {
-
-  static final String CONFIGURATION =
-      "{\"Version\":%d,\"Routes\":["
-          + route("safe", "safe", 2, false)
-          + ","
-          + route("unsafe", "unsafe", 1, false)
-          + ","
-          + route("stream", "streaming", 1, false)
-          + ","
-          + route("resumable", "streaming", 2, true)
-          + "],\"Services\":[{\"Name\":\"plain\"},{\"Name\":\"model\","
-          + "\"Engine\":{\"BatchSlots\":4,\"KvCapacity\":100000}}],"
-          + "\"Limits\":{\"MaxHeaderBytes\":2048,\"MaxBodyBytes\":4096,"
-          + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
-          + "\"Tenants\":[{\"Name\":\"customer\",\"ApiKeys\":[\"key\"],\"RatePerS\":0}]}";
-
-  /** Below the ports that the system gives to outgoing connections. */
-  private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger(12_000 + (int) (ProcessHandle.current().pid() % 1_500) * 8);
-
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-  private final StoreStandIn store = new StoreStandIn();
-  private final List<EndpointStandIn> plain = new ArrayList<>();
-  private final List<EndpointStandIn> models = new ArrayList<>();
-  private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
-  private final HttpClient client = HttpClient.newHttpClient();
-  private int requests;
-
-  private static String route(String name, String kind, int attempts, boolean resumable) {
-    String service = kind.equals("streaming") ? "model" : "plain";
-    return "{\"Name\":\""
-        + name
-        + "\",\"Host\":\"127.0.0.1\",\"PathPrefix\":\"/"
-        + name
-        + "/\",\"Kind\":\""
-        + kind
-        + "\",\"TimeoutMs\":20000,\"TargetLatencyMs\":1000,\"Priority\":0,\"Service\":\""
-        + service
-        + "\",\"MaxAttempts\":"
-        + attempts
-        + ",\"Resumable\":"
-        + resumable
-        + "}";
-  }
-
-  @BeforeEach
-  void startPlatform() {
-    store.start(group);
-    for (int i = 1; i <= 2; i++) {
-      plain.add(new EndpointStandIn("p-" + i, "plain", false).start(group));
-      models.add(new EndpointStandIn("m-" + i, "model", true).start(group));
-    }
-    register("ready", plain);
-    register("ready", models);
-  }
-
-  @AfterEach
-  void stop() {
-    group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
-  }
-
-  private void register(String state, List<EndpointStandIn> endpoints) {
-    for (EndpointStandIn endpoint : endpoints) {
-      store.put(StoreClient.ENDPOINT_TOPIC, endpoint.id(), endpoint.entry(state));
-    }
-  }
-
-  private void configure(int version) {
-    store.put(
-        StoreClient.OPERATOR_TOPIC,
-        StoreClient.CONFIGURATION_KEY,
-        String.format(CONFIGURATION, version));
-  }
-
-  /** Returns the first of some ports in a row that nobody listens on, each time other ones. */
-  private static int freePorts(int count) {
-    while (true) {
-      int first = NEXT_PORT.getAndAdd(count);
-      if (areFree(first, count)) {
-        return first;
-      }
-    }
-  }
-
-  private static boolean areFree(int first, int count) {
-    for (int port = first; port < first + count; port++) {
-      try (ServerSocket tcp = new ServerSocket();
-          DatagramSocket udp = new DatagramSocket(null)) {
-        tcp.bind(new InetSocketAddress("127.0.0.1", port));
-        udp.bind(new InetSocketAddress("127.0.0.1", port));
-      } catch (IOException e) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  /** A gateway and where callers reach it. */
-  private record Running(Gateway gateway, String address, String peer) {}
-
-  private Running startGateway(String name, List<String> seeds) {
-    int port = freePorts(5);
-    String address = "127.0.0.1:" + port;
-    String peer = "127.0.0.1:" + (port + 1);
-    HostSettings settings =
-        new HostSettings(
-            name,
-            "a",
-            address,
-            "127.0.0.1:" + (port + 3),
-            "127.0.0.1:" + (port + 4),
-            peer,
-            "127.0.0.1:" + (port + 2),
-            seeds,
-            store.address(),
-            1_200,
-            8_000,
-            0.2,
-            50,
-            0.1,
-            1_000,
-            5);
-    DecisionLog log = new DecisionLog(lines, System::currentTimeMillis);
-    Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log);
-    gateway.start().join();
-    return new Running(gateway, address, peer);
-  }
-
-  private Running startReady() {
-    configure(1);
-    Running running = startGateway("host-1", List.of());
-    await(running.gateway()::isReady);
-    return running;
-  }
-
-  private static void await(BooleanSupplier condition) {
-    for (int i = 0; i < 3_000 && !condition.getAsBoolean(); i++) {
-      try {
-        Thread.sleep(10);
-      } catch (InterruptedException e) {
-        throw new IllegalStateException(e);
-      }
-    }
-    assertThat(condition.getAsBoolean()).isTrue();
-  }
-
-  private HttpRequest.Builder request(Running to, String path) {
-    requests++;
-    return HttpRequest.newBuilder(URI.create("http://" + to.address() + path))
-        .header("Authorization", "Bearer key")
-        .header("X-Samphiredyke-Request-Id", "r-" + requests)
-        .header("X-Samphiredyke-Deadline-Ms", "15000")
-        .timeout(Duration.ofSeconds(40));
-  }
-
-  private HttpResponse<String> get(Running to, String path) {
-    return send(request(to, path).build());
-  }
-
-  private HttpResponse<String> post(Running to, String path, String body) {
-    return send(request(to, path).POST(HttpRequest.BodyPublishers.ofString(body)).build());
-  }
-
-  private HttpResponse<String> send(HttpRequest request) {
-    return client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).join();
-  }
-
-  private static int runs(List<EndpointStandIn> endpoints) {
-    return endpoints.stream().mapToInt(endpoint -> endpoint.runs().size()).sum();
-  }
+class GatewayTest extends GatewayHarness {
 
   @Test
   void passesAnAnswerOnUnchanged() {
@@ -434,8 +247,4 @@
     assertThat(told.get(1))
         .contains("\"event\":\"failed\"", "\"status\":502", "the connection ended", "\"runs\":1");
   }
-
-  private boolean logged(String text) {
-    return lines.toString(StandardCharsets.UTF_8).contains(text);
-  }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/TrainingPlatform.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/TrainingPlatform.java
@@ -41,7 +41,7 @@
     store.put(
         StoreClient.OPERATOR_TOPIC,
         StoreClient.CONFIGURATION_KEY,
-        String.format(GatewayTest.CONFIGURATION, 1));
+        String.format(GatewayHarness.CONFIGURATION, 1));
     writeSettings(Path.of(arguments[0]), store.address());
     HttpClient client = HttpClient.newHttpClient();
     for (int round = 0; round < ROUNDS; round++) {
