A scheduler that starts grants a part of the burst only

The clock of a process starts at 0, so its first claim, half a second later, did not count as one after 2 s without any: after the kill of all hosts each granted a whole bucket. Change: the first claim of a scheduler always counts as a takeover; the share of tolerated overuse is 0.6 again. Test: PoolSchedulerTest.grantsOnlyAPartOfTheBurstWhenItStarts, failed before.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -34,6 +34,7 @@
   private final Map<String, ServicePool> pools = new HashMap<>();
   private final Map<String, TokenQuota> quotas = new HashMap<>();
   private @Nullable ServingConfiguration configuration;
+  private boolean isInUse;
   private long lastClaimAt;
 
   /** Creates a scheduler that knows no endpoint. */
@@ -92,9 +93,10 @@
 
   /** Takes a claim; the listener learns the decision, now or later. */
   public void claim(Claim claim, long now) {
-    if (now - lastClaimAt > TAKE_OVER_NANOS) {
+    if (!isInUse || now - lastClaimAt > TAKE_OVER_NANOS) {
       quotas.values().forEach(quota -> quota.takeOver(now));
     }
+    isInUse = true;
     lastClaimAt = now;
     if (!claim.isRepeat() && !takeQuota(claim, now)) {
       return;
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.core.serving.CustomerSpec;
 import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.serving.ServingConfiguration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -199,4 +202,24 @@
     long onErring = grants.values().stream().filter("e"::equals).count();
     assertThat(onErring).isLessThan(30);
   }
+
+  @Test
+  void grantsOnlyAPartOfTheBurstWhenItStarts() {
+    CustomerSpec customer = new CustomerSpec("c", Set.of("k"), -1, 49_000, 49_000, true, 200);
+    PoolScheduler started =
+        new PoolScheduler(
+            new PoolOptions(0.2, 10, 0.06, 114_000, 300), this, new SplittableRandom(7));
+    long now = 500 * MILLI;
+    started.configure(
+        new ServingConfiguration(
+            1, List.of(), List.of(), List.of(customer), CallerLimits.defaults()),
+        now);
+    started.put(endpoint("e", 1_000), now);
+    for (long id = 1; id <= 100; id++) {
+      started.claim(
+          new Claim(id, "h", "s", 0, 1, Work.PLAIN, "c", 1_000, false, Set.of(), now, now + MILLI),
+          now);
+    }
+    assertThat(grants.size()).as("other hosts start too").isLessThanOrEqualTo(49 / 4 + 1);
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -60,7 +60,7 @@
   private static final double REPEAT_SHARE = 0.6;
 
   /** Share of the tolerated overuse of quotas that is given away; the rest covers the same. */
-  private static final double QUOTA_SHARE = 0.75;
+  private static final double QUOTA_SHARE = 0.6;
 
   /** How long a grant may be missing from its owner's report, milliseconds. */
   private static final long REPORT_GRACE_MILLIS = 300;
