--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Link.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Link.java
@@ -85,6 +85,7 @@
     open.add(caller);
     caller.closeFuture().addListener(done -> open.remove(caller));
     if (mode == Mode.SILENT || mode == Mode.HOLD) {
+      caller.pipeline().addLast(new Deaf());
       return;
     }
     new Bootstrap()
@@ -109,6 +110,15 @@
                 });
   }
 
+  /** Ends a connection that leads nowhere when its caller resets it. */
+  private static final class Deaf extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+
   /** Something that the link does later. */
   private record Step(long dueNanos, Runnable action) {}
 
