Gateway: a host that lags behind the others' configuration asks one of them and reads the store anew

Cause: its read at the store, which waits up to 30 s for the next record, was on a connection whose answers had gone silent when the operator wrote. Keep-alive probes are answered by a proxy, so only the read's own time limit (31 s) ended it. Ruled out: the store's compaction at 6.4 s (host-2 had version 3 after it). Test: hearsOfAConfigurationWhileItsConnectionToTheStoreIsSilent.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import io.samphiredyke.gateway.request.Belief;
 import io.samphiredyke.gateway.request.RequestService;
 import io.samphiredyke.gateway.request.StartGate;
+import io.samphiredyke.gateway.store.ConfigurationLag;
 import io.samphiredyke.gateway.store.ConfigurationReceiver;
 import io.samphiredyke.gateway.store.EndpointNewsService;
 import io.samphiredyke.gateway.store.EndpointReceiver;
@@ -81,6 +82,7 @@
   private final TopicFollower endpointFollower;
   private final EndpointNewsService news;
   private final PeerBelief peerBelief;
+  private final ConfigurationLag configurationLag;
   private final HostRegistry registry;
   private boolean stopping;
   private boolean ready;
@@ -136,6 +138,7 @@
     this.peerBelief =
         new PeerBelief(
             loop, peers, settings.peerAddress(), http, configurations, endpoints, log, random);
+    this.configurationLag = new ConfigurationLag(peers, peerBelief, configurationFollower, log);
     this.registry =
         new HostRegistry(
             loop, store, settings.hostName(), settings.peerAddress(), peers::seed, log);
@@ -192,9 +195,15 @@
     front.sweep();
     connections.sweep();
     directory.tick(loop.now());
+    configurationLag.check(configurationVersion(), loop.now());
     updateReady();
   }
 
+  long configurationVersion() {
+    ServingConfiguration configuration = belief.configuration();
+    return configuration == null ? -1 : configuration.version();
+  }
+
   private void endpointsRead(long next) {
     news.tell(next);
   }
@@ -211,6 +220,7 @@
           "routes",
           newer.routes().size());
       peers.places().scheduler().configure(newer, loop.now());
+      peers.configurationVersion(newer.version());
       updateReady();
     }
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -123,6 +123,11 @@
     changed();
   }
 
+  /** Tells the other hosts which configuration is in force here. */
+  public void configurationVersion(long version) {
+    membership.configurationOffset(version);
+  }
+
   /** Announces that this host goes. */
   public void leave() {
     membership.leave(loop.now());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBelief.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBelief.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -91,27 +92,50 @@
   }
 
   private void ask(Member member) {
+    ask(member, belief -> heard(member, belief));
+  }
+
+  /** Takes the configuration of a host that has a newer one. */
+  public void askForConfiguration(Member member) {
+    ask(member, this::takeConfiguration);
+  }
+
+  private void ask(Member member, Consumer<JsonNode> onBelief) {
     InetSocketAddress peer = Addresses.parse(member.address());
     InetSocketAddress page =
         new InetSocketAddress(peer.getAddress(), peer.getPort() + HostSettings.METRICS_PORT_OFFSET);
     loop.whenDone(
         http.send(HttpRequest.get(page, PATH).timeout(TIMEOUT).build()),
-        response -> heard(member, response),
-        failure ->
-            log.event("peer_belief_failed", "host", member.name(), "reason", failure.toString()));
+        response -> read(member, response, onBelief),
+        failure -> failed(member, failure));
   }
 
-  private void heard(Member member, HttpResponse response) {
-    if (response.status() != OK || isInformed()) {
+  private void failed(Member member, Throwable failure) {
+    log.event("peer_belief_failed", "host", member.name(), "reason", failure.toString());
+  }
+
+  private void read(Member member, HttpResponse response, Consumer<JsonNode> onBelief) {
+    if (response.status() != OK) {
       return;
     }
     try {
-      JsonNode belief = Json.read(response.body(), JsonNode.class);
-      byte[] value = Base64.getDecoder().decode(belief.path("configuration").asText(""));
-      if (value.length > 0) {
-        StoreRecord record = new StoreRecord(-1, StoreClient.CONFIGURATION_KEY, value);
-        configuration.read(List.of(record), -1);
-      }
+      onBelief.accept(Json.read(response.body(), JsonNode.class));
+    } catch (IOException | IllegalArgumentException e) {
+      failed(member, e);
+    }
+  }
+
+  private void takeConfiguration(JsonNode belief) {
+    byte[] value = Base64.getDecoder().decode(belief.path("configuration").asText(""));
+    if (value.length > 0) {
+      StoreRecord record = new StoreRecord(-1, StoreClient.CONFIGURATION_KEY, value);
+      configuration.read(List.of(record), -1);
+    }
+  }
+
+  private void heard(Member member, JsonNode belief) {
+    if (!isInformed()) {
+      takeConfiguration(belief);
       Map<String, byte[]> entries = new HashMap<>();
       belief
           .path("endpoints")
@@ -124,8 +148,6 @@
       if (!entries.isEmpty()) {
         endpoints.heard(entries);
       }
-    } catch (IOException | IllegalArgumentException e) {
-      log.event("peer_belief_failed", "host", member.name(), "reason", e.toString());
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -8,8 +8,10 @@
 import io.samphiredyke.platform.StoreRecord;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -64,6 +66,7 @@
   private long next = -1;
   private long failures;
   private long calls;
+  private int round;
   private long lastReadAt = Long.MIN_VALUE;
 
   /**
@@ -117,9 +120,33 @@
     list();
   }
 
+  /** Gives up the call that is under way and lists anew; its connection may be dead. */
+  public void restart() {
+    reading = false;
+    list();
+  }
+
   private void list() {
     calls++;
-    loop.whenDone(store.newest(topic, CALL_TIMEOUT), this::listed, this::failed);
+    round++;
+    call(store.newest(topic, CALL_TIMEOUT), this::listed);
+  }
+
+  /** Passes the outcome of a call on unless a newer round of calls has begun meanwhile. */
+  private void call(CompletableFuture<StoreBatch> answer, Consumer<StoreBatch> onAnswer) {
+    int asked = round;
+    loop.whenDone(
+        answer,
+        batch -> {
+          if (asked == round) {
+            onAnswer.accept(batch);
+          }
+        },
+        failure -> {
+          if (asked == round) {
+            failed(failure);
+          }
+        });
   }
 
   private void listed(StoreBatch batch) {
@@ -139,10 +166,15 @@
   private void readOnce() {
     reading = true;
     calls++;
+    int asked = round;
     loop.whenDone(
         store.read(topic, next, Duration.ZERO, CALL_TIMEOUT),
-        this::take,
-        failure -> reading = false);
+        batch -> {
+          if (asked == round) {
+            take(batch);
+          }
+        },
+        failure -> reading = reading && asked != round);
   }
 
   private void take(StoreBatch batch) {
@@ -154,16 +186,16 @@
 
   private void read() {
     if (reading) {
-      loop.schedule(this::read, RECHECK);
+      later(this::read, RECHECK);
       return;
     }
     if (!needed.getAsBoolean()) {
-      loop.schedule(this::read, RECHECK);
+      later(this::read, RECHECK);
       return;
     }
     reading = true;
     calls++;
-    loop.whenDone(store.read(topic, next, wait, CALL_TIMEOUT), this::readDone, this::failed);
+    call(store.read(topic, next, wait, CALL_TIMEOUT), this::readDone);
   }
 
   private void readDone(StoreBatch batch) {
@@ -180,7 +212,19 @@
   }
 
   private void schedule() {
-    loop.schedule(this::read, pace);
+    later(this::read, pace);
+  }
+
+  /** Takes a step after a time unless a newer round of calls has begun meanwhile. */
+  private void later(Runnable step, Duration delay) {
+    int scheduled = round;
+    loop.schedule(
+        () -> {
+          if (scheduled == round) {
+            step.run();
+          }
+        },
+        delay);
   }
 
   private void failed(Throwable failure) {
@@ -199,7 +243,7 @@
     receiver.lost(reason);
     long longest = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, 5));
     long pause = longest / 2 + random.nextLong(longest / 2);
-    loop.schedule(next < 0 ? this::list : this::read, Duration.ofMillis(pause));
+    later(next < 0 ? this::list : this::read, Duration.ofMillis(pause));
   }
 
   /** Returns how many calls were made. */
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -203,6 +203,19 @@
     assertThat(get(second, "/safe/x").statusCode()).isEqualTo(200);
   }
 
+  @Test
+  void hearsOfAConfigurationWhileItsConnectionToTheStoreIsSilent() {
+    Running first = startReady();
+    await(() -> store.waitingReaders() == 1);
+    Running second = startGateway("host-2", List.of(first.peer()));
+    await(second.gateway()::isReady);
+    await(() -> second.gateway().readyAddresses().size() == 2);
+    await(() -> store.waitingReaders() == 2);
+    store.forgetNewestReader();
+    configure(2);
+    await(() -> second.gateway().configurationVersion() == 2);
+  }
+
   @Test
   void hearsOfADrainThatAnotherHostRead() {
     Running first = startReady();
