Unlike hosts: schedulers on strong hosts, callers sent there more often

Cause: on the grown crag 8 of 69 hosts have 1.5 cores and 140 Mbit/s, the others 0.36 cores and 7 Mbit/s. The scheduler of a service was drawn from all, so that some 2,000 datagrams a second met a host of 0.36 cores, and callers spread evenly over links that differ twentyfold. Change: members carry their capacity (processor and link, whichever binds) in gossip; schedulers and readers of the store are drawn among those with half of the largest capacity; callers get 12 addresses drawn by capacity^1.5. Sites of like hosts are not changed.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Member.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/Member.java
@@ -20,6 +20,7 @@
  *     that is carried along and never raises the generation
  * @param draining whether the member prepares a planned stop and takes no new work
  * @param callerAddress address for callers, {@code ip:port}, empty if it serves none
+ * @param capacity work that the host can carry, hundredths of a core, 0 if it does not say
  */
 public record Member(
     String name,
@@ -30,9 +31,10 @@
     long generation,
     long configurationOffset,
     boolean draining,
-    String callerAddress) {
+    String callerAddress,
+    int capacity) {
 
-  private static final int FIELDS = 9;
+  private static final int FIELDS = 10;
 
   /** Starts a member in state {@link MemberState#ALIVE}. */
   public static Builder builder() {
@@ -81,7 +83,8 @@
         .generation(generation)
         .configurationOffset(configurationOffset)
         .draining(draining)
-        .callerAddress(callerAddress);
+        .callerAddress(callerAddress)
+        .capacity(capacity);
   }
 
   /** Size of the encoded form, bytes. */
@@ -95,7 +98,8 @@
         + MessagePackSize.ofLong(generation)
         + MessagePackSize.ofLong(configurationOffset)
         + MessagePackSize.SMALL
-        + MessagePackSize.ofString(callerAddress);
+        + MessagePackSize.ofString(callerAddress)
+        + MessagePackSize.ofLong(capacity);
   }
 
   /** Builds a {@link Member}. */
@@ -110,6 +114,7 @@
     private long configurationOffset;
     private boolean draining;
     private String callerAddress = "";
+    private int capacity;
 
     private Builder() {}
 
@@ -167,6 +172,12 @@
       return this;
     }
 
+    /** Sets the work that the host can carry, hundredths of a core. */
+    public Builder capacity(int value) {
+      capacity = value;
+      return this;
+    }
+
     /**
      * Builds the member.
      *
@@ -185,7 +196,8 @@
           generation,
           configurationOffset,
           draining,
-          callerAddress);
+          callerAddress,
+          capacity);
     }
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import io.samphiredyke.gateway.front.FrontServer;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.place.HostCapacity;
 import io.samphiredyke.gateway.place.PeerGroup;
 import io.samphiredyke.gateway.request.Belief;
 import io.samphiredyke.gateway.request.RequestService;
@@ -35,9 +36,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
@@ -66,6 +65,7 @@
   /** How long a grant may be missing from its owner's report, milliseconds. */
   private static final long REPORT_GRACE_MILLIS = 300;
 
+  private final RandomGenerator random;
   private HostSettings settings;
   private final EventLoop eventLoop;
   private final ControlLoop loop;
@@ -89,6 +89,7 @@
 
   Gateway(HostSettings settings, EventLoopGroup group, RandomGenerator random, DecisionLog log) {
     this.settings = settings;
+    this.random = random;
     this.log = log;
     this.eventLoop = group.next();
     this.loop = new ControlLoop(eventLoop, Clock.systemUTC());
@@ -156,6 +157,7 @@
         .generation(System.currentTimeMillis() / 1_000)
         .draining(true)
         .callerAddress(settings.callerAddress())
+        .capacity(HostCapacity.of(settings.cores(), settings.linkMegabits()))
         .build();
   }
 
@@ -269,16 +271,17 @@
    * are left out, unless no other is known: callers lose a second at each of them.
    */
   List<String> readyAddresses() {
-    List<String> sound = new ArrayList<>();
-    List<String> suspect = new ArrayList<>();
+    List<Member> sound = new ArrayList<>();
+    List<Member> suspect = new ArrayList<>();
     for (Member member : peers.liveMembers()) {
       if (!member.draining() && !member.callerAddress().isEmpty()) {
-        (member.state() == MemberState.ALIVE ? sound : suspect).add(member.callerAddress());
+        (member.state() == MemberState.ALIVE ? sound : suspect).add(member);
       }
     }
-    List<String> listed = sound.isEmpty() ? suspect : sound;
-    Collections.shuffle(listed, new Random(loop.now()));
-    return listed.subList(0, Math.min(listed.size(), OperatorPages.MAX_ADDRESSES));
+    List<Member> usable = sound.isEmpty() ? suspect : sound;
+    return HostCapacity.draw(usable, OperatorPages.MAX_ADDRESSES, random).stream()
+        .map(Member::callerAddress)
+        .toList();
   }
 
   double callerTtlSeconds() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/OperatorPages.java
@@ -16,8 +16,11 @@
 /** The pages beside the callers' requests: addresses, readiness, metrics. */
 final class OperatorPages {
 
-  /** Addresses that a caller takes from one answer. */
-  static final int MAX_ADDRESSES = 64;
+  /**
+   * Addresses in one answer. Few of many, as the choice of them is what spreads callers over unlike
+   * hosts; enough that some are left when half of the hosts go at once.
+   */
+  static final int MAX_ADDRESSES = 12;
 
   /**
    * How long callers may keep the addresses. Some keep them three times as long, and a host that
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/SettingsReload.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/SettingsReload.java
@@ -112,6 +112,8 @@
       BY_NAME.put("quota_tolerance", HostSettings::quotaTolerance);
       BY_NAME.put("quota_slack", HostSettings::quotaSlack);
       BY_NAME.put("caller_ttl", HostSettings::maxCallerTtlSeconds);
+      BY_NAME.put("cores", HostSettings::cores);
+      BY_NAME.put("link", HostSettings::linkMegabits);
     }
 
     private Fields() {}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -117,6 +117,11 @@
     return membership.liveMembers();
   }
 
+  /** Returns those of the live hosts that are strong enough to work for the others. */
+  public List<Member> strongMembers() {
+    return HostCapacity.strong(membership.liveMembers());
+  }
+
   /** Sets whether other hosts should pass this one over. */
   public void draining(boolean draining) {
     membership.draining(draining);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/SchedulerChoice.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/SchedulerChoice.java
@@ -53,7 +53,7 @@
         usable.add(member);
       }
     }
-    assignment = BrokerAssignment.over(usable);
+    assignment = BrokerAssignment.over(HostCapacity.strong(usable));
     validUntil = now + SILENCE_NANOS;
     for (long until : silentUntil.values()) {
       validUntil = Math.min(validUntil, until);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointNewsService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointNewsService.java
@@ -60,7 +60,7 @@
   }
 
   private boolean isReader() {
-    List<Member> candidates = new ArrayList<>(peers.liveMembers());
+    List<Member> candidates = new ArrayList<>(peers.strongMembers());
     for (int reader = 0; reader < READERS; reader++) {
       Member chosen =
           BrokerAssignment.over(candidates)
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -122,7 +122,9 @@
             50,
             0.1,
             1_000,
-            5);
+            5,
+            1,
+            1_000);
     DecisionLog log = new DecisionLog(lines, System::currentTimeMillis);
     Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log);
     gateway.start().join();
