Quotas after a restart of many hosts: each host grants only the part of the group that it sees

Until the group has formed again each host schedules for itself, and each granted a quarter of the burst and the whole rate. Ruled out: reports between schedulers (they lag 0.5 s, 0.2 of a second's rate).

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -34,6 +34,7 @@
   private final Map<String, ServicePool> pools = new HashMap<>();
   private final Map<String, TokenQuota> quotas = new HashMap<>();
   private @Nullable ServingConfiguration configuration;
+  private double quotaShare = 1;
   private boolean isInUse;
   private long lastClaimAt;
 
@@ -121,6 +122,17 @@
     }
   }
 
+  /**
+   * Sets the part of each quota that is granted here, 1 in a group that is whole. A host that
+   * reaches few of the others grants only its part, as others may grant at the same time.
+   */
+  public void quotaShare(double share, long now) {
+    if (share != quotaShare) {
+      quotaShare = share;
+      quotas.values().forEach(quota -> quota.share(share, now));
+    }
+  }
+
   private void giveBack(Claim claim) {
     TokenQuota quota = quotas.get(claim.customer());
     if (quota != null && !claim.isRepeat()) {
@@ -134,8 +146,14 @@
     if (customer == null) {
       return null;
     }
-    return quotas.computeIfAbsent(
-        name, key -> new TokenQuota(customer, options.quotaTolerance(), options.quotaSlack(), now));
+    return quotas.computeIfAbsent(name, key -> newQuota(customer, now));
+  }
+
+  private TokenQuota newQuota(CustomerSpec customer, long now) {
+    TokenQuota quota =
+        new TokenQuota(customer, options.quotaTolerance(), options.quotaSlack(), now);
+    quota.share(quotaShare, now);
+    return quota;
   }
 
   /** Returns whether a claim waits here. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
@@ -18,6 +18,7 @@
   private final double tolerance;
   private final double slackUnits;
   private CustomerSpec customer;
+  private double share = 1;
   private double units;
   private long filledAt;
 
@@ -36,11 +37,21 @@
   }
 
   private double capacity() {
-    return customer.burst() * (1 + tolerance) + slackUnits;
+    return (customer.burst() * (1 + tolerance) + slackUnits) * share;
   }
 
   private double ratePerSecond() {
-    return customer.ratePerSecond() * (1 + tolerance);
+    return customer.ratePerSecond() * (1 + tolerance) * share;
+  }
+
+  /**
+   * Sets the part of the quota that this bucket gives away; other schedulers that this one can't
+   * reach give away the rest.
+   */
+  void share(double newer, long now) {
+    fill(now);
+    share = newer;
+    units = Math.min(units, capacity());
   }
 
   void update(CustomerSpec newer, long now) {
@@ -71,7 +82,7 @@
    */
   void takeOver(long now) {
     fill(now);
-    units = Math.min(units, customer.burst() * TAKE_OVER_SHARE);
+    units = Math.min(units, customer.burst() * TAKE_OVER_SHARE * share);
   }
 
   /** Takes units that are used already. */
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/TokenQuotaTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/TokenQuotaTest.java
@@ -56,4 +56,26 @@
     assertThat(quota.take(1_000_000, 1)).isTrue();
     assertThat(quota.take(1_000_000, 1)).isTrue();
   }
+
+  /** All hosts restart at 13 s of a day on which a customer asks for several times its quota. */
+  @Test
+  void hostsThatRestartTogetherKeepToOneQuota() {
+    long rate = 230_000;
+    long burst = 230_000;
+    int hosts = 69;
+    double allowed = (rate * 8 + burst) * 1.1 + 190_000;
+    TokenQuota before = new TokenQuota(customer(rate, burst), 0.06, 114_000, 0);
+    unitsInWindow(before, 0, 5, 4_000);
+    long units = unitsInWindow(before, 5 * SECOND, 6, 4_000);
+    for (int host = 0; host < hosts; host++) {
+      TokenQuota alone = new TokenQuota(customer(rate, burst), 0.06, 114_000, 0);
+      alone.share(1.0 / hosts, 0);
+      alone.takeOver(0);
+      units += unitsInWindow(alone, 0, 1, 4_000);
+    }
+    TokenQuota chosen = new TokenQuota(customer(rate, burst), 0.06, 114_000, 0);
+    chosen.takeOver(0);
+    units += unitsInWindow(chosen, 0, 1, 4_000);
+    assertThat(units).isLessThanOrEqualTo((long) allowed);
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -142,7 +142,7 @@
     this.configurationLag = new ConfigurationLag(peers, peerBelief, configurationFollower, log);
     this.registry =
         new HostRegistry(
-            loop, store, settings.hostName(), settings.peerAddress(), peers::seed, log);
+            loop, store, settings.hostName(), settings.peerAddress(), this::hostsListed, log);
     new GatewayGauges(metrics)
         .register(
             log, front, peers, connections, directory, configurationFollower, endpointFollower);
@@ -193,6 +193,11 @@
     endpointFollower.readNow();
   }
 
+  private void hostsListed(List<String> peerAddresses) {
+    peers.seed(peerAddresses);
+    updateReady();
+  }
+
   private void sweep() {
     front.sweep();
     connections.sweep();
@@ -229,7 +234,7 @@
 
   private void updateReady() {
     boolean isInformed = belief.configuration() != null && endpoints.isListed();
-    if (isInformed) {
+    if (isInformed && registry.hasAsked()) {
       startGate.open();
     }
     boolean now = !stopping && isInformed;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -53,6 +53,7 @@
   private final DecisionLog log;
   private final Membership membership;
   private final PlaceClient places;
+  private final GroupCompleteness completeness = new GroupCompleteness();
   private @Nullable NewsListener newsListener;
   private @Nullable Channel channel;
   private @Nullable Future<?> timer;
@@ -94,6 +95,7 @@
           channel = bind.channel();
           membership.start(loop.now());
           membership.seed(seeds, loop.now());
+          completeness.listed(seeds);
           places.start();
           changed();
           started.complete(null);
@@ -104,6 +106,7 @@
   /** Replaces the addresses that are worth a contact. */
   public void seed(Collection<String> addresses) {
     membership.seed(addresses, loop.now());
+    completeness.listed(addresses);
     changed();
   }
 
@@ -168,11 +171,15 @@
     }
     if (!change.current().isLive()) {
       places.ownerGone(change.member().address());
+      completeness.gone(change.member().address(), loop.now());
     }
   }
 
   private void changed() {
     places.choice().members(membership.liveMembers());
+    places
+        .scheduler()
+        .quotaShare(completeness.quotaShare(membership.liveMembers(), loop.now()), loop.now());
     Future<?> pending = timer;
     if (pending != null) {
       pending.cancel(false);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/HostRegistry.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/HostRegistry.java
@@ -12,7 +12,7 @@
 import java.util.function.Consumer;
 
 /**
- * Tells the other hosts through the store where this one is, once, and learns of them.
+ * Tells the other hosts through the store where this one is, and learns of them.
  *
  * <p>It covers what the seeds of the settings do not: hosts that were added, or seeds that are all
  * gone. Who is alive is found out by probes alone.
@@ -28,6 +28,7 @@
   private final String peerAddress;
   private final Consumer<List<String>> receiver;
   private final DecisionLog log;
+  private boolean hasAsked;
 
   /** Creates a registry. */
   public HostRegistry(
@@ -45,27 +46,37 @@
     this.log = log;
   }
 
-  /** Writes this host's address, then reads those of the others. */
+  /** Reads the addresses of the others and writes this host's own. */
   public void start() {
+    read();
+    write();
+  }
+
+  private void write() {
     byte[] value = peerAddress.getBytes(StandardCharsets.UTF_8);
     store
         .put(StoreClient.HOST_TOPIC, hostName, value, TIMEOUT)
         .whenComplete((done, failure) -> loop.execute(() -> written(failure == null)));
   }
 
+  /** Reads once more: hosts that started at the same time may have written after the first read. */
   private void written(boolean isWritten) {
-    if (!isWritten) {
-      loop.schedule(this::start, PAUSE);
-      return;
-    }
-    read();
+    loop.schedule(isWritten ? this::read : this::write, PAUSE);
   }
 
   private void read() {
-    loop.whenDone(
-        store.newest(StoreClient.HOST_TOPIC, TIMEOUT),
-        this::listed,
-        failure -> loop.schedule(this::read, PAUSE));
+    loop.whenDone(store.newest(StoreClient.HOST_TOPIC, TIMEOUT), this::listed, this::failed);
+  }
+
+  private void failed(Throwable failure) {
+    log.event("hosts_not_listed", "reason", String.valueOf(failure.getMessage()));
+    hasAsked = true;
+    loop.schedule(this::read, PAUSE);
+  }
+
+  /** Returns whether the store has answered or failed to. */
+  public boolean hasAsked() {
+    return hasAsked;
   }
 
   private void listed(StoreBatch batch) {
@@ -76,6 +87,7 @@
         addresses.add(new String(value, StandardCharsets.UTF_8));
       }
     }
+    hasAsked = true;
     log.event("hosts_listed", "hosts", addresses.size());
     receiver.accept(addresses);
   }
