--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Link.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Link.java
@@ -70,12 +70,21 @@
 
   void mode(Mode value) {
     mode = value;
-    open.forEach(channel -> channel.config().setAutoRead(value != Mode.HOLD));
+    open.forEach(
+        channel ->
+            channel.eventLoop().execute(() -> channel.config().setAutoRead(value != Mode.HOLD)));
   }
 
   /** Resets all connections that are open. */
   void reset() {
-    for (Channel channel : open) {
+    open.forEach(channel -> channel.eventLoop().execute(() -> reset(channel)));
+  }
+
+  /**
+   * Closes a channel with a reset; called on its event loop, where it can't be closed meanwhile.
+   */
+  private static void reset(Channel channel) {
+    if (channel.isOpen()) {
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
       channel.close();
     }
@@ -98,8 +107,7 @@
             (ChannelFutureListener)
                 connecting -> {
                   if (!connecting.isSuccess()) {
-                    caller.config().setOption(ChannelOption.SO_LINGER, 0);
-                    caller.close();
+                    reset(caller);
                     return;
                   }
                   Channel connected = connecting.channel();
@@ -174,8 +182,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      other.config().setOption(ChannelOption.SO_LINGER, 0);
-      other.close();
+      other.eventLoop().execute(() -> reset(other));
       ctx.close();
     }
   }
