Retry-After over a quota: the turn of a request behind those refused before it

Change: a refusal queues up in time behind the refusals before it. Ruled out: keeping units for those who come back. They would be served late (half of the worth) in place of others that are on time. Tests: TokenQuotaTest.spreadsTheReturnsOfABriefExcess, sendsCallersFurtherAwayUnderALastingExcess.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -110,7 +110,8 @@
     if (quota == null || quota.take(claim.quotaUnits(), now)) {
       return true;
     }
-    listener.refused(claim, new Refusal(Refusal.Reason.OVER_QUOTA, quota.millisUntilPositive()));
+    long retryMillis = quota.millisUntilTurn(claim.quotaUnits(), now);
+    listener.refused(claim, new Refusal(Refusal.Reason.OVER_QUOTA, retryMillis));
     return false;
   }
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/TokenQuota.java
@@ -11,6 +11,7 @@
 final class TokenQuota {
 
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Share of the burst that a scheduler grants at once when it takes over from another one. */
   private static final double TAKE_OVER_SHARE = 0.25;
@@ -21,6 +22,7 @@
   private double share = 1;
   private double units;
   private long filledAt;
+  private long turnAt = Long.MIN_VALUE;
 
   /**
    * Creates a full bucket.
@@ -96,9 +98,16 @@
     units = Math.min(capacity(), units + unused);
   }
 
-  /** Time until units are left again, milliseconds. */
-  long millisUntilPositive() {
-    return units > 0 ? 0 : (long) (-units / ratePerSecond() * 1000) + 1;
+  /**
+   * Returns when a refused request should come back, milliseconds from now: when the bucket has
+   * filled again and the requests refused before it have had their turn. Under a lasting excess
+   * that is further and further away; a brief one spreads the returns.
+   */
+  long millisUntilTurn(long wanted, long now) {
+    double perNano = ratePerSecond() / NANOS_PER_SECOND;
+    long filled = now + (long) (Math.max(0, -units) / perNano);
+    turnAt = Math.max(turnAt, filled) + (long) (wanted / perNano);
+    return Math.max(1, (turnAt - now) / NANOS_PER_MILLI);
   }
 
   private void fill(long now) {
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/TokenQuotaTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/TokenQuotaTest.java
@@ -78,4 +78,37 @@
     units += unitsInWindow(chosen, 0, 1, 4_000);
     assertThat(units).isLessThanOrEqualTo((long) allowed);
   }
+
+  /** Some callers in a row meet an empty bucket: each gets a turn of its own. */
+  @Test
+  void spreadsTheReturnsOfABriefExcess() {
+    TokenQuota quota = new TokenQuota(customer(1_000, 1_000), 0, 0, 0);
+    quota.use(1_000, 0);
+    assertThat(quota.take(100, 0)).isFalse();
+    long first = quota.millisUntilTurn(100, 0);
+    long second = quota.millisUntilTurn(100, 0);
+    long third = quota.millisUntilTurn(100, 0);
+    assertThat(first).isEqualTo(100);
+    assertThat(second).isEqualTo(200);
+    assertThat(third).isEqualTo(300);
+    for (long due : new long[] {first, second, third}) {
+      assertThat(quota.take(100, due * SECOND / 1_000)).isTrue();
+    }
+  }
+
+  /**
+   * A customer that goes on asking for four times its quota: later callers are not called back at
+   * once.
+   */
+  @Test
+  void sendsCallersFurtherAwayUnderALastingExcess() {
+    TokenQuota quota = new TokenQuota(customer(1_000, 1_000), 0, 0, 0);
+    quota.use(1_000, 0);
+    long last = 0;
+    for (int i = 1; i <= 100; i++) {
+      long now = i * SECOND / 40;
+      last = quota.take(100, now) ? last : quota.millisUntilTurn(100, now);
+    }
+    assertThat(last).isGreaterThan(2_000);
+  }
 }
