--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -46,6 +46,9 @@
   /** Longest datagram; Netty's own limit of 2,048 bytes cuts lists of entries off. */
   private static final int MAX_DATAGRAM_BYTES = 16 * 1024;
 
+  /** How often it is looked at whether hosts are gone for good. */
+  private static final Duration SHARE_CHECK = Duration.ofSeconds(1);
+
   private static final byte GOSSIP = 0;
   private static final byte PLACE = 1;
 
@@ -54,6 +57,7 @@
   private final Membership membership;
   private final PlaceClient places;
   private final GroupCompleteness completeness = new GroupCompleteness();
+  private List<Member> knownLive = List.of();
   private @Nullable NewsListener newsListener;
   private @Nullable Channel channel;
   private @Nullable Future<?> timer;
@@ -97,6 +101,7 @@
           membership.seed(seeds, loop.now());
           completeness.listed(seeds);
           places.start();
+          loop.repeat(this::shareQuotas, SHARE_CHECK);
           changed();
           started.complete(null);
         });
@@ -107,6 +112,7 @@
   public void seed(Collection<String> addresses) {
     membership.seed(addresses, loop.now());
     completeness.listed(addresses);
+    shareQuotas();
     changed();
   }
 
@@ -176,10 +182,12 @@
   }
 
   private void changed() {
-    places.choice().members(membership.liveMembers());
-    places
-        .scheduler()
-        .quotaShare(completeness.quotaShare(membership.liveMembers(), loop.now()), loop.now());
+    List<Member> live = membership.liveMembers();
+    if (live != knownLive) {
+      knownLive = live;
+      places.choice().members(live);
+      shareQuotas();
+    }
     Future<?> pending = timer;
     if (pending != null) {
       pending.cancel(false);
@@ -190,6 +198,11 @@
     }
   }
 
+  private void shareQuotas() {
+    long now = loop.now();
+    places.scheduler().quotaShare(completeness.quotaShare(membership.liveMembers(), now), now);
+  }
+
   private void tick() {
     membership.tick(loop.now());
     changed();
