Places after a restart of all hosts: a host that sees few others gives away its part, claims move to the group

Until 16 s each of six scheduled for itself and sent 311 requests to 12 endpoints with 52 places; the engines' queues took until 18.5 s to drain (answers p50 1.4 to 1.9 s), and claims that waited at a host's own scheduler stayed there when the group had formed, as did places that the chosen scheduler knew nothing of. 260 "scheduler_silent" in half a second. Mend: the part live/listed that bounds quotas bounds places too, one place of a service at least; while the group is not whole only time refuses; waiting claims move when another scheduler is chosen; owners report their places to the chosen scheduler too, which counts those that others granted; a claim withdrawn gives its quota back. Tests: PoolSchedulerTest.hostsThatScheduleAloneDoNotOverfillEngines (240 places before, 20 to 60 now), hostWithAVanishingShareStillServes, refusesWhatWaitsTooLongWhileTheGroupIsNotWhole, countsPlacesThatAnotherSchedulerGranted.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -54,6 +54,7 @@
   private static final long MAX_PAUSE_MILLIS = 2_000;
 
   private EndpointRecord endpoint;
+  private final double shareOffset;
   private final boolean isEngine;
   private final PrefixCache cache;
   private final Map<Long, Running> running = new HashMap<>();
@@ -63,8 +64,15 @@
   private long pausedUntil = Long.MIN_VALUE;
   private int grantLimit = Integer.MAX_VALUE;
 
-  EndpointLoad(EndpointRecord endpoint, boolean isEngine, long cacheTokens) {
+  /**
+   * Creates an idle endpoint.
+   *
+   * @param shareOffset number from 0 to 1, drawn by each host for itself, that rounds a part of the
+   *     places up or down
+   */
+  EndpointLoad(EndpointRecord endpoint, boolean isEngine, long cacheTokens, double shareOffset) {
     this.endpoint = endpoint;
+    this.shareOffset = shareOffset;
     this.isEngine = isEngine;
     this.cache = new PrefixCache(cacheTokens);
   }
@@ -85,16 +93,27 @@
    * Returns how many more requests it may get.
    *
    * @param ignorePause whether a pause after failures is ignored
+   * @param share part of the places that may be given away
    */
-  int freePlaces(long now, boolean ignorePause) {
+  int freePlaces(long now, boolean ignorePause, double share) {
+    int slots = slots(share);
     if (ignorePause) {
-      return Math.max(0, endpoint.slots() - running.size());
+      return Math.max(0, slots - running.size());
     }
     if (isPaused(now)) {
       return 0;
     }
-    int limit = failures >= FAILURES_TO_SUSPECT ? 1 : Math.min(endpoint.slots(), grantLimit);
-    return Math.max(0, limit - running.size());
+    int limit = failures >= FAILURES_TO_SUSPECT ? 1 : Math.min(slots, grantLimit);
+    return Math.max(0, Math.min(slots, limit) - running.size());
+  }
+
+  /** Returns the places that may be given away in all; over all hosts they sum up to the slots. */
+  int slots(double share) {
+    return share >= 1 ? endpoint.slots() : (int) (endpoint.slots() * share + shareOffset);
+  }
+
+  double shareOffset() {
+    return shareOffset;
   }
 
   /** Returns whether it gets nothing for a while after failures in a row. */
@@ -145,6 +164,13 @@
     }
   }
 
+  /** Counts a request that another scheduler placed here, as far as it is known. */
+  void adopt(Claim claim, long now) {
+    Running entry = new Running(claim, now, 0, 0, totalMillis(claim));
+    entry.started = true;
+    running.putIfAbsent(claim.id(), entry);
+  }
+
   /** Notes the first event of a stream. */
   void started(long claimId, double observedMillis) {
     Running entry = running.get(claimId);
@@ -194,12 +220,12 @@
   }
 
   /** Adds the times at which places become free, nanoseconds. */
-  void addFreeTimes(long now, boolean ignorePause, List<Long> times) {
+  void addFreeTimes(long now, boolean ignorePause, double share, List<Long> times) {
     for (Running entry : running.values()) {
       long end = entry.grantedAt + (long) (entry.totalMillis * NANOS_PER_MILLI);
       times.add(Math.max(now, end));
     }
-    for (int i = 0; i < freePlaces(now, ignorePause); i++) {
+    for (int i = 0; i < freePlaces(now, ignorePause, share); i++) {
       times.add(now);
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -34,7 +34,7 @@
   private final Map<String, ServicePool> pools = new HashMap<>();
   private final Map<String, TokenQuota> quotas = new HashMap<>();
   private @Nullable ServingConfiguration configuration;
-  private double quotaShare = 1;
+  private double share = 1;
   private boolean isInUse;
   private long lastClaimAt;
 
@@ -124,16 +124,23 @@
   }
 
   /**
-   * Sets the part of each quota that is granted here, 1 in a group that is whole. A host that
-   * reaches few of the others grants only its part, as others may grant at the same time.
+   * Sets the part of each quota and of the places that is given away here, 1 in a group that is
+   * whole. A host that reaches few of the others gives away its part only, as others may do the
+   * same at the same time.
    */
-  public void quotaShare(double share, long now) {
-    if (share != quotaShare) {
-      quotaShare = share;
-      quotas.values().forEach(quota -> quota.share(share, now));
+  public void share(double newer, long now) {
+    if (newer != share) {
+      share = newer;
+      quotas.values().forEach(quota -> quota.share(newer, now));
+      pools.values().forEach(pool -> pool.share(newer, now));
     }
   }
 
+  /** Counts a place that another scheduler granted to an owner, as far as the owner tells. */
+  public void adopt(String endpointId, Claim claim, long now) {
+    pool(claim.service()).adopt(endpointId, claim, now);
+  }
+
   private void giveBack(Claim claim) {
     TokenQuota quota = quotas.get(claim.customer());
     if (quota != null && !claim.isRepeat()) {
@@ -153,7 +160,7 @@
   private TokenQuota newQuota(CustomerSpec customer, long now) {
     TokenQuota quota =
         new TokenQuota(customer, options.quotaTolerance(), options.quotaSlack(), now);
-    quota.share(quotaShare, now);
+    quota.share(share, now);
     return quota;
   }
 
@@ -182,9 +189,12 @@
     return null;
   }
 
-  /** Forgets a claim that waits. */
+  /** Forgets a claim that waits; its quota is given back, as it did not run. */
   public void withdraw(String service, long claimId) {
-    pool(service).withdraw(claimId);
+    Claim claim = pool(service).withdraw(claimId);
+    if (claim != null) {
+      giveBack(claim);
+    }
   }
 
   /** Notes the first event of a stream. */
@@ -253,6 +263,7 @@
     }
     RepeatBudget budget = new RepeatBudget(options.repeatRatio(), options.repeatReserve());
     ServicePool pool = new ServicePool(poolListener, random, budget);
+    pool.share(share, Long.MIN_VALUE);
     pools.put(service, pool);
     configurePool(service, pool);
     return pool;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -29,6 +29,7 @@
   private final RepeatBudget budget;
   private final Map<String, EndpointLoad> endpoints = new HashMap<>();
   private final List<Claim> waiting = new ArrayList<>();
+  private double share = 1;
   private boolean isEngine;
   private long cacheTokens = DEFAULT_CACHE_TOKENS;
 
@@ -49,7 +50,27 @@
       known.update(endpoint);
       return;
     }
-    endpoints.put(endpoint.id(), new EndpointLoad(endpoint, isEngine, cacheTokens));
+    EndpointLoad added = new EndpointLoad(endpoint, isEngine, cacheTokens, random.nextDouble());
+    endpoints.put(endpoint.id(), added);
+  }
+
+  /**
+   * Sets the part of the places that may be given away.
+   *
+   * <p>It answers a restart of all hosts: until they have found each other each schedules for
+   * itself, and places given away six times over fill the engines' queues for seconds.
+   */
+  void share(double newer, long now) {
+    share = newer;
+    dispatch(now);
+  }
+
+  /** Counts a place that another scheduler granted. */
+  void adopt(String endpointId, Claim claim, long now) {
+    EndpointLoad endpoint = endpoints.get(endpointId);
+    if (endpoint != null) {
+      endpoint.adopt(claim, now);
+    }
   }
 
   void remove(String endpointId) {
@@ -89,9 +110,15 @@
     }
   }
 
-  /** Forgets a waiting claim. */
-  boolean withdraw(long claimId) {
-    return waiting.removeIf(claim -> claim.id() == claimId);
+  /** Forgets a waiting claim; returns it, or null if it does not wait here. */
+  @Nullable Claim withdraw(long claimId) {
+    for (Claim claim : waiting) {
+      if (claim.id() == claimId) {
+        waiting.removeIf(each -> each.id() == claimId);
+        return claim;
+      }
+    }
+    return null;
   }
 
   boolean isWaiting(long claimId) {
@@ -140,13 +167,30 @@
   private boolean hasFreePlace(long now) {
     boolean ignorePause = ignoresPauses(now);
     for (EndpointLoad endpoint : endpoints.values()) {
-      if (endpoint.freePlaces(now, ignorePause) > 0) {
+      if (freePlaces(endpoint, now, ignorePause) > 0) {
         return true;
       }
     }
     return false;
   }
 
+  /** Free places within this scheduler's part, which is one place of the service at least. */
+  private int freePlaces(EndpointLoad endpoint, long now, boolean ignorePause) {
+    int free = endpoint.freePlaces(now, ignorePause, share);
+    boolean isOnly = share < 1 && endpoint.runningCount() == 0 && endpoint == favoured();
+    return isOnly ? Math.max(1, free) : free;
+  }
+
+  private @Nullable EndpointLoad favoured() {
+    EndpointLoad best = null;
+    for (EndpointLoad endpoint : endpoints.values()) {
+      if (best == null || endpoint.shareOffset() > best.shareOffset()) {
+        best = endpoint;
+      }
+    }
+    return best;
+  }
+
   private List<Claim> inOrder(long now) {
     if (waiting.size() == 1) {
       return waiting;
@@ -161,7 +205,7 @@
     double bestMillis = Double.MAX_VALUE;
     boolean ignorePause = ignoresPauses(now);
     for (EndpointLoad endpoint : endpoints.values()) {
-      if (endpoint.freePlaces(now, ignorePause) == 0
+      if (freePlaces(endpoint, now, ignorePause) == 0
           || claim.excluded().contains(endpoint.endpoint().id())) {
         continue;
       }
@@ -179,10 +223,14 @@
     if (waiting.isEmpty()) {
       return;
     }
+    if (share < 1) {
+      refuseOverdue(now);
+      return;
+    }
     List<Long> free = new ArrayList<>();
     boolean ignorePause = ignoresPauses(now);
     for (EndpointLoad endpoint : endpoints.values()) {
-      endpoint.addFreeTimes(now, ignorePause, free);
+      endpoint.addFreeTimes(now, ignorePause, share, free);
     }
     Collections.sort(free);
     double meanMillis = meanTotalMillis();
@@ -193,12 +241,21 @@
         position++;
         continue;
       }
-      if (withdraw(claim.id())) {
+      if (withdraw(claim.id()) != null) {
         refuseUntil(claim, startsAt, now);
       }
     }
   }
 
+  /** While the group is not whole nobody knows when places will be free; only time decides. */
+  private void refuseOverdue(long now) {
+    for (Claim claim : List.copyOf(waiting)) {
+      if (now - claim.patienceUntil() > 0 && withdraw(claim.id()) != null) {
+        refuse(claim, Refusal.Reason.OVERLOADED, now);
+      }
+    }
+  }
+
   private static long startOf(int position, List<Long> free, double meanMillis, long now) {
     if (free.isEmpty()) {
       return now + (long) (MAX_RETRY_MILLIS * NANOS_PER_MILLI);
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
@@ -222,4 +222,57 @@
     }
     assertThat(grants.size()).as("other hosts start too").isLessThanOrEqualTo(49 / 4 + 1);
   }
+
+  /** Six hosts have just restarted and see nobody; callers are back all at once. */
+  @Test
+  void hostsThatScheduleAloneDoNotOverfillEngines() {
+    int hosts = 6;
+    int engines = 10;
+    int slots = 4;
+    for (int host = 0; host < hosts; host++) {
+      PoolScheduler alone =
+          new PoolScheduler(new PoolOptions(0.2, 10, 0, 0, 300), this, new SplittableRandom(host));
+      alone.share(1.0 / hosts, 0);
+      for (int engine = 0; engine < engines; engine++) {
+        alone.put(endpoint("e" + engine, slots), 0);
+      }
+      for (long i = 1; i <= 40; i++) {
+        alone.claim(claim(host * 1_000 + i, 0, 0, 2_000), 0);
+      }
+    }
+    assertThat(grants.size()).isBetween(engines * slots / 2, engines * slots * 3 / 2);
+    assertThat(refusals).isEmpty();
+  }
+
+  @Test
+  void hostWithAVanishingShareStillServes() {
+    scheduler.share(1.0 / 69, 0);
+    scheduler.put(endpoint("e", 6), 0);
+    scheduler.claim(claim(1, 0, 0, 2_000), 0);
+    scheduler.claim(claim(2, 0, 0, 2_000), 0);
+    assertThat(grants).containsOnlyKeys(1L);
+  }
+
+  @Test
+  void refusesWhatWaitsTooLongWhileTheGroupIsNotWhole() {
+    scheduler.share(0.1, 0);
+    scheduler.put(endpoint("e", 1), 0);
+    scheduler.claim(claim(1, 0, 0, 2_000), 0);
+    scheduler.claim(claim(2, 0, 0, 50), 0);
+    scheduler.tick(49 * MILLI);
+    assertThat(refusals).isEmpty();
+    scheduler.tick(51 * MILLI);
+    assertThat(refusals).containsOnlyKeys(2L);
+  }
+
+  @Test
+  void countsPlacesThatAnotherSchedulerGranted() {
+    scheduler.put(endpoint("e", 2), 0);
+    scheduler.adopt("e", claim(1, 0, 0, 2_000), 0);
+    scheduler.adopt("e", claim(2, 0, 0, 2_000), 0);
+    scheduler.claim(claim(3, 0, 0, 2_000), 0);
+    assertThat(grants).isEmpty();
+    scheduler.reconcile("host", Set.of(2L), 1_000 * MILLI);
+    assertThat(grants).containsOnlyKeys(3L);
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/GroupCompleteness.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/GroupCompleteness.java
@@ -13,7 +13,7 @@
  * How much of the group a host sees, against the hosts that have registered.
  *
  * <p>It answers a restart of all hosts and cuts between them: each host then schedules for itself
- * for a while, and all together must not grant a customer's quota many times.
+ * for a while, and all together must not grant a customer's quota, or a place, many times.
  */
 final class GroupCompleteness {
 
@@ -39,7 +39,7 @@
    *
    * @param live hosts that are seen, this one included
    */
-  double quotaShare(List<Member> live, long now) {
+  double share(List<Member> live, long now) {
     Set<String> others = new HashSet<>(listed);
     for (Member member : live) {
       others.remove(member.address());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PeerGroup.java
@@ -101,7 +101,7 @@
           membership.seed(seeds, loop.now());
           completeness.listed(seeds);
           places.start();
-          loop.repeat(this::shareQuotas, SHARE_CHECK);
+          loop.repeat(this::updateShare, SHARE_CHECK);
           changed();
           started.complete(null);
         });
@@ -112,7 +112,7 @@
   public void seed(Collection<String> addresses) {
     membership.seed(addresses, loop.now());
     completeness.listed(addresses);
-    shareQuotas();
+    updateShare();
     changed();
   }
 
@@ -186,7 +186,7 @@
     if (live != knownLive) {
       knownLive = live;
       places.choice().members(live);
-      shareQuotas();
+      updateShare();
     }
     Future<?> pending = timer;
     if (pending != null) {
@@ -198,9 +198,9 @@
     }
   }
 
-  private void shareQuotas() {
+  private void updateShare() {
     long now = loop.now();
-    places.scheduler().quotaShare(completeness.quotaShare(membership.liveMembers(), now), now);
+    places.scheduler().share(completeness.share(membership.liveMembers(), now), now);
   }
 
   private void tick() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
@@ -161,12 +161,7 @@
       return;
     }
     pending.done = true;
-    String service = pending.claim.service();
-    if (pending.scheduler.equals(self)) {
-      scheduler.withdraw(service, claimId);
-    } else {
-      transport.accept(pending.scheduler, new PlaceMessage.Withdrawn(service, claimId));
-    }
+    withdrawFromScheduler(pending);
   }
 
   void started(PendingClaim pending) {
@@ -226,6 +221,11 @@
   }
 
   private void check(PendingClaim pending, long now) {
+    if (!choice.scheduler(pending.claim.service(), now).equals(pending.scheduler)) {
+      withdrawFromScheduler(pending);
+      askScheduler(pending);
+      return;
+    }
     if (pending.scheduler.equals(self)) {
       return;
     }
@@ -233,15 +233,22 @@
     if (pending.unanswered >= MAX_UNANSWERED && sinceAsked > ASK_AGAIN_MILLIS) {
       log.event("scheduler_silent", "host", pending.scheduler, "service", pending.claim.service());
       choice.silent(pending.scheduler, now);
-      transport.accept(
-          pending.scheduler,
-          new PlaceMessage.Withdrawn(pending.claim.service(), pending.claim.id()));
+      withdrawFromScheduler(pending);
       askScheduler(pending);
     } else if (sinceAsked > (pending.unanswered > 0 ? ASK_AGAIN_MILLIS : CONFIRM_MILLIS)) {
       sendAsk(pending, now);
     }
   }
 
+  private void withdrawFromScheduler(PendingClaim pending) {
+    Claim claim = pending.claim;
+    if (pending.scheduler.equals(self)) {
+      scheduler.withdraw(claim.service(), claim.id());
+    } else {
+      transport.accept(pending.scheduler, new PlaceMessage.Withdrawn(claim.service(), claim.id()));
+    }
+  }
+
   /** Tells schedulers which of their places are held here, so that lost messages do no harm. */
   private void report() {
     long now = loop.now();
@@ -250,16 +257,10 @@
         .forEach((customer, units) -> scheduler.usedElsewhere(customer, units, now));
     Map<String, List<PlaceMessage.Held>> held = new HashMap<>();
     for (PendingClaim pending : claims.values()) {
-      if (pending.isGranted() && !pending.scheduler.equals(self)) {
-        Claim claim = pending.claim;
-        held.computeIfAbsent(pending.scheduler, key -> new ArrayList<>())
-            .add(
-                new PlaceMessage.Held(
-                    claim.id(),
-                    claim.service(),
-                    pending.endpointId(),
-                    claim.work().promptTokens(),
-                    claim.work().outputTokens()));
+      if (pending.isGranted()) {
+        for (String scheduler : informed(pending, now)) {
+          held.computeIfAbsent(scheduler, key -> new ArrayList<>()).add(held(pending));
+        }
       }
     }
     reportedTo.forEach(scheduler -> held.computeIfAbsent(scheduler, key -> List.of()));
@@ -274,6 +275,25 @@
         });
   }
 
+  /** The scheduler that granted a place, and the one that schedules for the service now. */
+  private Set<String> informed(PendingClaim pending, long now) {
+    Set<String> schedulers = new HashSet<>();
+    schedulers.add(pending.scheduler);
+    schedulers.add(choice.scheduler(pending.claim.service(), now));
+    schedulers.remove(self);
+    return schedulers;
+  }
+
+  private static PlaceMessage.Held held(PendingClaim pending) {
+    Claim claim = pending.claim;
+    return new PlaceMessage.Held(
+        claim.id(),
+        claim.service(),
+        pending.endpointId(),
+        claim.work().promptTokens(),
+        claim.work().outputTokens());
+  }
+
   /** Forgets what a host held that is gone. */
   void ownerGone(String owner) {
     scheduler.reconcile(owner, Set.of(), loop.now());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/SchedulerService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/SchedulerService.java
@@ -5,7 +5,9 @@
 import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.PoolScheduler;
 import io.samphiredyke.core.pool.Refusal;
+import io.samphiredyke.core.pool.Work;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
@@ -111,11 +113,25 @@
     Set<Long> ids = new HashSet<>();
     holding.places().forEach(held -> ids.add(held.claimId()));
     scheduler.reconcile(from, ids, now);
+    for (PlaceMessage.Held held : holding.places()) {
+      if (scheduler.endpointOf(held.service(), held.claimId()) == null) {
+        scheduler.adopt(held.endpointId(), adopted(from, held, now), now);
+      }
+    }
     holding
         .usedElsewhere()
         .forEach((customer, units) -> scheduler.usedElsewhere(customer, units, now));
   }
 
+  private static Claim adopted(String owner, PlaceMessage.Held held, long now) {
+    Work work =
+        held.promptTokens() == 0
+            ? Work.PLAIN
+            : new Work(held.promptTokens(), held.outputTokens(), List.of());
+    return new Claim(
+        held.claimId(), owner, held.service(), 0, 1, work, "", 0, false, Set.of(), now, now);
+  }
+
   @Override
   public void granted(Claim claim, String endpointId) {
     if (!claim.owner().equals(self)) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/place/GroupCompletenessTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/place/GroupCompletenessTest.java
@@ -30,14 +30,14 @@
   @Test
   void hostThatKnowsNobodyGrantsItsPart() {
     list(69);
-    assertThat(group.quotaShare(hosts(1), 0)).isEqualTo(1.0 / 69);
+    assertThat(group.share(hosts(1), 0)).isEqualTo(1.0 / 69);
   }
 
   @Test
   void halfOfTheGroupGrantsAll() {
     list(6);
-    assertThat(group.quotaShare(hosts(3), 0)).isEqualTo(1);
-    assertThat(group.quotaShare(hosts(2), 0)).isEqualTo(2.0 / 6);
+    assertThat(group.share(hosts(3), 0)).isEqualTo(1);
+    assertThat(group.share(hosts(2), 0)).isEqualTo(2.0 / 6);
   }
 
   @Test
@@ -46,12 +46,12 @@
     for (int host = 1; host < 6; host++) {
       group.gone(address(host), 0);
     }
-    assertThat(group.quotaShare(hosts(1), SECOND)).isEqualTo(1.0 / 6);
-    assertThat(group.quotaShare(hosts(1), 9 * SECOND)).isEqualTo(1);
+    assertThat(group.share(hosts(1), SECOND)).isEqualTo(1.0 / 6);
+    assertThat(group.share(hosts(1), 9 * SECOND)).isEqualTo(1);
   }
 
   @Test
   void hostThatStartsAloneGrantsAll() {
-    assertThat(group.quotaShare(hosts(1), 0)).isEqualTo(1);
+    assertThat(group.share(hosts(1), 0)).isEqualTo(1);
   }
 }
