Quotas after a take-over: only what the last half second granted is subtracted

Cause: a scheduler that takes over begins with a quarter of the burst and was told all that others granted in the last 8 s, without credit for the same 8 s. A customer steady at half of its rate was refused for four seconds. Ruled out as a risk: a window of 8 s with the hand-over at any half second, for rates of 47,000, 70,000 and 230,000 units, stays within the platform's bound with the quarter of the burst alone. Tests: QuotaLedgerTest.steadyCustomerIsServedOnAfterATakeOver (fails with 8 s), takeOverWithTheLastHalfSecondReportedStaysWithinTheQuota.

This is a part of it, the rest is looked for.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/place/PlaceClient.java
@@ -40,8 +40,12 @@
   private static final Duration TICK = Duration.ofMillis(15);
   private static final Duration REPORT = Duration.ofMillis(500);
 
-  /** Window in which the platform counts quotas. */
-  private static final Duration QUOTA_WINDOW = Duration.ofSeconds(8);
+  /**
+   * How far back a scheduler that takes over is told what others granted: since the report before.
+   * What lies further back is covered by the small part of the burst that it begins with; to
+   * subtract it as well would refuse a customer for as many seconds as it has been steady.
+   */
+  private static final Duration LEDGER_REACH = REPORT;
 
   private static final double NANOS_PER_MILLI = 1e6;
 
@@ -54,7 +58,7 @@
   private final DecisionLog log;
   private final Map<Long, PendingClaim> claims = new HashMap<>();
   private final Set<String> reportedTo = new HashSet<>();
-  private final QuotaLedger ledger = new QuotaLedger(QUOTA_WINDOW.toNanos());
+  private final QuotaLedger ledger = new QuotaLedger(LEDGER_REACH.toNanos());
   private final RandomGenerator random;
   private boolean ticking;
 
