Retry-After over a quota stays within the caller's objective

Cause: since a caller over its quota was told its turn behind all refused before it. Under an excess of several seconds that is seconds away; callers wait a third of their time (2.7 s of 8), and come back late. Mend: the turn, but at most half of the time to the objective. Test: PoolSchedulerTest.callsBackWithinTheObjectiveHoweverLongTheLineIs.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -27,6 +27,12 @@
    */
   private static final long TAKE_OVER_NANOS = 2_000 * NANOS_PER_MILLI;
 
+  /**
+   * Shortest time after which a caller over its quota is asked to return when it is late already;
+   * later than half of the time to its objective no caller is, as a late answer is worth little.
+   */
+  private static final long MIN_RETRY_MILLIS = 50;
+
   private final PoolOptions options;
   private final PoolListener listener;
   private final PoolListener poolListener;
@@ -110,7 +116,9 @@
     if (quota == null || quota.take(claim.quotaUnits(), now)) {
       return true;
     }
-    long retryMillis = quota.millisUntilTurn(claim.quotaUnits(), now);
+    long turnMillis = quota.millisUntilTurn(claim.quotaUnits(), now);
+    long onTimeMillis = Math.max(MIN_RETRY_MILLIS, (claim.dueAt() - now) / NANOS_PER_MILLI / 2);
+    long retryMillis = Math.min(turnMillis, onTimeMillis);
     listener.refused(claim, new Refusal(Refusal.Reason.OVER_QUOTA, retryMillis));
     return false;
   }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
@@ -275,4 +275,38 @@
     scheduler.reconcile("host", Set.of(2L), 1_000 * MILLI);
     assertThat(grants).containsOnlyKeys(3L);
   }
+
+  /** A customer asks for many times its quota: who comes back at all should still be on time. */
+  @Test
+  void callsBackWithinTheObjectiveHoweverLongTheLineIs() {
+    CustomerSpec customer = new CustomerSpec("c", Set.of("k"), -1, 1_000, 1_000, true, 200);
+    scheduler.configure(
+        new ServingConfiguration(
+            1, List.of(), List.of(), List.of(customer), CallerLimits.defaults()),
+        0);
+    scheduler.put(endpoint("e", 4), 0);
+    for (long id = 1; id <= 50; id++) {
+      Claim asked = claim(id, 0, 0, 2_000);
+      scheduler.claim(
+          new Claim(
+              id,
+              "host",
+              "s",
+              0,
+              1,
+              asked.work(),
+              "c",
+              500,
+              false,
+              Set.of(),
+              asked.dueAt(),
+              asked.patienceUntil()),
+          0);
+    }
+    assertThat(refusals.size()).isGreaterThan(40);
+    for (Refusal refusal : refusals.values()) {
+      assertThat(refusal.reason()).isEqualTo(Refusal.Reason.OVER_QUOTA);
+      assertThat(refusal.retryAfterMillis()).isBetween(1L, 400L);
+    }
+  }
 }
