--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -140,7 +140,10 @@
     if (newer != share) {
       share = newer;
       quotas.values().forEach(quota -> quota.share(newer, now));
-      pools.values().forEach(pool -> pool.share(newer, now));
+      for (ServicePool pool : pools.values()) {
+        pool.share(newer);
+        pool.dispatch(now);
+      }
     }
   }
 
@@ -271,7 +274,7 @@
     }
     RepeatBudget budget = new RepeatBudget(options.repeatRatio(), options.repeatReserve());
     ServicePool pool = new ServicePool(poolListener, random, budget);
-    pool.share(share, Long.MIN_VALUE);
+    pool.share(share);
     pools.put(service, pool);
     configurePool(service, pool);
     return pool;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -60,9 +60,8 @@
    * <p>It answers a restart of all hosts: until they have found each other each schedules for
    * itself, and places given away six times over fill the engines' queues for seconds.
    */
-  void share(double newer, long now) {
+  void share(double newer) {
     share = newer;
-    dispatch(now);
   }
 
   /** Counts a place that another scheduler granted. */
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/AnswerReader.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/AnswerReader.java
@@ -49,25 +49,20 @@
 
   @Override
   public void onEnd() {
-    end(true, "");
+    end(true);
   }
 
   @Override
   public void onFailure(Throwable cause) {
-    end(false, "");
+    end(false);
   }
 
-  /** The caller leaves before the answer is whole. */
+  /** The caller leaves, if it still waits. */
   void leave() {
-    end(false, "");
+    end(false);
   }
 
-  /** The caller's time is over. */
-  void giveUp() {
-    end(false, "");
-  }
-
-  private void end(boolean isWhole, String note) {
+  private void end(boolean isWhole) {
     synchronized (this) {
       if (isOver) {
         return;
@@ -78,10 +73,10 @@
         open.close();
       }
     }
-    String found = note.isEmpty() ? defect(isWhole) : note;
-    onEnd.accept(new Exchange(id, kind, host, sentMillis, status, isWhole, found));
+    onEnd.accept(new Exchange(id, kind, host, sentMillis, status, isWhole, defect(isWhole)));
   }
 
+  /** Returns what is wrong with the answer so far, empty if nothing. */
   private synchronized String defect(boolean isWhole) {
     if (status != OK) {
       return "";
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
@@ -141,7 +141,7 @@
     if (random.nextInt(LEAVES_ONE_IN) == 0) {
       loop.schedule(reader::leave, LEAVES_AFTER_MILLIS, TimeUnit.MILLISECONDS);
     }
-    loop.schedule(reader::giveUp, WAIT.toMillis(), TimeUnit.MILLISECONDS);
+    loop.schedule(reader::leave, WAIT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void ended(Exchange exchange) {
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Operator.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Operator.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletionException;
 
 /** Writes configurations to the store. */
 final class Operator {
@@ -57,7 +58,7 @@
       try {
         store.put(StoreClient.OPERATOR_TOPIC, StoreClient.CONFIGURATION_KEY, value, TIMEOUT).join();
         return;
-      } catch (java.util.concurrent.CompletionException e) {
+      } catch (CompletionException e) {
         logger.atFine().log("configuration %d not taken yet: %s", version, e.getMessage());
         pause();
       }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
@@ -7,6 +7,7 @@
 import io.samphiredyke.net.control.Addresses;
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpClientOptions;
+import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpResponse;
 import io.samphiredyke.platform.standin.CallerStandIn;
 import io.samphiredyke.platform.standin.PlatformTexts;
@@ -115,7 +116,7 @@
         == OK;
   }
 
-  private int statusOf(io.samphiredyke.net.http.HttpRequest request) {
+  private int statusOf(HttpRequest request) {
     try {
       HttpResponse answer = http.send(request).join();
       return answer.status();
