A hang-up during the start no longer ends the process

Cause: the handler was set after settings, loop and all parts were there. It is now ignored from the first statement on, and the file is read after that. Ruled out: the reload (the process had written no line).

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
@@ -19,6 +19,7 @@
 import java.util.SplittableRandom;
 import org.jspecify.annotations.Nullable;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Starts the process, follows its signals and ends it. */
 public final class GatewayMain {
@@ -26,11 +27,15 @@
   private static final String RANDOM_SOURCE = "/dev/urandom";
   private static final int BAD_SETTINGS = 2;
   private static final int START_FAILED = 1;
+  private static final Signal HANG_UP = new Signal("HUP");
 
   private GatewayMain() {}
 
   /** Runs the process until it is told to stop. */
   public static void main(String[] arguments) {
+    // Before anything else: a hang-up that nobody handles ends a virtual machine. The file is read
+    // below, so that nothing is missed by ignoring it until then.
+    Signal.handle(HANG_UP, SignalHandler.SIG_IGN);
     DecisionLog log =
         new DecisionLog(new FileOutputStream(FileDescriptor.out), System::currentTimeMillis);
     Path path = settingsPath(arguments);
@@ -60,8 +65,7 @@
     Gateway gateway = new Gateway(settings, group, new SplittableRandom(seed()), log);
     Shutdown shutdown = new Shutdown(gateway, log);
     SettingsReload reload = new SettingsReload(path, settings, gateway, log);
-    Signal.handle(
-        new Signal("HUP"), signal -> gateway.loop().execute(() -> reload.reload("signal")));
+    Signal.handle(HANG_UP, signal -> gateway.loop().execute(() -> reload.reload("signal")));
     Signal.handle(new Signal("TERM"), signal -> shutdown.begin());
     Signal.handle(new Signal("INT"), signal -> shutdown.begin());
     log.event(
