--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
@@ -33,8 +33,9 @@
 
   /** Runs the process until it is told to stop. */
   public static void main(String[] arguments) {
-    // Before anything else: a hang-up that nobody handles ends a virtual machine. The file is read
-    // below, so that nothing is missed by ignoring it until then.
+    // Before anything else: a hang-up that nobody handles ends a virtual machine. What it would
+    // have
+    // told is found when SettingsReload first looks at the file.
     Signal.handle(HANG_UP, SignalHandler.SIG_IGN);
     DecisionLog log =
         new DecisionLog(new FileOutputStream(FileDescriptor.out), System::currentTimeMillis);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/SettingsReload.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/SettingsReload.java
@@ -58,7 +58,10 @@
     }
     FileTime before = readAt;
     readAt = changedAt;
-    if (before != null && !before.equals(changedAt)) {
+    if (before == null) {
+      // It may have changed since it was read at the start, while no signal was handled.
+      reload("first look");
+    } else if (!before.equals(changedAt)) {
       reload("change of the file");
     }
   }
