Scheduler: indexed queue and endpoints, learned latency, late work behind

The latency model held the rates of the first sites.

WaitingQueue keeps the order in a tree, EndpointIndex the endpoints by expected cost; SlotTurnover estimates waits from the mean time that slots are held. ServiceLatency learns the scales of the latency model from all endpoints of a service, EndpointLoad its ratio to them, now also from requests that are overdue. A request that can't meet its objective any more goes behind those of its rank and the next one that can. A refused request returns after those refused before it. CallerWaitEstimator: the objective of a returning caller, known by the shorter time that it states, counts from its first attempt.

--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -0,0 +1,269 @@
+package io.samphiredyke.core.pool;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Endpoints of a service, ordered by the expected cost of an average request.
+ *
+ * <p>Load pattern: hundreds of endpoints with a request every few milliseconds. A change of one
+ * endpoint costs the logarithm of their number, and a choice compares only the cheapest few and
+ * those that probably hold the prompt in their cache.
+ */
+final class EndpointIndex {
+
+  /** Endpoints that are compared exactly for a request, beside those that hold its prompt. */
+  private static final int COMPARED_ENDPOINTS = 6;
+
+  /** Remembered parts of prompts; bounds the memory to about one megabyte. */
+  private static final int MAX_PROMPT_PARTS = 8_192;
+
+  private static final class Entry {
+    final EndpointLoad load;
+    final long number;
+    double cost;
+    int slots;
+    boolean isFree;
+    boolean isFreeIgnoringPause;
+    boolean isPaused;
+
+    Entry(EndpointLoad load, long number) {
+      this.load = load;
+      this.number = number;
+    }
+  }
+
+  private static final Comparator<Entry> BY_COST =
+      Comparator.<Entry>comparingDouble(entry -> entry.cost).thenComparingLong(e -> e.number);
+
+  private static final Comparator<Entry> BY_PAUSE_END =
+      Comparator.<Entry>comparingLong(entry -> entry.load.pausedUntil())
+          .thenComparingLong(e -> e.number);
+
+  private final RandomGenerator random;
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final TreeSet<Entry> free = new TreeSet<>(BY_COST);
+  private final TreeSet<Entry> freeIgnoringPause = new TreeSet<>(BY_COST);
+  private final TreeSet<Entry> paused = new TreeSet<>(BY_PAUSE_END);
+  private final Map<Long, String> holders =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
+          return size() > MAX_PROMPT_PARTS;
+        }
+      };
+  private WorkEstimate averageWork = WorkEstimate.PLAIN;
+  private double capacityShare = 1;
+  private @Nullable Entry guaranteed;
+  private int slots;
+  private long added;
+  private long pausesEndedUntil = Long.MIN_VALUE;
+
+  EndpointIndex(RandomGenerator random) {
+    this.random = random;
+  }
+
+  int size() {
+    return entries.size();
+  }
+
+  /** Returns the slots of all endpoints that may be granted, in use or free. */
+  int slots() {
+    return slots;
+  }
+
+  @Nullable EndpointLoad find(String id) {
+    Entry entry = entries.get(id);
+    return entry == null ? null : entry.load;
+  }
+
+  void add(EndpointLoad load) {
+    Entry entry = new Entry(load, added++);
+    entries.put(load.endpoint().id(), entry);
+    insert(entry);
+    chooseGuaranteed();
+  }
+
+  @Nullable EndpointLoad remove(String id) {
+    Entry entry = entries.remove(id);
+    if (entry == null) {
+      return null;
+    }
+    detach(entry);
+    chooseGuaranteed();
+    return entry.load;
+  }
+
+  void setCapacityShare(double updated) {
+    capacityShare = updated;
+    reindexAll();
+  }
+
+  /** Sets the work by which endpoints are ordered. */
+  void setAverageWork(WorkEstimate work) {
+    averageWork = work;
+    reindexAll();
+  }
+
+  private void reindexAll() {
+    entries.values().forEach(this::reindex);
+  }
+
+  /** Applies a change to an endpoint and moves it to its new position. */
+  void change(EndpointLoad load, Runnable change) {
+    Entry entry = entries.get(load.endpoint().id());
+    if (entry == null || entry.load != load) {
+      change.run();
+      return;
+    }
+    detach(entry);
+    change.run();
+    insert(entry);
+  }
+
+  private void reindex(Entry entry) {
+    detach(entry);
+    insert(entry);
+  }
+
+  private void detach(Entry entry) {
+    slots -= entry.slots;
+    entry.slots = 0;
+    if (entry.isFree) {
+      free.remove(entry);
+    }
+    if (entry.isFreeIgnoringPause) {
+      freeIgnoringPause.remove(entry);
+    }
+    if (entry.isPaused) {
+      paused.remove(entry);
+    }
+    entry.isFree = false;
+    entry.isFreeIgnoringPause = false;
+    entry.isPaused = false;
+  }
+
+  private void insert(Entry entry) {
+    // The random part spreads requests over endpoints of equal cost.
+    entry.cost = entry.load.expectedCostMillis(averageWork) + random.nextDouble();
+    entry.isPaused = entry.load.pausedUntil() > pausesEndedUntil;
+    entry.isFree = !entry.isPaused && freeSlots(entry, false) > 0;
+    entry.isFreeIgnoringPause = freeSlots(entry, true) > 0;
+    entry.slots = entry.load.usableSlots(capacityShare);
+    slots += entry.slots;
+    if (entry.isFree) {
+      free.add(entry);
+    }
+    if (entry.isFreeIgnoringPause) {
+      freeIgnoringPause.add(entry);
+    }
+    if (entry.isPaused) {
+      paused.add(entry);
+    }
+  }
+
+  /** Returns the endpoints whose pause has ended to the free ones. */
+  void endPauses(long now) {
+    pausesEndedUntil = now;
+    while (!paused.isEmpty() && paused.first().load.pausedUntil() <= now) {
+      reindex(paused.first());
+    }
+  }
+
+  /** Returns the free slots within the capacity share, which is at least one slot per service. */
+  private int freeSlots(Entry entry, boolean ignorePause) {
+    int freeSlots = entry.load.freeSlots(ignorePause, capacityShare);
+    boolean isGuaranteed =
+        capacityShare < 1 && entry.load.runningCount() == 0 && entry == guaranteed;
+    return isGuaranteed ? Math.max(1, freeSlots) : freeSlots;
+  }
+
+  private void chooseGuaranteed() {
+    Entry old = guaranteed;
+    Entry best = null;
+    for (Entry entry : entries.values()) {
+      if (best == null || entry.load.roundingOffset() > best.load.roundingOffset()) {
+        best = entry;
+      }
+    }
+    guaranteed = best;
+    if (old != best) {
+      reindexIfPresent(old);
+      reindexIfPresent(best);
+    }
+  }
+
+  private void reindexIfPresent(@Nullable Entry entry) {
+    if (entry != null && entries.get(entry.load.endpoint().id()) == entry) {
+      reindex(entry);
+    }
+  }
+
+  /**
+   * Returns the endpoints with a free slot. When at least half of the endpoints fail, the cause is
+   * probably common to them, and pausing them would make the service unavailable; pauses are then
+   * ignored.
+   */
+  private TreeSet<Entry> usable() {
+    return paused.size() * 2 >= entries.size() ? freeIgnoringPause : free;
+  }
+
+  boolean hasFreeSlot() {
+    return !usable().isEmpty();
+  }
+
+  /** Returns the endpoint with a free slot that is expected to serve a request soonest, or null. */
+  @Nullable EndpointLoad cheapest(SlotRequest request) {
+    TreeSet<Entry> usable = usable();
+    Entry best = null;
+    double bestMillis = Double.MAX_VALUE;
+    int compared = 0;
+    for (Iterator<Entry> i = usable.iterator(); i.hasNext() && compared < COMPARED_ENDPOINTS; ) {
+      Entry entry = i.next();
+      if (request.excluded().contains(entry.load.endpoint().id())) {
+        continue;
+      }
+      compared++;
+      double millis = cost(entry, request);
+      if (millis < bestMillis) {
+        bestMillis = millis;
+        best = entry;
+      }
+    }
+    for (PromptPart part : request.estimate().parts()) {
+      Entry holder = holder(part);
+      if (holder != null
+          && usable.contains(holder)
+          && !request.excluded().contains(holder.load.endpoint().id())
+          && cost(holder, request) < bestMillis) {
+        bestMillis = cost(holder, request);
+        best = holder;
+      }
+    }
+    return best == null ? null : best.load;
+  }
+
+  private double cost(Entry entry, SlotRequest request) {
+    return entry.load.expectedCostMillis(request.estimate());
+  }
+
+  private @Nullable Entry holder(PromptPart part) {
+    String id = holders.get(part.id());
+    return id == null ? null : entries.get(id);
+  }
+
+  /** Records that an endpoint has read a prompt. */
+  void promptSent(EndpointLoad load, WorkEstimate work) {
+    for (PromptPart part : work.parts()) {
+      holders.put(part.id(), load.endpoint().id());
+    }
+  }
+}
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -1,35 +1,13 @@
 package io.samphiredyke.core.pool;
 
 import io.samphiredyke.core.serving.EndpointRecord;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Load of one endpoint: its running requests, learned latency, error rate and free slots. */
 final class EndpointLoad {
 
-  /** A request that holds a slot. */
-  static final class RunningRequest {
-    final SlotRequest request;
-    final long grantedAt;
-    final double prefillMillis;
-    final double firstEventMillis;
-    final double totalMillis;
-    boolean hasStarted;
-
-    RunningRequest(
-        SlotRequest request, long grantedAt, double prefill, double firstEvent, double total) {
-      this.request = request;
-      this.grantedAt = grantedAt;
-      this.prefillMillis = prefill;
-      this.firstEventMillis = firstEvent;
-      this.totalMillis = total;
-    }
-  }
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Weight of a new latency observation; averages over about the last five requests. */
@@ -60,7 +38,9 @@
   private final double roundingOffset;
   private final boolean isEngine;
   private final PrefixCacheEstimate cache;
+  private final ServiceLatency average;
   private final Map<Long, RunningRequest> running = new HashMap<>();
+  private double pendingPrefillMillis;
   private double latencyFactor = 1;
   private double errorRate;
   private int failures;
@@ -70,13 +50,20 @@
   /**
    * Creates the load of an idle endpoint.
    *
+   * @param average latency of the endpoint's service, which the endpoint is compared with
    * @param roundingOffset random number from 0 to 1, drawn independently by each host, that decides
    *     whether a fractional number of usable slots is rounded up or down
    */
-  EndpointLoad(EndpointRecord endpoint, boolean isEngine, long cacheTokens, double roundingOffset) {
+  EndpointLoad(
+      EndpointRecord endpoint,
+      boolean isEngine,
+      long cacheTokens,
+      ServiceLatency average,
+      double roundingOffset) {
     this.endpoint = endpoint;
     this.roundingOffset = roundingOffset;
     this.isEngine = isEngine;
+    this.average = average;
     this.cache = new PrefixCacheEstimate(cacheTokens);
   }
 
@@ -98,14 +85,11 @@
    * @param ignorePause whether to ignore a pause after failures
    * @param capacityShare fraction of the slots that this scheduler may grant
    */
-  int freeSlots(long now, boolean ignorePause, double capacityShare) {
+  int freeSlots(boolean ignorePause, double capacityShare) {
     int slots = usableSlots(capacityShare);
     if (ignorePause) {
       return Math.max(0, slots - running.size());
     }
-    if (isPaused(now)) {
-      return 0;
-    }
     int limit = failures >= FAILURES_TO_PAUSE ? 1 : Math.min(slots, grantLimit);
     return Math.max(0, Math.min(slots, limit) - running.size());
   }
@@ -124,81 +108,90 @@
     return roundingOffset;
   }
 
-  /** Returns whether it gets no requests for now because of consecutive failures. */
-  boolean isPaused(long now) {
-    return now < pausedUntil;
+  /** Returns until when it gets no requests because of consecutive failures. */
+  long pausedUntil() {
+    return pausedUntil;
   }
 
   /** Returns the expected time to the first event, or the response, if granted now. */
-  double firstEventMillis(SlotRequest request) {
-    if (!request.estimate().isGeneration()) {
-      return plainMillis() * (1 + (double) running.size() / (4 * endpoint.slots()));
+  private double averageFirstEventMillis(WorkEstimate work, double prefillMillis) {
+    if (!work.isGeneration()) {
+      return average.plainMillis() * (1 + (double) running.size() / (4 * endpoint.slots()));
     }
-    double pendingPrefill = 0;
-    for (RunningRequest other : running.values()) {
-      pendingPrefill += other.hasStarted ? 0 : other.prefillMillis;
-    }
-    return latencyFactor
-        * (LatencyModel.firstEventMillis() + pendingPrefill + prefillMillis(request.estimate()));
+    return average.firstEventMillis() + pendingPrefillMillis + prefillMillis;
+  }
+
+  private double averageDecodeMillis(WorkEstimate work) {
+    return work.isGeneration() ? average.decodeMillis(work.outputTokens(), running.size() + 1) : 0;
   }
 
   /**
    * Returns the expected time of a request here, increased by the error rate for the extra work
    * that a failed attempt causes at other endpoints.
    */
-  double expectedCostMillis(SlotRequest request) {
-    return totalMillis(request) / (1 - errorRate * ERROR_WEIGHT);
-  }
-
-  double totalMillis(SlotRequest request) {
-    if (!request.estimate().isGeneration()) {
-      return plainMillis();
-    }
-    double decode =
-        LatencyModel.decodeMillis(request.estimate().outputTokens(), running.size() + 1);
-    return firstEventMillis(request) + latencyFactor * decode;
-  }
-
-  private double plainMillis() {
-    return latencyFactor * LatencyModel.PLAIN_MILLIS;
+  double expectedCostMillis(WorkEstimate work) {
+    double prefill = work.isGeneration() ? prefillMillis(work) : 0;
+    double total = averageFirstEventMillis(work, prefill) + averageDecodeMillis(work);
+    return latencyFactor * total / (1 - errorRate * ERROR_WEIGHT);
   }
 
   private double prefillMillis(WorkEstimate work) {
     int uncached = Math.max(1, work.promptTokens() - cache.cachedTokens(work.parts()));
-    return LatencyModel.prefillMillis(uncached, work.promptTokens());
+    return average.prefillMillis(uncached, work.promptTokens());
   }
 
-  void grant(SlotRequest request, long now) {
-    double prefill = request.estimate().isGeneration() ? prefillMillis(request.estimate()) : 0;
+  RunningRequest grant(SlotRequest request, long now) {
+    WorkEstimate work = request.estimate();
+    double prefill = work.isGeneration() ? prefillMillis(work) : 0;
+    double firstEvent = averageFirstEventMillis(work, prefill);
+    double decode = averageDecodeMillis(work);
     RunningRequest entry =
-        new RunningRequest(request, now, prefill, firstEventMillis(request), totalMillis(request));
+        new RunningRequest(
+            request,
+            now,
+            prefill,
+            latencyFactor * firstEvent,
+            firstEvent,
+            decode,
+            latencyFactor * (firstEvent + decode));
     running.put(request.id(), entry);
+    pendingPrefillMillis += prefill;
     if (isEngine) {
-      cache.add(request.estimate().parts());
+      cache.add(work.parts());
     }
+    return entry;
   }
 
   /** Records a grant of another scheduler, as its requester reported it. */
   void restoreGrant(SlotRequest request, long now) {
-    RunningRequest entry = new RunningRequest(request, now, 0, 0, totalMillis(request));
-    entry.hasStarted = true;
+    RunningRequest entry = new RunningRequest(request, now, 0, 0, 0, 0, 0);
+    entry.startedAfterMillis = 0;
     running.putIfAbsent(request.id(), entry);
   }
 
   /** Records the first event of a stream. */
   void firstEvent(long requestId, double observedMillis) {
     RunningRequest entry = running.get(requestId);
-    if (entry == null || entry.hasStarted) {
+    if (entry == null || entry.hasStarted()) {
       return;
     }
-    entry.hasStarted = true;
-    updateLatencyFactor(observedMillis, entry.firstEventMillis);
+    markStarted(entry, observedMillis);
+    learnFirstEvent(observedMillis, entry);
+    average.observeFirstEvent(observedMillis, entry.averageFirstEventMillis);
+  }
+
+  private void markStarted(RunningRequest entry, double observedMillis) {
+    entry.startedAfterMillis = Math.max(0, observedMillis);
+    pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.prefillMillis);
   }
 
   /** Frees the slot of a request and learns from its outcome. */
   @Nullable RunningRequest release(
       long requestId, Outcome outcome, double observedMillis, long now) {
     RunningRequest entry = running.remove(requestId);
+    if (entry != null) {
+      removed(entry);
+    }
     if (outcome != Outcome.WITHDRAWN) {
       double error = outcome == Outcome.SERVED ? 0 : 1;
       errorRate += ERROR_SMOOTHING * (error - errorRate);
@@ -208,8 +201,8 @@
       case SERVED -> {
         failures = 0;
         grantLimit = Integer.MAX_VALUE;
-        if (entry != null && !entry.request.estimate().isGeneration()) {
-          updateLatencyFactor(observedMillis, entry.firstEventMillis);
+        if (entry != null) {
+          learnTotal(observedMillis, entry);
         }
       }
       case FAILED -> recordFailure(now);
@@ -219,6 +212,25 @@
     return entry;
   }
 
+  private void removed(RunningRequest entry) {
+    entry.isReleased = true;
+    if (!entry.hasStarted()) {
+      pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.prefillMillis);
+    }
+    if (running.isEmpty()) {
+      pendingPrefillMillis = 0;
+    }
+  }
+
+  private void learnTotal(double observedMillis, RunningRequest entry) {
+    if (!entry.request.estimate().isGeneration()) {
+      learnFirstEvent(observedMillis, entry);
+      average.observePlain(observedMillis, entry.averageFirstEventMillis);
+    } else if (entry.hasStarted() && entry.averageDecodeMillis > 0) {
+      average.observeDecode(observedMillis - entry.startedAfterMillis, entry.averageDecodeMillis);
+    }
+  }
+
   private void recordFailure(long now) {
     failures++;
     if (failures >= FAILURES_TO_PAUSE) {
@@ -228,38 +240,40 @@
     }
   }
 
-  private void updateLatencyFactor(double observed, double expected) {
-    double sample = observed * latencyFactor / Math.max(1, expected);
-    double bounded = Math.max(MIN_LATENCY_FACTOR, Math.min(MAX_LATENCY_FACTOR, sample));
-    latencyFactor += LATENCY_SMOOTHING * (bounded - latencyFactor);
+  private void learnFirstEvent(double observed, RunningRequest entry) {
+    if (entry.averageFirstEventMillis > 0) {
+      double sample = bounded(observed / Math.max(1, entry.averageFirstEventMillis));
+      latencyFactor += LATENCY_SMOOTHING * (sample - latencyFactor);
+    }
   }
 
-  /** Adds the expected times at which slots become free, nanoseconds. */
-  void addSlotFreeTimes(long now, boolean ignorePause, double capacityShare, List<Long> times) {
-    for (RunningRequest entry : running.values()) {
-      long end = entry.grantedAt + (long) (entry.totalMillis * NANOS_PER_MILLI);
-      times.add(Math.max(now, end));
+  /**
+   * Learns that a request has not started yet: the endpoint is at least as slow as the time that
+   * has passed shows. An endpoint that has become slow gets fewer requests before the first of
+   * those that it runs has ended.
+   *
+   * @return whether the request is still overdue
+   */
+  boolean learnOverdue(RunningRequest entry, double elapsedMillis) {
+    if (entry.isReleased || entry.hasStarted() || entry.averageFirstEventMillis <= 0) {
+      return false;
     }
-    for (int i = 0; i < freeSlots(now, ignorePause, capacityShare); i++) {
-      times.add(now);
+    double atLeast = bounded(elapsedMillis / Math.max(1, entry.averageFirstEventMillis));
+    if (atLeast > latencyFactor) {
+      latencyFactor += LATENCY_SMOOTHING * (atLeast - latencyFactor);
     }
+    return true;
   }
 
-  /** Returns the older grants of a requester that its report of held slots does not list. */
-  List<Long> grantsMissingFromReport(String requester, Set<Long> reported, long grantedBefore) {
-    List<Long> missing = new ArrayList<>();
-    for (RunningRequest entry : running.values()) {
-      boolean isRequesters = entry.request.requester().equals(requester);
-      if (isRequesters
-          && entry.grantedAt < grantedBefore
-          && !reported.contains(entry.request.id())) {
-        missing.add(entry.request.id());
-      }
-    }
-    return missing;
+  private static double bounded(double factor) {
+    return Math.max(MIN_LATENCY_FACTOR, Math.min(MAX_LATENCY_FACTOR, factor));
+  }
+
+  Iterable<RunningRequest> running() {
+    return running.values();
   }
 
-  boolean holds(long requestId) {
-    return running.containsKey(requestId);
+  @Nullable RunningRequest running(long requestId) {
+    return running.get(requestId);
   }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -31,7 +31,8 @@
 
   /**
    * Lower bound of the cap on the retry time of a request over its quota. The cap is half of the
-   * time left to the latency objective, because a late response is worth little.
+   * time left to the latency objective, because a late response is worth little; a request that is
+   * late already has none.
    */
   private static final long MIN_RETRY_CAP_MILLIS = 50;
 
@@ -119,9 +120,12 @@
       return true;
     }
     long quotaRetryMillis = quota.retryAfterMillis(request.quotaUnits(), now);
-    long maxRetryMillis =
-        Math.max(MIN_RETRY_CAP_MILLIS, (request.objectiveDeadline() - now) / NANOS_PER_MILLI / 2);
-    long retryMillis = Math.min(quotaRetryMillis, maxRetryMillis);
+    long leftMillis = (request.objectiveDeadline() - now) / NANOS_PER_MILLI;
+    boolean isLate = leftMillis <= 0;
+    long retryMillis =
+        isLate
+            ? quotaRetryMillis
+            : Math.min(quotaRetryMillis, Math.max(MIN_RETRY_CAP_MILLIS, leftMillis / 2));
     listener.refused(request, new SlotRefusal(SlotRefusal.Reason.OVER_QUOTA, retryMillis));
     return false;
   }
@@ -195,12 +199,8 @@
 
   /** Returns the id of the endpoint at which a request holds a slot, or null. */
   public @Nullable String endpointOf(String service, long requestId) {
-    for (EndpointLoad endpoint : pool(service).endpoints()) {
-      if (endpoint.holds(requestId)) {
-        return endpoint.endpoint().id();
-      }
-    }
-    return null;
+    EndpointLoad endpoint = pool(service).holder(requestId);
+    return endpoint == null ? null : endpoint.endpoint().id();
   }
 
   /** Removes a waiting request and refunds its quota units, because it did not run. */
@@ -213,9 +213,10 @@
 
   /** Records the first event of a stream. */
   public void firstEvent(String service, String endpointId, long requestId, double observedMillis) {
-    EndpointLoad endpoint = pool(service).endpoint(endpointId);
+    ServicePool pool = pool(service);
+    EndpointLoad endpoint = pool.endpoint(endpointId);
     if (endpoint != null) {
-      endpoint.firstEvent(requestId, observedMillis);
+      pool.firstEvent(endpoint, requestId, observedMillis);
     }
   }
 
@@ -237,7 +238,7 @@
     }
     EndpointLoad endpoint = pool.endpoint(endpointId);
     if (endpoint != null) {
-      endpoint.release(requestId, outcome, observedMillis, now);
+      pool.release(endpoint, requestId, outcome, observedMillis, now);
     }
     pool.grantFreeSlots(now);
   }
@@ -249,10 +250,12 @@
   }
 
   /**
-   * Grants slots of endpoints whose pause has ended, and refuses requests that can't start in time.
+   * Checks for overdue requests, grants slots of endpoints whose pause has ended, and refuses
+   * requests that can't start in time.
    */
   public void tick(long now) {
     for (ServicePool pool : pools.values()) {
+      pool.checkOverdue(now);
       pool.grantFreeSlots(now);
       pool.refuseUnservable(now);
     }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -2,11 +2,12 @@
 
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.ServiceSpec;
-import java.util.ArrayList;
-import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -24,19 +25,53 @@
 
   private static final long MAX_RETRY_MILLIS = 5_000;
 
+  /**
+   * Largest part by which a retry time deviates at random, so that callers do not return at once.
+   */
+  private static final double RETRY_SPREAD = 0.2;
+
+  /** Retry time of a request that is refused for another reason than load, milliseconds. */
+  private static final long DEFAULT_RETRY_MILLIS = 500;
+
+  /** Bounds the value density to [1/2, 2], so that neither long nor short requests starve. */
+  private static final double MAX_DENSITY_RATIO = 2;
+
+  /** Multiple of its expected time after which a request that has not started counts as overdue. */
+  private static final double OVERDUE_RATIO = 1.5;
+
+  /** Shortest time after which a request counts as overdue; covers pauses of busy hosts. */
+  private static final double MIN_OVERDUE_MILLIS = 20;
+
+  /** Submitted requests after which the endpoints are ordered anew for the mean of the work. */
+  private static final int REORDER_INTERVAL = 512;
+
+  /** A check whether a granted request has started. */
+  private record OverdueCheck(long at, EndpointLoad endpoint, RunningRequest entry) {}
+
   private final PoolListener listener;
   private final RandomGenerator random;
   private final RetryBudget retryBudget;
-  private final Map<String, EndpointLoad> endpoints = new HashMap<>();
-  private final List<SlotRequest> waiting = new ArrayList<>();
+  private final ServiceLatency latency = new ServiceLatency();
+  private final EndpointIndex endpoints;
+  private final WaitingQueue waiting = new WaitingQueue();
+  private final SlotTurnover turnover = new SlotTurnover();
+  private final RankStatistics ranks = new RankStatistics();
+  private final Map<Long, EndpointLoad> holders = new HashMap<>();
+  private final Map<String, Set<Long>> heldByRequester = new HashMap<>();
+  private final PriorityQueue<OverdueCheck> overdueChecks =
+      new PriorityQueue<>(Comparator.comparingLong(OverdueCheck::at));
   private double capacityShare = 1;
   private boolean isEngine;
   private long cacheTokens = DEFAULT_CACHE_TOKENS;
+  private int submitted;
+  private double meanPromptTokens;
+  private double meanOutputTokens;
 
   ServicePool(PoolListener listener, RandomGenerator random, RetryBudget budget) {
     this.listener = listener;
     this.random = random;
     this.retryBudget = budget;
+    this.endpoints = new EndpointIndex(random);
   }
 
   void configure(ServiceSpec spec) {
@@ -45,13 +80,12 @@
   }
 
   void put(EndpointRecord endpoint) {
-    EndpointLoad known = endpoints.get(endpoint.id());
+    EndpointLoad known = endpoints.find(endpoint.id());
     if (known != null) {
-      known.update(endpoint);
+      endpoints.change(known, () -> known.update(endpoint));
       return;
     }
-    EndpointLoad added = new EndpointLoad(endpoint, isEngine, cacheTokens, random.nextDouble());
-    endpoints.put(endpoint.id(), added);
+    endpoints.add(new EndpointLoad(endpoint, isEngine, cacheTokens, latency, random.nextDouble()));
   }
 
   /**
@@ -62,26 +96,36 @@
    */
   void setCapacityShare(double updated) {
     capacityShare = updated;
+    endpoints.setCapacityShare(updated);
   }
 
   /** Records a grant of another scheduler. */
   void restoreGrant(String endpointId, SlotRequest request, long now) {
-    EndpointLoad endpoint = endpoints.get(endpointId);
+    EndpointLoad endpoint = endpoints.find(endpointId);
     if (endpoint != null) {
-      endpoint.restoreGrant(request, now);
+      endpoints.change(endpoint, () -> endpoint.restoreGrant(request, now));
+      recordHolder(request, endpoint);
     }
   }
 
   void remove(String endpointId) {
-    endpoints.remove(endpointId);
+    EndpointLoad removed = endpoints.remove(endpointId);
+    if (removed == null) {
+      return;
+    }
+    for (RunningRequest entry : removed.running()) {
+      entry.isReleased = true;
+      forgetHolder(entry.request);
+    }
   }
 
   @Nullable EndpointLoad endpoint(String id) {
-    return endpoints.get(id);
+    return endpoints.find(id);
   }
 
-  Iterable<EndpointLoad> endpoints() {
-    return endpoints.values();
+  /** Returns the endpoint at which a request holds a slot, or null. */
+  @Nullable EndpointLoad holder(long requestId) {
+    return holders.get(requestId);
   }
 
   int waitingCount() {
@@ -98,125 +142,154 @@
     } else {
       retryBudget.requestStarted();
     }
-    if (endpoints.isEmpty()) {
+    if (endpoints.size() == 0) {
       refuse(request, SlotRefusal.Reason.NO_ENDPOINT, now);
       return;
     }
-    waiting.add(request);
+    double holdMillis = latency.idleTotalMillis(request.estimate());
+    turnover.arrived(holdMillis, now);
+    ranks.add(request.rank(), holdMillis);
+    learnWork(request.estimate());
+    waiting.add(waitingRequest(request, holdMillis));
     grantFreeSlots(now);
-    if (isWaiting(request.id())) {
-      refuseUnservable(now);
+    if (waiting.contains(request.id())) {
+      refuseLast(now);
+    }
+  }
+
+  private WaitingRequest waitingRequest(SlotRequest request, double holdMillis) {
+    double firstEventMillis = latency.idleFirstEventMillis(request.estimate());
+    long latestOnTimeStart =
+        request.objectiveDeadline() - (long) (firstEventMillis * NANOS_PER_MILLI);
+    double density = request.value() * ranks.meanHoldMillis(request.rank()) / holdMillis;
+    double bounded = Math.max(1 / MAX_DENSITY_RATIO, Math.min(MAX_DENSITY_RATIO, density));
+    return new WaitingRequest(request, latestOnTimeStart, holdMillis, bounded);
+  }
+
+  private void learnWork(WorkEstimate work) {
+    submitted++;
+    double weight = 1.0 / Math.min(submitted, REORDER_INTERVAL);
+    meanPromptTokens += weight * (work.promptTokens() - meanPromptTokens);
+    meanOutputTokens += weight * (work.outputTokens() - meanOutputTokens);
+    if (submitted % REORDER_INTERVAL == 1) {
+      endpoints.setAverageWork(
+          new WorkEstimate((int) meanPromptTokens, (int) meanOutputTokens, List.of()));
     }
   }
 
   /** Removes a waiting request; returns it, or null if it is not waiting. */
   @Nullable SlotRequest withdraw(long requestId) {
-    for (SlotRequest request : waiting) {
-      if (request.id() == requestId) {
-        waiting.removeIf(each -> each.id() == requestId);
-        return request;
-      }
-    }
-    return null;
+    return waiting.remove(requestId);
   }
 
   boolean isWaiting(long requestId) {
-    for (SlotRequest request : waiting) {
-      if (request.id() == requestId) {
-        return true;
-      }
-    }
-    return false;
+    return waiting.contains(requestId);
   }
 
-  /** Grants free slots to the waiting requests, in the order of {@link SlotRequestOrder}. */
+  /** Grants free slots to the waiting requests, in the order of {@link WaitingQueue}. */
   void grantFreeSlots(long now) {
-    while (!waiting.isEmpty() && hasFreeSlot(now)) {
+    endpoints.endPauses(now);
+    while (!waiting.isEmpty() && endpoints.hasFreeSlot()) {
       SlotRequest best = null;
       EndpointLoad target = null;
-      for (SlotRequest request : inGrantOrder(now)) {
-        EndpointLoad candidate = bestEndpoint(request, now);
-        if (candidate != null) {
-          best = request;
-          target = candidate;
+      for (WaitingRequest candidate : waiting) {
+        target = endpoints.cheapest(candidate.request);
+        if (target != null) {
+          best = candidate.request;
           break;
         }
       }
       if (best == null || target == null) {
         return;
       }
-      withdraw(best.id());
-      target.grant(best, now);
-      listener.granted(best, target.endpoint().id());
+      waiting.remove(best.id());
+      grant(best, target, now);
     }
   }
 
-  /**
-   * Returns whether pauses after failures are ignored. When at least half of the endpoints fail,
-   * the cause is probably common to them, and pausing them would make the service unavailable.
-   */
-  private boolean ignoresPauses(long now) {
-    int paused = 0;
-    for (EndpointLoad endpoint : endpoints.values()) {
-      paused += endpoint.isPaused(now) ? 1 : 0;
-    }
-    return paused * 2 >= endpoints.size();
+  private void grant(SlotRequest request, EndpointLoad target, long now) {
+    endpoints.change(
+        target,
+        () -> {
+          RunningRequest entry = target.grant(request, now);
+          turnover.granted(entry.totalMillis);
+          double overdueMillis =
+              Math.max(MIN_OVERDUE_MILLIS, entry.firstEventMillis * OVERDUE_RATIO);
+          overdueChecks.add(
+              new OverdueCheck(now + (long) (overdueMillis * NANOS_PER_MILLI), target, entry));
+        });
+    endpoints.promptSent(target, request.estimate());
+    recordHolder(request, target);
+    listener.granted(request, target.endpoint().id());
   }
 
-  private boolean hasFreeSlot(long now) {
-    boolean ignorePause = ignoresPauses(now);
-    for (EndpointLoad endpoint : endpoints.values()) {
-      if (freeSlots(endpoint, now, ignorePause) > 0) {
-        return true;
-      }
+  private void recordHolder(SlotRequest request, EndpointLoad endpoint) {
+    holders.put(request.id(), endpoint);
+    heldByRequester.computeIfAbsent(request.requester(), key -> new HashSet<>()).add(request.id());
+  }
+
+  private void forgetHolder(SlotRequest request) {
+    holders.remove(request.id());
+    Set<Long> held = heldByRequester.get(request.requester());
+    if (held != null && held.remove(request.id()) && held.isEmpty()) {
+      heldByRequester.remove(request.requester());
     }
-    return false;
   }
 
-  /** Returns the free slots within the capacity share, which is at least one slot per service. */
-  private int freeSlots(EndpointLoad endpoint, long now, boolean ignorePause) {
-    int free = endpoint.freeSlots(now, ignorePause, capacityShare);
-    boolean isGuaranteed =
-        capacityShare < 1 && endpoint.runningCount() == 0 && endpoint == guaranteedEndpoint();
-    return isGuaranteed ? Math.max(1, free) : free;
+  void firstEvent(EndpointLoad endpoint, long requestId, double observedMillis) {
+    endpoints.change(endpoint, () -> endpoint.firstEvent(requestId, observedMillis));
   }
 
-  /** Returns the endpoint at which a slot may always be granted, or null without endpoints. */
-  private @Nullable EndpointLoad guaranteedEndpoint() {
-    EndpointLoad best = null;
-    for (EndpointLoad endpoint : endpoints.values()) {
-      if (best == null || endpoint.roundingOffset() > best.roundingOffset()) {
-        best = endpoint;
-      }
-    }
-    return best;
+  void release(
+      EndpointLoad endpoint, long requestId, Outcome outcome, double observedMillis, long now) {
+    endpoints.change(
+        endpoint,
+        () -> {
+          RunningRequest entry = endpoint.release(requestId, outcome, observedMillis, now);
+          if (entry != null) {
+            forgetHolder(entry.request);
+          }
+        });
   }
 
-  private List<SlotRequest> inGrantOrder(long now) {
-    if (waiting.size() == 1) {
-      return waiting;
+  /**
+   * Takes work from endpoints whose requests have not started after their expected time, long
+   * before these requests end.
+   */
+  void checkOverdue(long now) {
+    while (!overdueChecks.isEmpty() && overdueChecks.peek().at() <= now) {
+      OverdueCheck check = overdueChecks.poll();
+      RunningRequest entry = check.entry();
+      double elapsedMillis = (now - entry.grantedAt) / NANOS_PER_MILLI;
+      endpoints.change(
+          check.endpoint(),
+          () -> {
+            if (check.endpoint().learnOverdue(entry, elapsedMillis)) {
+              long next = now + (long) (elapsedMillis * (OVERDUE_RATIO - 1) * NANOS_PER_MILLI);
+              overdueChecks.add(new OverdueCheck(next, check.endpoint(), entry));
+            }
+          });
     }
-    List<SlotRequest> ordered = new ArrayList<>(waiting);
-    ordered.sort(new SlotRequestOrder(now));
-    return ordered;
   }
 
-  private @Nullable EndpointLoad bestEndpoint(SlotRequest request, long now) {
-    EndpointLoad best = null;
-    double bestMillis = Double.MAX_VALUE;
-    boolean ignorePause = ignoresPauses(now);
-    for (EndpointLoad endpoint : endpoints.values()) {
-      if (freeSlots(endpoint, now, ignorePause) == 0
-          || request.excluded().contains(endpoint.endpoint().id())) {
+  /** Refuses requests from the end of the queue as long as the last one can't start in time. */
+  private void refuseLast(long now) {
+    if (capacityShare < 1) {
+      refuseOverdue(now);
+      return;
+    }
+    while (!waiting.isEmpty()) {
+      WaitingRequest last = waiting.last();
+      int position = waiting.size() - 1;
+      if (!last.isLate && isExpectedLate(last, position, now)) {
+        waiting.markLate(last, ranks);
         continue;
       }
-      double millis = endpoint.expectedCostMillis(request) + random.nextDouble();
-      if (millis < bestMillis) {
-        bestMillis = millis;
-        best = endpoint;
+      if (canStart(last, position, now)) {
+        return;
       }
+      refuseOverloaded(last, now);
     }
-    return best;
   }
 
   /** Refuses the requests that are not expected to start before their start deadline. */
@@ -228,80 +301,80 @@
       refuseOverdue(now);
       return;
     }
-    List<Long> freeTimes = new ArrayList<>();
-    boolean ignorePause = ignoresPauses(now);
-    for (EndpointLoad endpoint : endpoints.values()) {
-      endpoint.addSlotFreeTimes(now, ignorePause, capacityShare, freeTimes);
-    }
-    Collections.sort(freeTimes);
-    double meanMillis = meanTotalMillis();
     int position = 0;
-    for (SlotRequest request : List.copyOf(inGrantOrder(now))) {
-      long startsAt = expectedStart(position, freeTimes, meanMillis, now);
-      if (startsAt <= request.startDeadline() && !freeTimes.isEmpty()) {
-        position++;
-        continue;
+    for (WaitingRequest each : waiting.snapshot()) {
+      boolean isNowLate = !each.isLate && isExpectedLate(each, position, now);
+      if (isNowLate) {
+        waiting.markLate(each, ranks);
       }
-      if (withdraw(request.id()) != null) {
-        refuseOverloaded(request, startsAt, now);
+      if (!canStart(each, position, now)) {
+        refuseOverloaded(each, now);
+      } else if (!isNowLate) {
+        position++;
       }
     }
   }
 
-  /**
-   * Refuses the requests whose start deadline has passed. Used while the group is incomplete, when
-   * no host knows all grants and the times at which slots become free can't be estimated.
-   */
-  private void refuseOverdue(long now) {
-    for (SlotRequest request : List.copyOf(waiting)) {
-      if (now - request.startDeadline() > 0 && withdraw(request.id()) != null) {
-        refuse(request, SlotRefusal.Reason.OVERLOADED, now);
-      }
-    }
+  private boolean isExpectedLate(WaitingRequest request, int position, long now) {
+    return endpoints.slots() == 0
+        || now + turnover.expectedWait(position, endpoints.slots()) > request.latestOnTimeStart;
   }
 
-  private static long expectedStart(
-      int position, List<Long> freeTimes, double meanMillis, long now) {
-    if (freeTimes.isEmpty()) {
-      return now + (long) (MAX_RETRY_MILLIS * NANOS_PER_MILLI);
+  private boolean canStart(WaitingRequest each, int position, long now) {
+    int slots = endpoints.slots();
+    if (slots == 0) {
+      return false;
     }
-    int rounds = position / freeTimes.size();
-    long first = freeTimes.get(position % freeTimes.size());
-    return first + (long) (rounds * meanMillis * NANOS_PER_MILLI);
+    long wait =
+        each.isLate
+            ? turnover.expectedLateWait(position, slots, now)
+            : turnover.expectedWait(position, slots);
+    return now + wait <= each.request.startDeadline();
   }
 
-  private double meanTotalMillis() {
-    double sum = 0;
-    for (SlotRequest request : waiting) {
-      double fastest = Double.MAX_VALUE;
-      for (EndpointLoad endpoint : endpoints.values()) {
-        fastest = Math.min(fastest, endpoint.totalMillis(request));
+  /**
+   * Refuses the requests whose start deadline has passed. Used while the group is incomplete, when
+   * no host knows all grants and the times at which slots become free can't be estimated.
+   */
+  private void refuseOverdue(long now) {
+    for (WaitingRequest each : waiting.snapshot()) {
+      if (now - each.request.startDeadline() > 0) {
+        waiting.remove(each.request.id());
+        refuse(each.request, SlotRefusal.Reason.OVERLOADED, now);
       }
-      sum += fastest;
     }
-    return waiting.isEmpty() ? 0 : sum / waiting.size();
   }
 
   private void refuse(SlotRequest request, SlotRefusal.Reason reason, long now) {
-    refuseAt(request, reason, now + (long) (500 * NANOS_PER_MILLI), now);
+    refuseAt(request, reason, now + (long) (DEFAULT_RETRY_MILLIS * NANOS_PER_MILLI), now);
   }
 
-  private void refuseOverloaded(SlotRequest request, long startsAt, long now) {
-    refuseAt(request, SlotRefusal.Reason.OVERLOADED, startsAt, now);
+  private void refuseOverloaded(WaitingRequest refused, long now) {
+    waiting.remove(refused.request.id());
+    long latest = now + (long) (MAX_RETRY_MILLIS * NANOS_PER_MILLI);
+    int slots = Math.max(1, endpoints.slots());
+    long returnAt = turnover.nextReturn(refused.holdMillis, waiting.size(), slots, now);
+    turnover.limitReturns(latest);
+    refuseAt(refused.request, SlotRefusal.Reason.OVERLOADED, returnAt, now);
   }
 
   private void refuseAt(SlotRequest request, SlotRefusal.Reason reason, long startsAt, long now) {
-    double spread = 0.8 + 0.4 * random.nextDouble();
-    long millis = (long) ((startsAt - now) / NANOS_PER_MILLI * spread);
-    long bounded = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, millis));
-    listener.refused(request, new SlotRefusal(reason, bounded));
+    double spread = 1 - RETRY_SPREAD + 2 * RETRY_SPREAD * random.nextDouble();
+    double latestMillis = MAX_RETRY_MILLIS / (1 + RETRY_SPREAD);
+    double millis = Math.min(latestMillis, (startsAt - now) / NANOS_PER_MILLI) * spread;
+    listener.refused(request, new SlotRefusal(reason, Math.max(MIN_RETRY_MILLIS, (long) millis)));
   }
 
   /** Frees the slots that a requester was granted and that its report no longer lists. */
-  void reconcile(String requester, Set<Long> held, long grantedBefore, long now) {
-    for (EndpointLoad endpoint : endpoints.values()) {
-      for (long id : endpoint.grantsMissingFromReport(requester, held, grantedBefore)) {
-        endpoint.release(id, Outcome.WITHDRAWN, 0, now);
+  void reconcile(String requester, Set<Long> reported, long grantedBefore, long now) {
+    for (long id : List.copyOf(heldByRequester.getOrDefault(requester, Set.of()))) {
+      EndpointLoad endpoint = holders.get(id);
+      RunningRequest entry = endpoint == null ? null : endpoint.running(id);
+      if (endpoint != null
+          && entry != null
+          && entry.grantedAt < grantedBefore
+          && !reported.contains(id)) {
+        release(endpoint, id, Outcome.WITHDRAWN, 0, now);
       }
     }
     grantFreeSlots(now);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -72,7 +72,9 @@
     this.head = head;
     this.route = route;
     this.customer = customer;
-    this.deadlines = new RequestDeadlines(route, head.remainingMillis(), request.arrivedAt());
+    long waitedMillis = context.waitEstimator().waitedMillis(route.name(), head.remainingMillis());
+    this.deadlines =
+        new RequestDeadlines(route, head.remainingMillis(), waitedMillis, request.arrivedAt());
     this.service = route.pickService(context.random().nextDouble());
     this.value =
         context
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestDeadlines.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestDeadlines.java
@@ -28,12 +28,20 @@
   private static final double STREAM_QUEUE_SHARE = 0.6;
 
   private final long arrivedAt;
+  private final long waitedMillis;
   private final long timeoutMillis;
   private final Route route;
 
-  RequestDeadlines(Route route, long remainingMillis, long arrivedAt) {
+  /**
+   * Creates the deadlines of a request.
+   *
+   * @param remainingMillis time that the caller has left, milliseconds; negative if not stated
+   * @param waitedMillis time since the caller's first attempt, milliseconds
+   */
+  RequestDeadlines(Route route, long remainingMillis, long waitedMillis, long arrivedAt) {
     this.route = route;
     this.arrivedAt = arrivedAt;
+    this.waitedMillis = waitedMillis;
     long stated = remainingMillis < 0 ? DEFAULT_TIMEOUT_MILLIS : remainingMillis;
     this.timeoutMillis =
         route.timeoutMillis() > 0 ? Math.min(stated, route.timeoutMillis()) : stated;
@@ -44,9 +52,12 @@
     return arrivedAt + timeoutMillis * NANOS_PER_MILLI;
   }
 
-  /** Returns when the first event or the plain response is due to meet the objective. */
+  /**
+   * Returns when the first event or the plain response is due to meet the objective, which counts
+   * from the caller's first attempt.
+   */
   long objectiveDeadline() {
-    return arrivedAt + route.objectiveMillis() * NANOS_PER_MILLI;
+    return arrivedAt + (route.objectiveMillis() - waitedMillis) * NANOS_PER_MILLI;
   }
 
   /** Returns the latest start at an endpoint that still serves the caller. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
@@ -38,7 +38,8 @@
       DecisionLog log,
       GatewayMetrics metrics,
       RandomGenerator random,
-      RequestValueEstimator valueEstimator) {}
+      RequestValueEstimator valueEstimator,
+      CallerWaitEstimator waitEstimator) {}
 
   private final Context context;
 
@@ -60,7 +61,8 @@
             log,
             metrics,
             random,
-            new RequestValueEstimator());
+            new RequestValueEstimator(),
+            new CallerWaitEstimator());
   }
 
   @Override
