Scheduler: learned latency that is stable with many requests in flight

The scale of the latency model was multiplied by observed over expected, where the expected time held the scale at the grant. With hundreds in flight each observation was applied to a scale that others had already corrected, and it ran away to 1e9 and back; the checks for overdue requests, due at multiples of it, filled the heap (found by PoolBenchmark: 152,000 checks, out of memory at 64 MB). Ruled out: pending prefill that is not given back; it returns to 0.

Observations are compared with the unscaled model, so they don't depend on what was learned before. Overdue requests are also checked at each submission. The order of endpoints is rebuilt only when the mean work changes. A request that arrives late waits on, as its caller has probably returned and will not again; one that becomes late while waiting is told a better time.

--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/PoolBenchmark.java
@@ -0,0 +1,122 @@
+package io.samphiredyke.bench.jmh;
+
+import io.samphiredyke.core.pool.Outcome;
+import io.samphiredyke.core.pool.PoolListener;
+import io.samphiredyke.core.pool.PoolOptions;
+import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.pool.PromptPart;
+import io.samphiredyke.core.pool.SlotRefusal;
+import io.samphiredyke.core.pool.SlotRequest;
+import io.samphiredyke.core.pool.WorkEstimate;
+import io.samphiredyke.core.serving.EndpointRecord;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/**
+ * Measures one submission and one release of the scheduler of a service, with free slots and with
+ * requests that wait.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class PoolBenchmark implements PoolListener {
+
+  private static final int SLOTS = 4;
+  private static final int RANKS = 3;
+  private static final long MILLI = 1_000_000;
+
+  /** Time between two submissions; about the arrival rate that 74 engines serve. */
+  private static final long STEP_NANOS = 2 * MILLI;
+
+  /** Far enough that requests wait without being refused. */
+  private static final long FAR_NANOS = 3_600_000 * MILLI;
+
+  private record Held(long id, String endpoint) {}
+
+  /** Number of endpoints and of waiting requests. */
+  @Param({"6:0", "74:0", "74:50", "74:200", "74:800", "300:0", "300:200"})
+  public String size = "6:0";
+
+  private final SplittableRandom random = new SplittableRandom(1);
+  private final Deque<Held> held = new ArrayDeque<>();
+  private final PoolScheduler scheduler =
+      new PoolScheduler(new PoolOptions(0.2, 50, 0, 0, 300), this, new SplittableRandom(2));
+  private long nextId;
+  private long now;
+  private int refused;
+
+  /** Fills the slots, half of them if no request is to wait, and the queue. */
+  @Setup
+  public void fill() {
+    String[] parts = size.split(":", -1);
+    int endpoints = Integer.parseInt(parts[0]);
+    int waiting = Integer.parseInt(parts[1]);
+    for (int i = 0; i < endpoints; i++) {
+      scheduler.put(new EndpointRecord("e" + i, "s", "10.0.0.1:1", "a", SLOTS, false, 0, 1), now);
+    }
+    int slots = endpoints * SLOTS;
+    int filled = waiting == 0 ? slots / 2 : slots + waiting;
+    for (int i = 0; i < filled; i++) {
+      scheduler.submit(request(), now);
+    }
+  }
+
+  private SlotRequest request() {
+    long id = nextId++;
+    int tokens = 500 + random.nextInt(5_000);
+    WorkEstimate work =
+        new WorkEstimate(
+            tokens,
+            20 + random.nextInt(200),
+            List.of(new PromptPart(1, 60), new PromptPart(-id, tokens)));
+    return new SlotRequest(
+        id,
+        "host" + id % 95,
+        "s",
+        (int) (id % RANKS),
+        0.5 + random.nextDouble(),
+        work,
+        "",
+        0,
+        false,
+        Set.of(),
+        now + FAR_NANOS,
+        now + FAR_NANOS);
+  }
+
+  /** Submits a request and releases the slot that has been held longest. */
+  @Benchmark
+  public int submitAndRelease() {
+    now += STEP_NANOS;
+    scheduler.submit(request(), now);
+    Held oldest = held.pollFirst();
+    if (oldest == null) {
+      throw new IllegalStateException("no slot is held");
+    }
+    scheduler.firstEvent("s", oldest.endpoint(), oldest.id(), 100);
+    scheduler.release("s", oldest.endpoint(), oldest.id(), Outcome.SERVED, 400, now);
+    return refused;
+  }
+
+  @Override
+  public void granted(SlotRequest request, String endpointId) {
+    held.addLast(new Held(request.id(), endpointId));
+  }
+
+  @Override
+  public void refused(SlotRequest request, SlotRefusal refusal) {
+    refused++;
+  }
+}
--- /dev/null
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/PoolJmh.java
@@ -0,0 +1,80 @@
+package io.samphiredyke.bench.jmh;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+
+/**
+ * Command {@code pool-jmh}: measures time and allocation of one decision of the pool scheduler,
+ * with the compiler and collector of the gateway, and checks how they grow.
+ */
+public final class PoolJmh {
+
+  private static final double BOUND_MICROS = 20;
+  private static final double GROWTH_BOUND = 2;
+  private static final int ITERATIONS = 5;
+  private static final int ITERATION_SECONDS = 1;
+
+  private PoolJmh() {}
+
+  /**
+   * Runs the command.
+   *
+   * @param args ignored
+   * @return the exit status: 0 on success, 1 if a bound is violated
+   */
+  public static int run(String[] args) {
+    Options options =
+        new OptionsBuilder()
+            .include(PoolBenchmark.class.getSimpleName())
+            .forks(1)
+            .jvmArgsAppend("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+            .warmupIterations(ITERATIONS)
+            .warmupTime(TimeValue.seconds(ITERATION_SECONDS))
+            .measurementIterations(ITERATIONS)
+            .measurementTime(TimeValue.seconds(ITERATION_SECONDS))
+            .addProfiler(GCProfiler.class)
+            .build();
+    try {
+      return check(new Runner(options).run());
+    } catch (RunnerException e) {
+      throw new IllegalStateException("the benchmark could not be run", e);
+    }
+  }
+
+  private static int check(Collection<RunResult> results) {
+    Map<String, Double> micros = new HashMap<>();
+    for (RunResult result : results) {
+      micros.put(result.getParams().getParam("size"), result.getPrimaryResult().getScore());
+    }
+    int failures = 0;
+    failures += isWithin("74:800", micros, GROWTH_BOUND * value(micros, "74:0")) ? 0 : 1;
+    failures += isWithin("300:0", micros, GROWTH_BOUND * value(micros, "6:0")) ? 0 : 1;
+    failures += isWithin("74:800", micros, BOUND_MICROS) ? 0 : 1;
+    return failures == 0 ? 0 : 1;
+  }
+
+  private static double value(Map<String, Double> micros, String size) {
+    return micros.getOrDefault(size, Double.NaN);
+  }
+
+  private static boolean isWithin(String size, Map<String, Double> micros, double bound) {
+    boolean isMet = value(micros, size) <= bound;
+    System.out.printf(
+        Locale.ROOT,
+        "%s %.2f us, bound %.2f us: %s%n",
+        size,
+        value(micros, size),
+        bound,
+        isMet ? "met" : "BROKEN");
+    return isMet;
+  }
+}
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -113,16 +113,30 @@
     return pausedUntil;
   }
 
-  /** Returns the expected time to the first event, or the response, if granted now. */
-  private double averageFirstEventMillis(WorkEstimate work, double prefillMillis) {
+  /** Returns the modelled time to the first event, or the response, if granted now. */
+  private double modelledFirstEventMillis(WorkEstimate work, double prefillMillis) {
     if (!work.isGeneration()) {
-      return average.plainMillis() * (1 + (double) running.size() / (4 * endpoint.slots()));
+      return LatencyModel.PLAIN_MILLIS * (1 + (double) running.size() / (4 * endpoint.slots()));
     }
-    return average.firstEventMillis() + pendingPrefillMillis + prefillMillis;
+    return LatencyModel.firstEventMillis() + pendingPrefillMillis + prefillMillis;
   }
 
-  private double averageDecodeMillis(WorkEstimate work) {
-    return work.isGeneration() ? average.decodeMillis(work.outputTokens(), running.size() + 1) : 0;
+  private double modelledDecodeMillis(WorkEstimate work) {
+    return work.isGeneration()
+        ? LatencyModel.decodeMillis(work.outputTokens(), running.size() + 1)
+        : 0;
+  }
+
+  private double modelledPrefillMillis(WorkEstimate work) {
+    if (!work.isGeneration()) {
+      return 0;
+    }
+    int uncached = Math.max(1, work.promptTokens() - cache.cachedTokens(work.parts()));
+    return LatencyModel.prefillMillis(uncached, work.promptTokens());
+  }
+
+  private double firstEventScale(WorkEstimate work) {
+    return work.isGeneration() ? average.firstEventScale() : average.plainScale();
   }
 
   /**
@@ -130,30 +144,28 @@
    * that a failed attempt causes at other endpoints.
    */
   double expectedCostMillis(WorkEstimate work) {
-    double prefill = work.isGeneration() ? prefillMillis(work) : 0;
-    double total = averageFirstEventMillis(work, prefill) + averageDecodeMillis(work);
+    double firstEvent = modelledFirstEventMillis(work, modelledPrefillMillis(work));
+    double total =
+        firstEventScale(work) * firstEvent + average.decodeScale() * modelledDecodeMillis(work);
     return latencyFactor * total / (1 - errorRate * ERROR_WEIGHT);
   }
 
-  private double prefillMillis(WorkEstimate work) {
-    int uncached = Math.max(1, work.promptTokens() - cache.cachedTokens(work.parts()));
-    return average.prefillMillis(uncached, work.promptTokens());
-  }
-
   RunningRequest grant(SlotRequest request, long now) {
     WorkEstimate work = request.estimate();
-    double prefill = work.isGeneration() ? prefillMillis(work) : 0;
-    double firstEvent = averageFirstEventMillis(work, prefill);
-    double decode = averageDecodeMillis(work);
+    double prefill = modelledPrefillMillis(work);
+    double firstEvent = modelledFirstEventMillis(work, prefill);
+    double decode = modelledDecodeMillis(work);
+    double expectedFirstEvent = latencyFactor * firstEventScale(work) * firstEvent;
+    double expectedDecode = latencyFactor * average.decodeScale() * decode;
     RunningRequest entry =
         new RunningRequest(
             request,
             now,
             prefill,
-            latencyFactor * firstEvent,
             firstEvent,
             decode,
-            latencyFactor * (firstEvent + decode));
+            expectedFirstEvent,
+            expectedFirstEvent + expectedDecode);
     running.put(request.id(), entry);
     pendingPrefillMillis += prefill;
     if (isEngine) {
@@ -177,12 +189,12 @@
     }
     markStarted(entry, observedMillis);
     learnFirstEvent(observedMillis, entry);
-    average.observeFirstEvent(observedMillis, entry.averageFirstEventMillis);
+    average.observeFirstEvent(observedMillis, entry.modelledFirstEventMillis);
   }
 
   private void markStarted(RunningRequest entry, double observedMillis) {
     entry.startedAfterMillis = Math.max(0, observedMillis);
-    pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.prefillMillis);
+    pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.modelledPrefillMillis);
   }
 
   /** Frees the slot of a request and learns from its outcome. */
@@ -215,7 +227,7 @@
   private void removed(RunningRequest entry) {
     entry.isReleased = true;
     if (!entry.hasStarted()) {
-      pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.prefillMillis);
+      pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.modelledPrefillMillis);
     }
     if (running.isEmpty()) {
       pendingPrefillMillis = 0;
@@ -225,9 +237,9 @@
   private void learnTotal(double observedMillis, RunningRequest entry) {
     if (!entry.request.estimate().isGeneration()) {
       learnFirstEvent(observedMillis, entry);
-      average.observePlain(observedMillis, entry.averageFirstEventMillis);
-    } else if (entry.hasStarted() && entry.averageDecodeMillis > 0) {
-      average.observeDecode(observedMillis - entry.startedAfterMillis, entry.averageDecodeMillis);
+      average.observePlain(observedMillis, entry.modelledFirstEventMillis);
+    } else if (entry.hasStarted() && entry.modelledDecodeMillis > 0) {
+      average.observeDecode(observedMillis - entry.startedAfterMillis, entry.modelledDecodeMillis);
     }
   }
 
@@ -241,8 +253,8 @@
   }
 
   private void learnFirstEvent(double observed, RunningRequest entry) {
-    if (entry.averageFirstEventMillis > 0) {
-      double sample = bounded(observed / Math.max(1, entry.averageFirstEventMillis));
+    if (entry.modelledFirstEventMillis > 0) {
+      double sample = bounded(observed / averageFirstEventMillis(entry));
       latencyFactor += LATENCY_SMOOTHING * (sample - latencyFactor);
     }
   }
@@ -255,16 +267,21 @@
    * @return whether the request is still overdue
    */
   boolean learnOverdue(RunningRequest entry, double elapsedMillis) {
-    if (entry.isReleased || entry.hasStarted() || entry.averageFirstEventMillis <= 0) {
+    if (entry.isReleased || entry.hasStarted() || entry.modelledFirstEventMillis <= 0) {
       return false;
     }
-    double atLeast = bounded(elapsedMillis / Math.max(1, entry.averageFirstEventMillis));
+    double atLeast = bounded(elapsedMillis / averageFirstEventMillis(entry));
     if (atLeast > latencyFactor) {
       latencyFactor += LATENCY_SMOOTHING * (atLeast - latencyFactor);
     }
     return true;
   }
 
+  private double averageFirstEventMillis(RunningRequest entry) {
+    double scale = firstEventScale(entry.request.estimate());
+    return Math.max(1, scale * entry.modelledFirstEventMillis);
+  }
+
   private static double bounded(double factor) {
     return Math.max(MIN_LATENCY_FACTOR, Math.min(MAX_LATENCY_FACTOR, factor));
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/RunningRequest.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/RunningRequest.java
@@ -6,17 +6,17 @@
   final SlotRequest request;
   final long grantedAt;
 
-  /** Expected prefill time, milliseconds; counts as pending until the first event. */
-  final double prefillMillis;
+  /** Modelled prefill time, milliseconds; counts as pending until the first event. */
+  final double modelledPrefillMillis;
 
-  /** Expected time to the first event or the plain response at this endpoint, milliseconds. */
-  final double firstEventMillis;
+  /** Modelled time to the first event or the plain response, milliseconds; 0 if unknown. */
+  final double modelledFirstEventMillis;
 
-  /** The same at an endpoint of the service's average speed. */
-  final double averageFirstEventMillis;
+  /** Modelled decoding time, milliseconds; 0 for a plain request or if unknown. */
+  final double modelledDecodeMillis;
 
-  /** Expected decoding time at an endpoint of the service's average speed, milliseconds. */
-  final double averageDecodeMillis;
+  /** Expected time to the first event or the plain response at this endpoint, milliseconds. */
+  final double firstEventMillis;
 
   /** Expected time in all, milliseconds. */
   final double totalMillis;
@@ -30,17 +30,17 @@
   RunningRequest(
       SlotRequest request,
       long grantedAt,
-      double prefillMillis,
+      double modelledPrefillMillis,
+      double modelledFirstEventMillis,
+      double modelledDecodeMillis,
       double firstEventMillis,
-      double averageFirstEventMillis,
-      double averageDecodeMillis,
       double totalMillis) {
     this.request = request;
     this.grantedAt = grantedAt;
-    this.prefillMillis = prefillMillis;
+    this.modelledPrefillMillis = modelledPrefillMillis;
+    this.modelledFirstEventMillis = modelledFirstEventMillis;
+    this.modelledDecodeMillis = modelledDecodeMillis;
     this.firstEventMillis = firstEventMillis;
-    this.averageFirstEventMillis = averageFirstEventMillis;
-    this.averageDecodeMillis = averageDecodeMillis;
     this.totalMillis = totalMillis;
   }
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServiceLatency.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServiceLatency.java
@@ -22,31 +22,27 @@
   private double decodeScale = 1;
   private double plainScale = 1;
 
-  /** Returns the expected time of a plain request, milliseconds. */
-  double plainMillis() {
-    return plainScale * LatencyModel.PLAIN_MILLIS;
+  /** Returns the ratio of observed to modelled times to the first event. */
+  double firstEventScale() {
+    return firstEventScale;
   }
 
-  /** Returns the expected prefill time of a prompt, milliseconds. */
-  double prefillMillis(double uncachedTokens, double promptTokens) {
-    return firstEventScale * LatencyModel.prefillMillis(uncachedTokens, promptTokens);
+  /** Returns the ratio of observed to modelled decoding times. */
+  double decodeScale() {
+    return decodeScale;
   }
 
-  /** Returns the expected time to the first event at an idle endpoint, prefill excluded. */
-  double firstEventMillis() {
-    return firstEventScale * LatencyModel.firstEventMillis();
-  }
-
-  /** Returns the expected time to decode an output, milliseconds. */
-  double decodeMillis(int outputTokens, int running) {
-    return decodeScale * LatencyModel.decodeMillis(outputTokens, running);
+  /** Returns the ratio of observed to modelled times of plain requests. */
+  double plainScale() {
+    return plainScale;
   }
 
   /** Returns the expected time of a request at an idle endpoint of average speed, milliseconds. */
   double idleTotalMillis(WorkEstimate work) {
+    double firstEvent = idleFirstEventMillis(work);
     return work.isGeneration()
-        ? idleFirstEventMillis(work) + decodeMillis(work.outputTokens(), 1)
-        : plainMillis();
+        ? firstEvent + decodeScale * LatencyModel.decodeMillis(work.outputTokens(), 1)
+        : firstEvent;
   }
 
   /**
@@ -54,29 +50,31 @@
    * average speed, milliseconds.
    */
   double idleFirstEventMillis(WorkEstimate work) {
-    return work.isGeneration()
-        ? firstEventMillis() + prefillMillis(work.promptTokens(), work.promptTokens())
-        : plainMillis();
+    if (!work.isGeneration()) {
+      return plainScale * LatencyModel.PLAIN_MILLIS;
+    }
+    double prefill = LatencyModel.prefillMillis(work.promptTokens(), work.promptTokens());
+    return firstEventScale * (LatencyModel.firstEventMillis() + prefill);
   }
 
-  /** Learns from a first event that was expected after a time by this average. */
-  void observeFirstEvent(double observedMillis, double expectedMillis) {
-    firstEventScale = moved(firstEventScale, observedMillis, expectedMillis);
+  /** Learns from the time to a first event, which does not depend on what was learned before. */
+  void observeFirstEvent(double observedMillis, double modelledMillis) {
+    firstEventScale = average(firstEventScale, observedMillis, modelledMillis);
   }
 
-  /** Learns from a decoding time that was expected by this average. */
-  void observeDecode(double observedMillis, double expectedMillis) {
-    decodeScale = moved(decodeScale, observedMillis, expectedMillis);
+  /** Learns from a decoding time. */
+  void observeDecode(double observedMillis, double modelledMillis) {
+    decodeScale = average(decodeScale, observedMillis, modelledMillis);
   }
 
-  /** Learns from a plain response that was expected after a time by this average. */
-  void observePlain(double observedMillis, double expectedMillis) {
-    plainScale = moved(plainScale, observedMillis, expectedMillis);
+  /** Learns from the time of a plain response. */
+  void observePlain(double observedMillis, double modelledMillis) {
+    plainScale = average(plainScale, observedMillis, modelledMillis);
   }
 
-  private static double moved(double scale, double observed, double expected) {
-    double ratio = observed / Math.max(1, expected);
+  private static double average(double scale, double observed, double modelled) {
+    double ratio = observed / Math.max(1, modelled);
     double bounded = Math.max(MIN_RATIO, Math.min(MAX_RATIO, ratio));
-    return scale + SMOOTHING * (bounded * scale - scale);
+    return scale + SMOOTHING * (bounded - scale);
   }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -45,6 +45,9 @@
   /** Submitted requests after which the endpoints are ordered anew for the mean of the work. */
   private static final int REORDER_INTERVAL = 512;
 
+  /** Share by which the mean of the work must have changed for that. */
+  private static final double REORDER_CHANGE = 0.1;
+
   /** A check whether a granted request has started. */
   private record OverdueCheck(long at, EndpointLoad endpoint, RunningRequest entry) {}
 
@@ -66,6 +69,7 @@
   private int submitted;
   private double meanPromptTokens;
   private double meanOutputTokens;
+  private WorkEstimate averageWork = WorkEstimate.PLAIN;
 
   ServicePool(PoolListener listener, RandomGenerator random, RetryBudget budget) {
     this.listener = listener;
@@ -147,23 +151,25 @@
       return;
     }
     double holdMillis = latency.idleTotalMillis(request.estimate());
+    checkOverdue(now);
     turnover.arrived(holdMillis, now);
     ranks.add(request.rank(), holdMillis);
     learnWork(request.estimate());
-    waiting.add(waitingRequest(request, holdMillis));
+    waiting.add(waitingRequest(request, holdMillis, now));
     grantFreeSlots(now);
     if (waiting.contains(request.id())) {
       refuseLast(now);
     }
   }
 
-  private WaitingRequest waitingRequest(SlotRequest request, double holdMillis) {
+  private WaitingRequest waitingRequest(SlotRequest request, double holdMillis, long now) {
     double firstEventMillis = latency.idleFirstEventMillis(request.estimate());
     long latestOnTimeStart =
         request.objectiveDeadline() - (long) (firstEventMillis * NANOS_PER_MILLI);
     double density = request.value() * ranks.meanHoldMillis(request.rank()) / holdMillis;
     double bounded = Math.max(1 / MAX_DENSITY_RATIO, Math.min(MAX_DENSITY_RATIO, density));
-    return new WaitingRequest(request, latestOnTimeStart, holdMillis, bounded);
+    return new WaitingRequest(
+        request, latestOnTimeStart, holdMillis, bounded, latestOnTimeStart < now);
   }
 
   private void learnWork(WorkEstimate work) {
@@ -171,12 +177,19 @@
     double weight = 1.0 / Math.min(submitted, REORDER_INTERVAL);
     meanPromptTokens += weight * (work.promptTokens() - meanPromptTokens);
     meanOutputTokens += weight * (work.outputTokens() - meanOutputTokens);
-    if (submitted % REORDER_INTERVAL == 1) {
-      endpoints.setAverageWork(
-          new WorkEstimate((int) meanPromptTokens, (int) meanOutputTokens, List.of()));
+    if (submitted % REORDER_INTERVAL == 1 && hasChanged(meanPromptTokens, meanOutputTokens)) {
+      averageWork = new WorkEstimate((int) meanPromptTokens, (int) meanOutputTokens, List.of());
+      endpoints.setAverageWork(averageWork);
     }
   }
 
+  private boolean hasChanged(double promptTokens, double outputTokens) {
+    double change =
+        Math.abs(promptTokens - averageWork.promptTokens())
+            + Math.abs(outputTokens - averageWork.outputTokens());
+    return change > REORDER_CHANGE * (promptTokens + outputTokens);
+  }
+
   /** Removes a waiting request; returns it, or null if it is not waiting. */
   @Nullable SlotRequest withdraw(long requestId) {
     return waiting.remove(requestId);
@@ -320,13 +333,18 @@
         || now + turnover.expectedWait(position, endpoints.slots()) > request.latestOnTimeStart;
   }
 
+  /**
+   * Returns whether a request is expected to start before its start deadline. One that became late
+   * while it waited is refused if arriving ones would overtake it, because its caller may return at
+   * a better time. One that arrived late has probably returned already and waits on.
+   */
   private boolean canStart(WaitingRequest each, int position, long now) {
     int slots = endpoints.slots();
     if (slots == 0) {
       return false;
     }
     long wait =
-        each.isLate
+        each.isLate && !each.hasArrivedLate
             ? turnover.expectedLateWait(position, slots, now)
             : turnover.expectedWait(position, slots);
     return now + wait <= each.request.startDeadline();
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingRequest.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingRequest.java
@@ -17,13 +17,22 @@
   /** Rank by which it is ordered: its own while it can be on time, a lower one afterwards. */
   double effectiveRank;
 
+  /** Whether it could not meet its objective any more when it arrived. */
+  final boolean hasArrivedLate;
+
   boolean isLate;
 
-  WaitingRequest(SlotRequest request, long latestOnTimeStart, double holdMillis, double density) {
+  WaitingRequest(
+      SlotRequest request,
+      long latestOnTimeStart,
+      double holdMillis,
+      double density,
+      boolean hasArrivedLate) {
     this.request = request;
     this.latestOnTimeStart = latestOnTimeStart;
     this.holdMillis = holdMillis;
     this.density = density;
+    this.hasArrivedLate = hasArrivedLate;
     this.effectiveRank = request.rank();
   }
 }
