Scheduler: consider every endpoint that holds a prompt

The index remembered for each part of a prompt only the endpoint that read it last. When that one was busy the prompt was read anew elsewhere, although another endpoint held it. Ruled out: the size of the index; 8,192 parts last over half a minute there. Up to four endpoints are remembered now.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -1,9 +1,11 @@
 package io.samphiredyke.core.pool;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
@@ -21,9 +23,12 @@
   /** Endpoints that are compared exactly for a request, beside those that hold its prompt. */
   private static final int COMPARED_ENDPOINTS = 6;
 
-  /** Remembered parts of prompts; bounds the memory to about one megabyte. */
+  /** Remembered parts of prompts; bounds the memory to about two megabytes. */
   private static final int MAX_PROMPT_PARTS = 8_192;
 
+  /** Endpoints remembered for a part, those that read it last; the others may be busy. */
+  private static final int MAX_HOLDERS = 4;
+
   private static final class Entry {
     final EndpointLoad load;
     final long number;
@@ -51,12 +56,12 @@
   private final TreeSet<Entry> free = new TreeSet<>(BY_COST);
   private final TreeSet<Entry> freeIgnoringPause = new TreeSet<>(BY_COST);
   private final TreeSet<Entry> paused = new TreeSet<>(BY_PAUSE_END);
-  private final Map<Long, String> holders =
+  private final Map<Long, List<String>> holders =
       new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Long, List<String>> eldest) {
           return size() > MAX_PROMPT_PARTS;
         }
       };
@@ -239,13 +244,16 @@
       }
     }
     for (PromptPart part : request.estimate().parts()) {
-      Entry holder = holder(part);
-      if (holder != null
-          && usable.contains(holder)
-          && !request.excluded().contains(holder.load.endpoint().id())
-          && cost(holder, request) < bestMillis) {
-        bestMillis = cost(holder, request);
-        best = holder;
+      for (String id : holders.getOrDefault(part.id(), List.of())) {
+        Entry holder = entries.get(id);
+        if (holder == null || !usable.contains(holder) || request.excluded().contains(id)) {
+          continue;
+        }
+        double millis = cost(holder, request);
+        if (millis < bestMillis) {
+          bestMillis = millis;
+          best = holder;
+        }
       }
     }
     return best == null ? null : best.load;
@@ -255,15 +263,25 @@
     return entry.load.expectedCostMillis(request.estimate());
   }
 
-  private @Nullable Entry holder(PromptPart part) {
-    String id = holders.get(part.id());
-    return id == null ? null : entries.get(id);
-  }
-
   /** Records that an endpoint has read a prompt. */
   void promptSent(EndpointLoad load, WorkEstimate work) {
     for (PromptPart part : work.parts()) {
-      holders.put(part.id(), load.endpoint().id());
+      List<String> known = holders.getOrDefault(part.id(), List.of());
+      String id = load.endpoint().id();
+      if (known.isEmpty() || !known.get(0).equals(id)) {
+        holders.put(part.id(), withFirst(id, known));
+      }
+    }
+  }
+
+  private static List<String> withFirst(String id, List<String> known) {
+    List<String> updated = new ArrayList<>(MAX_HOLDERS);
+    updated.add(id);
+    for (String other : known) {
+      if (updated.size() < MAX_HOLDERS && !other.equals(id)) {
+        updated.add(other);
+      }
     }
+    return updated;
   }
 }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerTest.java
@@ -482,4 +482,42 @@
     }
     assertThat(grants).containsKey(21L);
   }
+
+  /** The endpoint that read the prompt last is busy, another one that holds it is not. */
+  @Test
+  void prefersAnyEndpointThatCachesThePrompt() {
+    ServiceSpec engines = new ServiceSpec("s", 100, true, 1, 500_000);
+    scheduler.configure(
+        new ServingConfiguration(
+            1, List.of(), List.of(engines), List.of(), CallerLimits.defaults()),
+        0);
+    for (int i = 0; i < 20; i++) {
+      scheduler.put(endpoint("e" + i, 1), 0);
+    }
+    scheduler.submit(samePrompt(1), 0);
+    scheduler.submit(samePrompt(2), 0);
+    String first = grants.get(1L);
+    assertThat(grants.get(2L)).isNotEqualTo(first);
+    scheduler.release("s", first, 1, Outcome.SERVED, 400, 400 * MILLI);
+    scheduler.submit(samePrompt(3), 500 * MILLI);
+    assertThat(grants).containsEntry(3L, first);
+  }
+
+  private static SlotRequest samePrompt(long id) {
+    SlotRequest own = request(id, 0, 0, 2_000);
+    WorkEstimate shared = new WorkEstimate(4_000, 120, List.of(new PromptPart(77, 4_000)));
+    return new SlotRequest(
+        id,
+        "host",
+        "s",
+        0,
+        1,
+        shared,
+        "",
+        0,
+        false,
+        Set.of(),
+        own.objectiveDeadline(),
+        own.startDeadline());
+  }
 }
