Scheduler: slots by holder and overdue checks in classes of their own

HeldSlots knows who holds which slot, OverdueChecks when a granted request should have started. No change of behaviour; the tests of the scheduler pass unchanged.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -2,12 +2,7 @@
 
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.ServiceSpec;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -36,21 +31,12 @@
   /** Bounds the value density to [1/2, 2], so that neither long nor short requests starve. */
   private static final double MAX_DENSITY_RATIO = 2;
 
-  /** Multiple of its expected time after which a request that has not started counts as overdue. */
-  private static final double OVERDUE_RATIO = 1.5;
-
-  /** Shortest time after which a request counts as overdue; covers pauses of busy hosts. */
-  private static final double MIN_OVERDUE_MILLIS = 20;
-
   /** Submitted requests after which the endpoints are ordered anew for the mean of the work. */
   private static final int REORDER_INTERVAL = 512;
 
   /** Share by which the mean of the work must have changed for that. */
   private static final double REORDER_CHANGE = 0.1;
 
-  /** A check whether a granted request has started. */
-  private record OverdueCheck(long at, EndpointLoad endpoint, RunningRequest entry) {}
-
   private final PoolListener listener;
   private final RandomGenerator random;
   private final RetryBudget retryBudget;
@@ -59,10 +45,8 @@
   private final WaitingQueue waiting = new WaitingQueue();
   private final SlotTurnover turnover = new SlotTurnover();
   private final RankStatistics ranks = new RankStatistics();
-  private final Map<Long, EndpointLoad> holders = new HashMap<>();
-  private final Map<String, Set<Long>> heldByRequester = new HashMap<>();
-  private final PriorityQueue<OverdueCheck> overdueChecks =
-      new PriorityQueue<>(Comparator.comparingLong(OverdueCheck::at));
+  private final HeldSlots held = new HeldSlots();
+  private final OverdueChecks overdueChecks = new OverdueChecks();
   private double capacityShare = 1;
   private boolean isEngine;
   private long cacheTokens = DEFAULT_CACHE_TOKENS;
@@ -108,7 +92,7 @@
     EndpointLoad endpoint = endpoints.find(endpointId);
     if (endpoint != null) {
       endpoints.change(endpoint, () -> endpoint.restoreGrant(request, now));
-      recordHolder(request, endpoint);
+      held.add(request, endpoint);
     }
   }
 
@@ -119,7 +103,7 @@
     }
     for (RunningRequest entry : removed.running()) {
       entry.isReleased = true;
-      forgetHolder(entry.request);
+      held.remove(entry.request);
     }
   }
 
@@ -129,7 +113,7 @@
 
   /** Returns the endpoint at which a request holds a slot, or null. */
   @Nullable EndpointLoad holder(long requestId) {
-    return holders.get(requestId);
+    return held.endpoint(requestId);
   }
 
   int waitingCount() {
@@ -226,29 +210,13 @@
         () -> {
           RunningRequest entry = target.grant(request, now);
           turnover.granted(entry.totalMillis);
-          double overdueMillis =
-              Math.max(MIN_OVERDUE_MILLIS, entry.firstEventMillis * OVERDUE_RATIO);
-          overdueChecks.add(
-              new OverdueCheck(now + (long) (overdueMillis * NANOS_PER_MILLI), target, entry));
+          overdueChecks.granted(target, entry);
         });
     endpoints.promptSent(target, request.estimate());
-    recordHolder(request, target);
+    held.add(request, target);
     listener.granted(request, target.endpoint().id());
   }
 
-  private void recordHolder(SlotRequest request, EndpointLoad endpoint) {
-    holders.put(request.id(), endpoint);
-    heldByRequester.computeIfAbsent(request.requester(), key -> new HashSet<>()).add(request.id());
-  }
-
-  private void forgetHolder(SlotRequest request) {
-    holders.remove(request.id());
-    Set<Long> held = heldByRequester.get(request.requester());
-    if (held != null && held.remove(request.id()) && held.isEmpty()) {
-      heldByRequester.remove(request.requester());
-    }
-  }
-
   void firstEvent(EndpointLoad endpoint, long requestId, double observedMillis) {
     endpoints.change(endpoint, () -> endpoint.firstEvent(requestId, observedMillis));
   }
@@ -260,7 +228,7 @@
         () -> {
           RunningRequest entry = endpoint.release(requestId, outcome, observedMillis, now);
           if (entry != null) {
-            forgetHolder(entry.request);
+            held.remove(entry.request);
           }
         });
   }
@@ -270,21 +238,24 @@
    * before these requests end.
    */
   void checkOverdue(long now) {
-    while (!overdueChecks.isEmpty() && overdueChecks.peek().at() <= now) {
-      OverdueCheck check = overdueChecks.poll();
-      RunningRequest entry = check.entry();
-      double elapsedMillis = (now - entry.grantedAt) / NANOS_PER_MILLI;
-      endpoints.change(
-          check.endpoint(),
-          () -> {
-            if (check.endpoint().learnOverdue(entry, elapsedMillis)) {
-              long next = now + (long) (elapsedMillis * (OVERDUE_RATIO - 1) * NANOS_PER_MILLI);
-              overdueChecks.add(new OverdueCheck(next, check.endpoint(), entry));
-            }
-          });
+    for (OverdueChecks.Check check = overdueChecks.pollDue(now);
+        check != null;
+        check = overdueChecks.pollDue(now)) {
+      applyOverdue(check, now);
     }
   }
 
+  private void applyOverdue(OverdueChecks.Check check, long now) {
+    double elapsedMillis = (now - check.request().grantedAt) / NANOS_PER_MILLI;
+    endpoints.change(
+        check.endpoint(),
+        () -> {
+          if (check.endpoint().learnOverdue(check.request(), elapsedMillis)) {
+            overdueChecks.repeat(check, now);
+          }
+        });
+  }
+
   /** Refuses requests from the end of the queue as long as the last one can't start in time. */
   private void refuseLast(long now) {
     if (capacityShare < 1) {
@@ -385,8 +356,8 @@
 
   /** Frees the slots that a requester was granted and that its report no longer lists. */
   void reconcile(String requester, Set<Long> reported, long grantedBefore, long now) {
-    for (long id : List.copyOf(heldByRequester.getOrDefault(requester, Set.of()))) {
-      EndpointLoad endpoint = holders.get(id);
+    for (long id : held.requestsOf(requester)) {
+      EndpointLoad endpoint = held.endpoint(id);
       RunningRequest entry = endpoint == null ? null : endpoint.running(id);
       if (endpoint != null
           && entry != null
