--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/DecisionJmh.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/DecisionJmh.java
@@ -2,21 +2,13 @@
 
 import java.util.Collection;
 import java.util.Locale;
-import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.results.RunResult;
-import org.openjdk.jmh.runner.Runner;
-import org.openjdk.jmh.runner.RunnerException;
-import org.openjdk.jmh.runner.options.Options;
-import org.openjdk.jmh.runner.options.OptionsBuilder;
-import org.openjdk.jmh.runner.options.TimeValue;
 
 /** Command {@code jmh}: measures time and allocation of one decision and checks the time bounds. */
 public final class DecisionJmh {
 
   private static final double BOUND_MICROS = 10;
   private static final double GROWTH_BOUND = 2;
-  private static final int ITERATIONS = 5;
-  private static final int ITERATION_SECONDS = 1;
 
   private DecisionJmh() {}
 
@@ -27,22 +19,7 @@
    * @return the exit status: 0 on success, 1 if a bound is violated
    */
   public static int run(String[] args) {
-    Options options =
-        new OptionsBuilder()
-            .include(DecisionBenchmark.class.getSimpleName())
-            .forks(1)
-            .jvmArgsAppend("-Xmx512m")
-            .warmupIterations(ITERATIONS)
-            .warmupTime(TimeValue.seconds(ITERATION_SECONDS))
-            .measurementIterations(ITERATIONS)
-            .measurementTime(TimeValue.seconds(ITERATION_SECONDS))
-            .addProfiler(GCProfiler.class)
-            .build();
-    try {
-      return check(new Runner(options).run());
-    } catch (RunnerException e) {
-      throw new IllegalStateException("the benchmark could not be run", e);
-    }
+    return check(JmhRun.run(DecisionBenchmark.class, "-Xmx512m"));
   }
 
   private static int check(Collection<RunResult> results) {
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/PoolJmh.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/PoolJmh.java
@@ -4,13 +4,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
-import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.results.RunResult;
-import org.openjdk.jmh.runner.Runner;
-import org.openjdk.jmh.runner.RunnerException;
-import org.openjdk.jmh.runner.options.Options;
-import org.openjdk.jmh.runner.options.OptionsBuilder;
-import org.openjdk.jmh.runner.options.TimeValue;
 
 /**
  * Command {@code pool-jmh}: measures time and allocation of one decision of the pool scheduler,
@@ -20,8 +14,6 @@
 
   private static final double BOUND_MICROS = 20;
   private static final double GROWTH_BOUND = 2;
-  private static final int ITERATIONS = 5;
-  private static final int ITERATION_SECONDS = 1;
 
   private PoolJmh() {}
 
@@ -32,22 +24,8 @@
    * @return the exit status: 0 on success, 1 if a bound is violated
    */
   public static int run(String[] args) {
-    Options options =
-        new OptionsBuilder()
-            .include(PoolBenchmark.class.getSimpleName())
-            .forks(1)
-            .jvmArgsAppend("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
-            .warmupIterations(ITERATIONS)
-            .warmupTime(TimeValue.seconds(ITERATION_SECONDS))
-            .measurementIterations(ITERATIONS)
-            .measurementTime(TimeValue.seconds(ITERATION_SECONDS))
-            .addProfiler(GCProfiler.class)
-            .build();
-    try {
-      return check(new Runner(options).run());
-    } catch (RunnerException e) {
-      throw new IllegalStateException("the benchmark could not be run", e);
-    }
+    return check(
+        JmhRun.run(PoolBenchmark.class, "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
   }
 
   private static int check(Collection<RunResult> results) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotTurnover.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotTurnover.java
@@ -46,11 +46,6 @@
             : meanHoldMillis + HOLD_SMOOTHING * (holdMillis - meanHoldMillis);
   }
 
-  /** Returns the time that a slot is held on average, milliseconds. */
-  double meanHoldMillis() {
-    return meanHoldMillis;
-  }
-
   /** Returns the share of the slots that the arriving work needs, at most {@link #MAX_LOAD}. */
   private double load(int slots, long now) {
     decay(now);
