HTTP server: a stop closes the connections at once

Since stop() closed the open connections in a task scheduled after the listening socket. A daemon that shuts its event loops down right after stop() cancels that task, so its connections stay open and a caller that reuses one gets no response.

Connections are closed with the listening socket again, and only the completion waits for the next selection, or for the end of the event loop. stopClosesConnectionsOfAnEventLoopThatIsShutDown guards it.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 /** An HTTP/1.1 server on one listening socket. */
@@ -69,28 +70,36 @@
   /** Closes the listening socket; open connections stay open. */
   public CompletableFuture<Void> stopAccepting() {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
-    closeListener(() -> stopped.complete(null));
+    listener.close().addListener(closed -> completeAfterSelection(stopped));
     return stopped;
   }
 
   /** Closes the listening socket and all connections. */
   public CompletableFuture<Void> stop() {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
-    closeListener(() -> connections.close().addListener(done -> stopped.complete(null)));
+    listener
+        .close()
+        .addListener(
+            closed -> connections.close().addListener(done -> completeAfterSelection(stopped)));
     return stopped;
   }
 
   /**
-   * Closes the listening socket and runs an action when it no longer accepts connections.
+   * Completes a future when the closed listening socket no longer accepts connections.
    *
-   * <p>The channel only cancels its selection key; the operating system's socket is closed, and
-   * connections are refused, at the next selection of its event loop. A scheduled task runs after
-   * that selection, other than a task that is executed directly.
+   * <p>The channel only cancels its selection key; the operating system's socket is closed at the
+   * next selection of its event loop. A scheduled task runs after that selection. If the event loop
+   * is shut down the task is cancelled, and the selector closes the socket with it.
    */
-  private void closeListener(Runnable onClosed) {
-    listener
-        .close()
-        .addListener(closed -> listener.eventLoop().schedule(onClosed, 1, TimeUnit.NANOSECONDS));
+  private void completeAfterSelection(CompletableFuture<Void> stopped) {
+    try {
+      listener
+          .eventLoop()
+          .schedule(() -> {}, 1, TimeUnit.NANOSECONDS)
+          .addListener(done -> stopped.complete(null));
+    } catch (RejectedExecutionException e) {
+      stopped.complete(null);
+    }
   }
 
   private static final class Initializer extends ChannelInitializer<SocketChannel> {
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -177,6 +177,26 @@
     single.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
   }
 
+  /** Guards against connections that stay open because their event loop ends before its tasks. */
+  @Test
+  void stopClosesConnectionsOfAnEventLoopThatIsShutDown() {
+    EventLoopGroup single = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    CompletableFuture<Void> arrived = new CompletableFuture<>();
+    HttpServer server =
+        HttpServer.start(
+                single, ANY_PORT, HttpServerOptions.defaults(), exchange -> arrived.complete(null))
+            .join();
+    CompletableFuture<HttpResponse> response =
+        client.send(HttpRequest.get(server.address(), "/").build());
+    arrived.join();
+    server.stop();
+    single.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+    assertThat(response)
+        .failsWithin(Duration.ofSeconds(10))
+        .withThrowableThat()
+        .withCauseInstanceOf(ConnectionLostException.class);
+  }
+
   /** Waits until the listeners that this thread's last action notifies there have run. */
   private static void awaitGlobalExecutor() {
     for (int i = 0; i < 3; i++) {
