Scheduler: paused endpoints are no capacity; the quota window comes from the settings

Cause 1, read in the code and shown by slotsOfPausedEndpointsAreNoCapacity (red before): the expected wait divided by the slots of all endpoints, those paused after failures included, so requests waited for slots that nobody grants and were refused late. EndpointIndex counts the slots of paused endpoints apart; they count when pauses are ignored. Cause 2: CapacityShareEstimator held the quota window of the first sites, 8 s. ServicePool no longer marks the requests of a removed endpoint itself.

Ruled out for 1: dropping paused endpoints from the wait only in a burst; their slots are not granted in any case.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -69,6 +69,7 @@
   private double capacityShare = 1;
   private @Nullable Entry guaranteed;
   private int slots;
+  private int pausedSlots;
   private long added;
   private long pausesEndedUntil = Long.MIN_VALUE;
 
@@ -80,9 +81,9 @@
     return entries.size();
   }
 
-  /** Returns the slots of all endpoints that may be granted, in use or free. */
+  /** Returns the slots, in use or free, of all endpoints that get requests now. */
   int slots() {
-    return slots;
+    return ignoresPauses() ? slots : slots - pausedSlots;
   }
 
   @Nullable EndpointLoad find(String id) {
@@ -141,6 +142,7 @@
 
   private void detach(Entry entry) {
     slots -= entry.slots;
+    pausedSlots -= entry.isPaused ? entry.slots : 0;
     entry.slots = 0;
     if (entry.isFree) {
       free.remove(entry);
@@ -164,6 +166,7 @@
     entry.isFreeIgnoringPause = freeSlots(entry, true) > 0;
     entry.slots = entry.load.usableSlots(capacityShare);
     slots += entry.slots;
+    pausedSlots += entry.isPaused ? entry.slots : 0;
     if (entry.isFree) {
       free.add(entry);
     }
@@ -213,12 +216,16 @@
   }
 
   /**
-   * Returns the endpoints with a free slot. When at least half of the endpoints fail, the cause is
-   * probably common to them, and pausing them would make the service unavailable; pauses are then
-   * ignored.
+   * Returns whether pauses after failures are ignored. When at least half of the endpoints fail,
+   * the cause is probably common to them, and pausing them would make the service unavailable.
    */
+  private boolean ignoresPauses() {
+    return paused.size() * 2 >= entries.size();
+  }
+
+  /** Returns the endpoints with a free slot. */
   private TreeSet<Entry> usable() {
-    return paused.size() * 2 >= entries.size() ? freeIgnoringPause : free;
+    return ignoresPauses() ? freeIgnoringPause : free;
   }
 
   boolean hasFreeSlot() {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -2,6 +2,7 @@
 
 import io.samphiredyke.core.serving.EndpointRecord;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
@@ -286,8 +287,12 @@
     return Math.max(MIN_LATENCY_FACTOR, Math.min(MAX_LATENCY_FACTOR, factor));
   }
 
-  Iterable<RunningRequest> running() {
-    return running.values();
+  /** Marks all running requests as released, because the endpoint is gone, and returns them. */
+  List<RunningRequest> releaseAll() {
+    List<RunningRequest> released = List.copyOf(running.values());
+    released.forEach(entry -> entry.isReleased = true);
+    running.clear();
+    return released;
   }
 
   @Nullable RunningRequest running(long requestId) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -101,10 +101,7 @@
     if (removed == null) {
       return;
     }
-    for (RunningRequest entry : removed.running()) {
-      entry.isReleased = true;
-      held.remove(entry.request);
-    }
+    removed.releaseAll().forEach(entry -> held.remove(entry.request));
   }
 
   @Nullable EndpointLoad endpoint(String id) {
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerLoadTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerLoadTest.java
@@ -34,6 +34,28 @@
     }
   }
 
+  /** A third of the endpoints crashes; what waits can count only on the others. */
+  @Test
+  void slotsOfPausedEndpointsAreNoCapacity() {
+    for (int i = 0; i < 3; i++) {
+      scheduler.put(endpoint("e" + i, 4), 0);
+    }
+    for (long id = 1; id <= 12; id++) {
+      scheduler.submit(request(id, 0, 0, 2_000), 0);
+    }
+    for (long id = 1; id <= 12; id++) {
+      if (grants.get(id).equals("e0")) {
+        scheduler.release("s", "e0", id, Outcome.FAILED, 10, MILLI);
+      }
+    }
+    long waiting = 0;
+    for (long id = 21; id <= 60; id++) {
+      scheduler.submit(request(id, 0, MILLI, 450), MILLI);
+      waiting = scheduler.waitingCount("s");
+    }
+    assertThat(waiting).as("8 usable slots, each free after some 430 ms").isLessThanOrEqualTo(8);
+  }
+
   @Test
   void newEndpointTakesWaitingRequestsAtOnce() {
     scheduler.put(endpoint("e", 4), 0);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -107,7 +107,14 @@
             settings.quotaTolerance() * QUOTA_TOLERANCE_SHARE,
             settings.quotaSlack() * QUOTA_TOLERANCE_SHARE,
             REPORT_GRACE_MILLIS);
-    this.peers = new PeerGroup(loop, self(settings, random), options, random, log);
+    this.peers =
+        new PeerGroup(
+            loop,
+            self(settings, random),
+            options,
+            Duration.ofMillis(settings.quotaWindowMillis()),
+            random,
+            log);
     this.connections = new EndpointConnectionPool(eventLoop);
     RequestService service =
         new RequestService(loop, state, peers.slotClient(), connections, log, metrics, random);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/SettingsReloader.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/SettingsReloader.java
@@ -115,6 +115,7 @@
       BY_NAME.put("repeat_reserve", HostSettings::retryReserve);
       BY_NAME.put("quota_tolerance", HostSettings::quotaTolerance);
       BY_NAME.put("quota_slack", HostSettings::quotaSlack);
+      BY_NAME.put("quota_window_ms", HostSettings::quotaWindowMillis);
       BY_NAME.put("caller_ttl", HostSettings::maxCallerTtlSeconds);
       BY_NAME.put("cores", HostSettings::cores);
       BY_NAME.put("link", HostSettings::linkMegabits);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimator.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimator.java
@@ -19,14 +19,19 @@
  */
 final class CapacityShareEstimator {
 
-  /**
-   * How long a dead host still counts as a possible scheduler. It equals the quota window: what the
-   * host granted before is no longer charged after this time.
-   */
-  private static final Duration DEAD_HOST_RETENTION = Duration.ofSeconds(8);
-
   private final Set<String> registered = new HashSet<>();
   private final Map<String, Long> unreachableSince = new HashMap<>();
+  private final Duration quotaWindow;
+
+  /**
+   * Creates an estimator that knows no hosts.
+   *
+   * @param quotaWindow how long a dead host still counts as a possible scheduler; what it granted
+   *     before is no longer charged after this time
+   */
+  CapacityShareEstimator(Duration quotaWindow) {
+    this.quotaWindow = quotaWindow;
+  }
 
   /** Adds the peer addresses of registered hosts, which may include hosts that no longer exist. */
   void addRegistered(Collection<String> addresses) {
@@ -53,7 +58,7 @@
     unseen.removeIf(
         address -> {
           Long since = unreachableSince.get(address);
-          return since != null && now - since > DEAD_HOST_RETENTION.toNanos();
+          return since != null && now - since > quotaWindow.toNanos();
         });
     int total = live.size() + unseen.size();
     return live.size() * 2 >= total ? 1 : (double) live.size() / total;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -57,22 +57,28 @@
   private final DecisionLog log;
   private final Membership membership;
   private final SlotClient slotClient;
-  private final CapacityShareEstimator capacityShare = new CapacityShareEstimator();
+  private final CapacityShareEstimator capacityShare;
   private List<Member> lastLiveMembers = List.of();
   private @Nullable EndpointUpdateListener endpointUpdateListener;
   private @Nullable Channel channel;
   private @Nullable Future<?> timer;
   private long malformedDatagrams;
 
-  /** Creates a group that contains only this host. */
+  /**
+   * Creates a group that contains only this host.
+   *
+   * @param quotaWindow time over which the usage of a quota is counted
+   */
   public PeerGroup(
       ControlEventLoop loop,
       Member self,
       PoolOptions options,
+      Duration quotaWindow,
       RandomGenerator random,
       DecisionLog log) {
     this.loop = loop;
     this.log = log;
+    this.capacityShare = new CapacityShareEstimator(quotaWindow);
     this.membership = new Membership(self, MembershipSettings.builder().build(), random, this);
     this.slotClient =
         new SlotClient(
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -122,6 +122,7 @@
             50,
             0.1,
             1_000,
+            8_000,
             5,
             1,
             1_000);
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimatorTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimatorTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.samphiredyke.core.membership.Member;
+import java.time.Duration;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -12,7 +13,8 @@
 
   private static final long SECOND = 1_000_000_000L;
 
-  private final CapacityShareEstimator estimator = new CapacityShareEstimator();
+  private final CapacityShareEstimator estimator =
+      new CapacityShareEstimator(Duration.ofSeconds(8));
 
   private static List<Member> hosts(int count) {
     return IntStream.range(0, count)
@@ -52,6 +54,16 @@
     assertThat(estimator.estimate(hosts(1), 9 * SECOND)).isEqualTo(1);
   }
 
+  @Test
+  void deadHostsCountForTheQuotaWindow() {
+    CapacityShareEstimator longWindow = new CapacityShareEstimator(Duration.ofSeconds(20));
+    longWindow.addRegistered(List.of(address(0), address(1), address(2)));
+    longWindow.markUnreachable(address(1), 0);
+    longWindow.markUnreachable(address(2), 0);
+    assertThat(longWindow.estimate(hosts(1), 9 * SECOND)).isEqualTo(1.0 / 3);
+    assertThat(longWindow.estimate(hosts(1), 21 * SECOND)).isEqualTo(1);
+  }
+
   @Test
   void singleHostGrantsTheFullQuota() {
     assertThat(estimator.estimate(hosts(1), 0)).isEqualTo(1);
