Store: decode and log the era, log configurations that are not newer

Cause: the logs could not tell which copy of the store an answer came from, nor at which offset a configuration was read; needed for the hypotheses in docs/incidents/config-after-restore.md. No decision changes.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpClientOptions;
 import io.samphiredyke.platform.HostSettings;
+import io.samphiredyke.platform.StoreBatch;
 import io.samphiredyke.platform.StoreClient;
 import java.time.Clock;
 import java.time.Duration;
@@ -83,12 +84,14 @@
   private final StartupQueue startupQueue;
   private final FrontendServer frontend;
   private final EndpointReceiver endpoints;
+  private final StoreClient store;
   private final TopicFollower configurationFollower;
   private final TopicFollower endpointFollower;
   private final EndpointUpdateBroadcaster endpointUpdates;
   private final PeerBootstrap peerBootstrap;
   private final ConfigurationLagDetector configurationLag;
   private final HostRegistry registry;
+  private long storeEra = StoreBatch.NO_ERA;
   private boolean stopping;
   private boolean ready;
 
@@ -121,7 +124,7 @@
     this.startupQueue = new StartupQueue(loop, service);
     this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
     HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
-    StoreClient store = new StoreClient(http, SocketAddresses.parse(settings.storeAddress()));
+    this.store = new StoreClient(http, SocketAddresses.parse(settings.storeAddress()));
     ConfigurationReceiver configurations = new ConfigurationReceiver(this::configure, log);
     this.endpoints =
         new EndpointReceiver(loop, directory, log, this::updateReady, this::onEndpointsRead);
@@ -183,6 +186,7 @@
   /** Binds all addresses and starts reading configuration and endpoints. */
   CompletableFuture<Void> start() {
     ManagementServer managementServer = new ManagementServer(this, metrics);
+    store.setEraListener(era -> loop.execute(() -> onStoreEra(era)));
     loop.execute(this::startFollowing);
     return frontend
         .start(SocketAddresses.parse(settings.callerAddress()))
@@ -229,21 +233,51 @@
     endpointUpdates.broadcast(nextOffset);
   }
 
-  private void configure(ServingConfiguration newer) {
+  private boolean configure(ServingConfiguration newer, long offset) {
     ServingConfiguration previous = state.configuration();
-    if (state.updateConfiguration(newer)) {
-      log.event(
-          "config",
-          "version",
-          newer.version(),
-          "before",
-          previous == null ? -1 : previous.version(),
-          "routes",
-          newer.routes().size());
-      peers.slotClient().scheduler().configure(newer, loop.nanoTime());
-      peers.setConfigurationVersion(newer.version());
-      updateReady();
+    if (!state.updateConfiguration(newer)) {
+      return false;
+    }
+    log.event(
+        "config",
+        "version",
+        newer.version(),
+        "before",
+        previous == null ? -1 : previous.version(),
+        "routes",
+        newer.routes().size(),
+        "offset",
+        offset,
+        "era",
+        storeEra);
+    peers.slotClient().scheduler().configure(newer, loop.nanoTime());
+    peers.setConfigurationVersion(newer.version());
+    updateReady();
+    return true;
+  }
+
+  /**
+   * Records the era of the store; a higher one than before means that an older copy was restored.
+   */
+  private void onStoreEra(long era) {
+    if (era <= storeEra) {
+      return;
     }
+    log.event(
+        "store_era",
+        "era",
+        era,
+        "before",
+        storeEra,
+        "config_version",
+        configurationVersion(),
+        "config_offset",
+        configurationFollower.nextOffset(),
+        "endpoints",
+        directory.all().size(),
+        "endpoint_offset",
+        endpointFollower.nextOffset());
+    storeEra = era;
   }
 
   private void updateReady() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
@@ -7,18 +7,29 @@
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.StoreRecord;
 import java.util.List;
-import java.util.function.Consumer;
 
 /** Decodes configuration records and forwards the newest valid one. */
 public final class ConfigurationReceiver implements TopicFollower.Receiver {
 
-  private final Consumer<ServingConfiguration> receiver;
+  /** Applies a configuration. */
+  public interface Target {
+
+    /**
+     * Applies a configuration if it is newer than the active one.
+     *
+     * @param offset offset of its record, -1 if another host sent it
+     * @return whether it is newer
+     */
+    boolean configure(ServingConfiguration configuration, long offset);
+  }
+
+  private final Target target;
   private final DecisionLog log;
   private byte[] newestBytes = new byte[0];
 
   /** Creates a receiver. */
-  public ConfigurationReceiver(Consumer<ServingConfiguration> receiver, DecisionLog log) {
-    this.receiver = receiver;
+  public ConfigurationReceiver(Target target, DecisionLog log) {
+    this.target = target;
     this.log = log;
   }
 
@@ -36,7 +47,11 @@
         continue;
       }
       try {
-        receiver.accept(ConfigurationDecoder.decode(value));
+        ServingConfiguration configuration = ConfigurationDecoder.decode(value);
+        if (!target.configure(configuration, record.offset())) {
+          log.event(
+              "config_not_newer", "version", configuration.version(), "offset", record.offset());
+        }
         newestBytes = value;
         return;
       } catch (MalformedRecordException e) {
