Endpoint directory: an entry older than the known one is ignored

What endpoints would see: requests after a confirmed draining state (DRAIN), for as long as a restored copy of the store lists them as ready. Cause: the directory took the entry read last for the newest. Change: entries carry the number of their heartbeat. An instance (id and start time) that drains never returns, one whose entry was removed returns with a newer heartbeat only, and an entry with an older heartbeat is ignored and logged. Without a stated start time instances can't be told apart and entries are taken as they come, as before. Runs: drainingEndpointStaysExcludedWhenTheCopyListsItAsReady failed before and passes; four tests of EndpointDirectoryTest are new.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointDirectory.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointDirectory.java
@@ -13,7 +13,9 @@
  * Directory of the endpoints that accept requests, fed from the platform's registry.
  *
  * <p>The registry drops entries whose lease expires, also during its own outages. After an outage a
- * removal therefore takes effect only if the entry is still missing after a grace period.
+ * removal therefore takes effect only if the entry is still missing after a grace period. The
+ * registry may also be restored from an older copy, so an entry is ignored if a newer one of the
+ * same instance is known.
  */
 public final class EndpointDirectory {
 
@@ -27,9 +29,21 @@
     void unavailable(EndpointRecord endpoint, String reason);
   }
 
+  /** Remembered endpoints that have left; bounds the memory to a few megabytes. */
+  private static final int MAX_DEPARTED = 4_096;
+
   private final long graceNanos;
   private final Listener listener;
   private final Map<String, EndpointRecord> available = new LinkedHashMap<>();
+  private final Map<String, EndpointRecord> departed =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, EndpointRecord> eldest) {
+          return size() > MAX_DEPARTED;
+        }
+      };
   private final Map<String, Long> missingSince = new HashMap<>();
   private boolean registryUnavailable;
   private long graceUntil;
@@ -59,15 +73,36 @@
     }
   }
 
-  /** Adds or updates an entry; a draining endpoint is removed. */
+  /**
+   * Returns whether a newer entry of the same instance is known, or the instance has left: one that
+   * drains never accepts requests again, and one whose entry was removed has to renew it.
+   */
+  public boolean isOutdated(EndpointRecord endpoint) {
+    EndpointRecord last = departed.get(endpoint.id());
+    if (last != null && last.isSameInstance(endpoint)) {
+      boolean isRenewed = endpoint.heartbeat() > last.heartbeat();
+      return last.isDraining() ? !endpoint.isDraining() : !isRenewed;
+    }
+    EndpointRecord known = available.get(endpoint.id());
+    return known != null
+        && known.isSameInstance(endpoint)
+        && endpoint.heartbeat() < known.heartbeat();
+  }
+
+  /** Adds or updates an entry unless it is outdated; a draining endpoint is removed. */
   public void put(EndpointRecord endpoint) {
+    if (isOutdated(endpoint)) {
+      return;
+    }
     missingSince.remove(endpoint.id());
+    departed.remove(endpoint.id());
     if (endpoint.isDraining()) {
       drop(endpoint.id(), "draining");
+      departed.put(endpoint.id(), endpoint);
       return;
     }
     EndpointRecord known = available.put(endpoint.id(), endpoint);
-    if (known == null || !endpoint.withoutWarmUp().equals(known.withoutWarmUp())) {
+    if (known == null || !endpoint.withoutHeartbeat().equals(known.withoutHeartbeat())) {
       listener.available(endpoint);
     }
   }
@@ -109,6 +144,7 @@
     missingSince.remove(id);
     EndpointRecord known = available.remove(id);
     if (known != null) {
+      departed.put(id, known);
       listener.unavailable(known, reason);
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
@@ -11,6 +11,7 @@
  * @param isDraining whether it accepts no new requests
  * @param warmUpRemainingMillis remaining time of its warm-up, during which it is slow, milliseconds
  * @param startedAtMillis time of its start, milliseconds since the epoch; 0 if unknown
+ * @param heartbeat number of the heartbeat since its start, which orders the entries of an instance
  */
 public record EndpointRecord(
     String id,
@@ -20,11 +21,17 @@
     int slots,
     boolean isDraining,
     long warmUpRemainingMillis,
-    long startedAtMillis) {
+    long startedAtMillis,
+    long heartbeat) {
 
-  /** Returns the entry without the remaining warm-up, which changes with each heartbeat. */
-  public EndpointRecord withoutWarmUp() {
+  /** Returns the entry without the fields that change with each heartbeat. */
+  public EndpointRecord withoutHeartbeat() {
     return new EndpointRecord(
-        id, service, address, dataCentre, slots, isDraining, 0, startedAtMillis);
+        id, service, address, dataCentre, slots, isDraining, 0, startedAtMillis, 0);
+  }
+
+  /** Returns whether an entry with the same id is known to be of the same start of the endpoint. */
+  boolean isSameInstance(EndpointRecord other) {
+    return startedAtMillis != 0 && startedAtMillis == other.startedAtMillis;
   }
 }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/OverloadReplayTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/OverloadReplayTest.java
@@ -66,7 +66,7 @@
     Replay() {
       for (int i = 0; i < ENGINES; i++) {
         scheduler.put(
-            new EndpointRecord("e" + i, "s", "10.0.0." + i + ":1", "a", SLOTS, false, 0, 1), 0);
+            new EndpointRecord("e" + i, "s", "10.0.0." + i + ":1", "a", SLOTS, false, 0, 1, 0), 0);
       }
       REQUEST_CLASSES.forEach(requestClass -> countsByRank.put(requestClass.rank(), new Counts()));
     }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerFixture.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerFixture.java
@@ -31,7 +31,7 @@
   }
 
   static EndpointRecord endpoint(String id, int slots) {
-    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", slots, false, 0, 1);
+    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", slots, false, 0, 1, 0);
   }
 
   static SlotRequest request(long id, int rank, long now, long startWithinMillis) {
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerRandomTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerRandomTest.java
@@ -91,7 +91,7 @@
   }
 
   private static EndpointRecord record(String id) {
-    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", SLOTS, false, 0, 1);
+    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", SLOTS, false, 0, 1, 0);
   }
 
   private static SlotRequest request(long id, SplittableRandom random, long now) {
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/serving/EndpointDirectoryTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/serving/EndpointDirectoryTest.java
@@ -26,8 +26,53 @@
             }
           });
 
-  private static EndpointRecord endpoint(String id, boolean draining) {
-    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", 4, draining, 0, 1);
+  private long heartbeat;
+
+  /** Returns an entry with the next heartbeat of an instance. */
+  private EndpointRecord endpoint(String id, boolean draining) {
+    heartbeat++;
+    return endpoint(id, draining, 1, heartbeat);
+  }
+
+  private static EndpointRecord endpoint(
+      String id, boolean draining, long startedAt, long heartbeat) {
+    return new EndpointRecord(id, "s", "10.0.0.1:80", "a", 4, draining, 0, startedAt, heartbeat);
+  }
+
+  @Test
+  void readyEntryOfAnOlderCopyDoesNotEndDraining() {
+    directory.put(endpoint("i-1", false, 1, 5));
+    directory.put(endpoint("i-1", true, 1, 6));
+    directory.put(endpoint("i-1", false, 1, 5));
+    directory.put(endpoint("i-1", false, 1, 7));
+    assertThat(directory.find("i-1")).isNull();
+    directory.put(endpoint("i-1", false, 2, 1));
+    assertThat(directory.find("i-1")).isNotNull();
+  }
+
+  @Test
+  void removedEndpointReturnsOnlyWithANewHeartbeat() {
+    directory.put(endpoint("i-1", false, 1, 5));
+    directory.remove("i-1", 10);
+    directory.replaceAll(List.of(endpoint("i-1", false, 1, 5)), 20);
+    assertThat(directory.find("i-1")).isNull();
+    directory.put(endpoint("i-1", false, 1, 6));
+    assertThat(directory.find("i-1")).isNotNull();
+  }
+
+  @Test
+  void olderEntryOfTheSameInstanceIsIgnored() {
+    directory.put(endpoint("i-1", false, 1, 5));
+    EndpointRecord older = new EndpointRecord("i-1", "s", "10.0.0.1:80", "a", 2, false, 0, 1, 4);
+    directory.put(older);
+    assertThat(directory.all()).extracting(EndpointRecord::slots).containsExactly(4);
+  }
+
+  @Test
+  void entriesWithoutAStartTimeAreTakenAsTheyCome() {
+    directory.put(endpoint("i-1", true, 0, 6));
+    directory.put(endpoint("i-1", false, 0, 5));
+    assertThat(directory.find("i-1")).isNotNull();
   }
 
   @Test
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
@@ -72,16 +72,18 @@
     changes.clear();
     completeFrom = nextOffset;
     knownEndpoints.clear();
-    entries.clear();
     directory.registryRead(now);
     List<EndpointRecord> endpoints = new ArrayList<>();
+    Set<String> listed = new HashSet<>();
     for (StoreRecord record : records) {
       byte[] value = record.value();
       if (value != null && value.length > 0) {
+        listed.add(record.key());
         decode(record.key(), value, endpoints);
       }
     }
-    endpoints.forEach(endpoint -> knownEndpoints.put(endpoint.id(), endpoint.withoutWarmUp()));
+    entries.keySet().retainAll(listed);
+    endpoints.forEach(endpoint -> knownEndpoints.put(endpoint.id(), endpoint.withoutHeartbeat()));
     directory.replaceAll(endpoints, now);
     directory.tick(now);
     onLoaded.run();
@@ -102,11 +104,11 @@
   private void apply(StoreRecord record, long now) {
     byte[] value = record.value();
     List<EndpointRecord> endpoints = new ArrayList<>();
-    if (value != null) {
-      decode(record.key(), value, endpoints);
+    if (value != null && !decode(record.key(), value, endpoints)) {
+      return;
     }
     EndpointRecord newer = endpoints.isEmpty() ? null : endpoints.get(0);
-    EndpointRecord current = newer == null ? null : newer.withoutWarmUp();
+    EndpointRecord current = newer == null ? null : newer.withoutHeartbeat();
     EndpointRecord previous =
         current == null
             ? knownEndpoints.remove(record.key())
@@ -141,15 +143,37 @@
     return Map.copyOf(entries);
   }
 
-  private void decode(String id, byte[] value, List<EndpointRecord> endpoints) {
+  /**
+   * Decodes an entry and adds it to a list unless it is malformed or outdated.
+   *
+   * @return false if it is outdated, so that the known entry stays
+   */
+  private boolean decode(String id, byte[] value, List<EndpointRecord> endpoints) {
     try {
-      endpoints.add(EndpointDecoder.decode(id, value));
+      EndpointRecord endpoint = EndpointDecoder.decode(id, value);
+      if (directory.isOutdated(endpoint)) {
+        logOutdated(endpoint);
+        return false;
+      }
+      endpoints.add(endpoint);
       entries.put(id, value);
     } catch (MalformedRecordException e) {
       if (malformedKeys.add(id)) {
         log.event("endpoint_entry_rejected", "key", id, "reason", e.getMessage());
       }
     }
+    return true;
+  }
+
+  private void logOutdated(EndpointRecord endpoint) {
+    log.event(
+        "endpoint_entry_outdated",
+        "endpoint",
+        endpoint.id(),
+        "heartbeat",
+        endpoint.heartbeat(),
+        "draining",
+        endpoint.isDraining());
   }
 
   /**
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StoreRestoreTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StoreRestoreTest.java
@@ -115,7 +115,6 @@
 
   /** The copy still lists an endpoint as ready that was confirmed as draining. */
   @Test
-  @Tag("known-red")
   void drainingEndpointStaysExcludedWhenTheCopyListsItAsReady() {
     RunningGateway running = startConfiguredGateway();
     Map<String, Integer> checkpoint = store.checkpoint();
