Endpoints: a leaving statement and a Retry-After bind the host that got them

What endpoints would see: requests after their response said that they leave (DRAIN), and requests during the time for which their 503 wanted none (BUDGET). Cause: neither header of the response was decoded. Change, leaving: the directory drops the instance at once, as for a draining entry, and a later ready entry of it is ignored; all hosts are informed by a datagram. Without start times an instance is told by a heartbeat number that has not fallen. Change, Retry-After: EndpointPauses holds the end for this host; slot requests exclude paused endpoints, a grant of one is returned, and a request whose connection opens meanwhile is not sent. If all endpoints of a service pause, a request waits for the first end if it can still start in time, else it is refused at once with that time. StoreEraTracker is split from Gateway; gauges for limits, pauses and the era.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotRefusal.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotRefusal.java
@@ -17,6 +17,8 @@
     /** The customer's quota is exhausted. */
     OVER_QUOTA,
     /** The retry budget of the service is exhausted. */
-    NO_RETRY_BUDGET
+    NO_RETRY_BUDGET,
+    /** All endpoints of the service want no requests from the host for a time. */
+    ENDPOINTS_PAUSED
   }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointDirectory.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointDirectory.java
@@ -107,6 +107,23 @@
     }
   }
 
+  /**
+   * Records that an endpoint stated in a response that it leaves. Like a draining entry this holds
+   * until a new instance registers.
+   *
+   * @param startedAtMillis start time of the instance that stated it
+   * @return whether the endpoint accepted requests until now
+   */
+  public boolean markLeaving(String id, long startedAtMillis) {
+    EndpointRecord known = available.get(id);
+    if (known == null || known.startedAtMillis() != startedAtMillis) {
+      return false;
+    }
+    drop(id, "leaving");
+    departed.put(id, known.draining());
+    return true;
+  }
+
   /** Removes an entry; during a grace period the removal is deferred to its end. */
   public void remove(String id, long now) {
     if (inGrace && now - graceUntil < 0 && available.containsKey(id)) {
@@ -154,6 +171,17 @@
     return available.get(id);
   }
 
+  /** Returns the endpoints of a service that accept requests. */
+  public List<EndpointRecord> ofService(String service) {
+    List<EndpointRecord> endpoints = new ArrayList<>();
+    for (EndpointRecord endpoint : available.values()) {
+      if (endpoint.service().equals(service)) {
+        endpoints.add(endpoint);
+      }
+    }
+    return endpoints;
+  }
+
   /** Returns all endpoints that accept requests. */
   public List<EndpointRecord> all() {
     return new ArrayList<>(available.values());
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/EndpointRecord.java
@@ -30,8 +30,28 @@
         id, service, address, dataCentre, slots, isDraining, 0, startedAtMillis, 0);
   }
 
-  /** Returns whether an entry with the same id is known to be of the same start of the endpoint. */
-  boolean isSameInstance(EndpointRecord other) {
-    return startedAtMillis != 0 && startedAtMillis == other.startedAtMillis;
+  /**
+   * Returns whether a later entry with the same id is of the same start of the endpoint. Without
+   * start times, a heartbeat number that has not fallen is taken as a sign of it.
+   */
+  boolean isSameInstance(EndpointRecord later) {
+    if (startedAtMillis != 0 || later.startedAtMillis != 0) {
+      return startedAtMillis == later.startedAtMillis;
+    }
+    return heartbeat > 0 && later.heartbeat >= heartbeat;
+  }
+
+  /** Returns the entry of the same instance after it has begun to drain. */
+  EndpointRecord draining() {
+    return new EndpointRecord(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        true,
+        warmUpRemainingMillis,
+        startedAtMillis,
+        heartbeat);
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import io.samphiredyke.gateway.store.EndpointUpdateBroadcaster;
 import io.samphiredyke.gateway.store.HostRegistry;
 import io.samphiredyke.gateway.store.PeerBootstrap;
+import io.samphiredyke.gateway.store.StoreEraTracker;
 import io.samphiredyke.gateway.store.TopicFollower;
 import io.samphiredyke.gateway.upstream.EndpointConnectionPool;
 import io.samphiredyke.net.control.ControlEventLoop;
@@ -32,7 +33,6 @@
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpClientOptions;
 import io.samphiredyke.platform.HostSettings;
-import io.samphiredyke.platform.StoreBatch;
 import io.samphiredyke.platform.StoreClient;
 import java.time.Clock;
 import java.time.Duration;
@@ -81,6 +81,7 @@
   private final ServingState state;
   private final PeerGroup peers;
   private final EndpointConnectionPool connections;
+  private final RequestService service;
   private final StartupQueue startupQueue;
   private final FrontendServer frontend;
   private final EndpointReceiver endpoints;
@@ -91,7 +92,7 @@
   private final PeerBootstrap peerBootstrap;
   private final ConfigurationLagDetector configurationLag;
   private final HostRegistry registry;
-  private long storeEra = StoreBatch.NO_ERA;
+  private final StoreEraTracker storeEra;
   private boolean stopping;
   private boolean ready;
 
@@ -119,9 +120,10 @@
             random,
             log);
     this.connections = new EndpointConnectionPool(eventLoop);
-    RequestService service =
+    this.service =
         new RequestService(
             loop, state, peers.slotClient(), peers.statements(), connections, log, metrics, random);
+    peers.statements().setLeavingListener(directory::markLeaving);
     this.startupQueue = new StartupQueue(loop, service);
     this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
     HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
@@ -161,9 +163,12 @@
     this.registry =
         new HostRegistry(
             loop, store, settings.hostName(), settings.peerAddress(), this::onHosts, log);
+    this.storeEra =
+        new StoreEraTracker(configurationFollower, endpointFollower, registry, log, random);
     new GatewayGauges(metrics)
         .register(
-            log, frontend, peers, connections, directory, configurationFollower, endpointFollower);
+            log, frontend, peers, connections, directory, configurationFollower, endpointFollower)
+        .registerStatements(peers.statements(), service.pauses(), storeEra);
   }
 
   private static Member self(HostSettings settings, RandomGenerator random) {
@@ -187,7 +192,7 @@
   /** Binds all addresses and starts reading configuration and endpoints. */
   CompletableFuture<Void> start() {
     ManagementServer managementServer = new ManagementServer(this, metrics);
-    store.setEraListener(era -> loop.execute(() -> onStoreEra(era)));
+    store.setEraListener(era -> loop.execute(() -> storeEra.observe(era)));
     loop.execute(this::startFollowing);
     return frontend
         .start(SocketAddresses.parse(settings.callerAddress()))
@@ -221,6 +226,7 @@
     frontend.closeExpired();
     connections.closeExpired();
     directory.tick(loop.nanoTime());
+    service.pauses().expire(loop.nanoTime());
     configurationLag.check(configurationVersion(), loop.nanoTime());
     updateReady();
   }
@@ -250,43 +256,13 @@
         "offset",
         offset,
         "era",
-        storeEra);
+        storeEra.era());
     peers.slotClient().scheduler().configure(newer, loop.nanoTime());
     peers.setConfigurationVersion(newer.version());
     updateReady();
     return true;
   }
 
-  /**
-   * Records the era of the store; a higher one than before means that an older copy was restored.
-   */
-  private void onStoreEra(long era) {
-    if (era <= storeEra) {
-      return;
-    }
-    log.event(
-        "store_era",
-        "era",
-        era,
-        "before",
-        storeEra,
-        "config_version",
-        configurationVersion(),
-        "config_offset",
-        configurationFollower.nextOffset(),
-        "endpoints",
-        directory.all().size(),
-        "endpoint_offset",
-        endpointFollower.nextOffset());
-    boolean isRestored = storeEra != StoreBatch.NO_ERA;
-    storeEra = era;
-    if (isRestored) {
-      registry.registerAgain(random);
-    }
-    configurationFollower.observeEra(era);
-    endpointFollower.observeEra(era);
-  }
-
   private void updateReady() {
     boolean isInitialized = state.configuration() != null && endpoints.isLoaded();
     if (isInitialized && registry.hasCompletedRead()) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -1,10 +1,13 @@
 package io.samphiredyke.gateway;
 
+import io.samphiredyke.core.pool.EndpointPauses;
 import io.samphiredyke.core.serving.EndpointDirectory;
 import io.samphiredyke.gateway.frontend.FrontendServer;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.scheduling.EndpointStatements;
 import io.samphiredyke.gateway.scheduling.PeerGroup;
+import io.samphiredyke.gateway.store.StoreEraTracker;
 import io.samphiredyke.gateway.store.TopicFollower;
 import io.samphiredyke.gateway.upstream.EndpointConnectionPool;
 
@@ -17,7 +20,7 @@
     this.metrics = metrics;
   }
 
-  void register(
+  GatewayGauges register(
       DecisionLog log,
       FrontendServer frontend,
       PeerGroup peers,
@@ -47,5 +50,19 @@
         "samphiredyke_store_calls",
         "Calls to the store.",
         () -> configuration.calls() + endpoints.calls());
+    return this;
+  }
+
+  void registerStatements(
+      EndpointStatements statements, EndpointPauses pauses, StoreEraTracker era) {
+    metrics.gauge(
+        "samphiredyke_limited_endpoints",
+        "Endpoints that state a limit on the requests per second.",
+        statements::limitedEndpoints);
+    metrics.gauge(
+        "samphiredyke_paused_endpoints",
+        "Endpoints that want no requests from this host for a time.",
+        pauses::size);
+    metrics.gauge("samphiredyke_store_era", "Era of the store, -1 if unknown.", era::era);
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -18,6 +18,7 @@
 import io.samphiredyke.platform.EndpointRequestHead;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +39,9 @@
   /** Retry-After for a request that several endpoints refused without running it. */
   private static final long NOT_RUN_RETRY_MILLIS = 100;
 
+  /** Part of a pause by which returns after its end are spread at random. */
+  private static final double PAUSE_RETURN_SPREAD = 0.2;
+
   /** Factor by which a customer's rank outweighs the route's; there are only a few route ranks. */
   private static final int ROUTE_RANKS = 16;
 
@@ -106,7 +110,47 @@
     acquireSlot();
   }
 
+  /** Acquires a slot, or waits or gives up if all endpoints want no requests from this host. */
   private void acquireSlot() {
+    if (context.pauses().isEmpty()) {
+      acquireSlot(Set.copyOf(excluded));
+      return;
+    }
+    long now = context.loop().nanoTime();
+    List<EndpointRecord> all = context.state().endpoints().ofService(service);
+    List<EndpointRecord> untried =
+        all.stream().filter(endpoint -> !excluded.contains(endpoint.id())).toList();
+    long usableAt = context.pauses().firstEnd(untried.isEmpty() ? all : untried, now);
+    if (usableAt > now) {
+      awaitPause(usableAt, now);
+      return;
+    }
+    Set<String> unusable = context.pauses().pausedOf(all, now);
+    if (!untried.isEmpty()) {
+      unusable.addAll(excluded);
+    }
+    acquireSlot(Set.copyOf(unusable));
+  }
+
+  private void awaitPause(long usableAt, long now) {
+    if (usableAt - deadlines.startDeadline() <= 0) {
+      context.loop().schedule(this::acquireAfterPause, Duration.ofNanos(usableAt - now));
+      return;
+    }
+    double spread = 1 + PAUSE_RETURN_SPREAD * context.random().nextDouble();
+    refused(
+        new SlotRefusal(
+            SlotRefusal.Reason.ENDPOINTS_PAUSED,
+            (long) ((usableAt - now) / NANOS_PER_MILLI * spread)));
+  }
+
+  private void acquireAfterPause() {
+    if (!ended) {
+      acquireSlot();
+    }
+  }
+
+  private void acquireSlot(Set<String> unusable) {
     long units = 0;
     CustomerSpec charged = customer;
     if (charged != null && !quotaCharged) {
@@ -126,7 +170,7 @@
             charged == null ? "" : charged.name(),
             units,
             reachedEndpoint,
-            Set.copyOf(excluded),
+            unusable,
             deadlines.objectiveDeadline(),
             deadlines.startDeadline());
     slotRequestId = context.slotClient().acquire(requirements, this);
@@ -151,9 +195,12 @@
       slot.release(Outcome.WITHDRAWN);
       excluded.add(slot.endpointId());
       acquireSlot();
-      return;
+    } else if (context.pauses().isPaused(endpoint, context.loop().nanoTime())) {
+      slot.release(Outcome.WITHDRAWN);
+      acquireSlot();
+    } else {
+      send(endpoint, slot);
     }
-    send(endpoint, slot);
   }
 
   private void send(EndpointRecord endpoint, SlotHandle slot) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -128,6 +128,34 @@
           .limitStated(
               endpoint.id(), head.limitPerSecond(), head.requestId(), sentAt, slot.grantedBy());
     }
+    if (head.isLeaving()) {
+      request.context().statements().leavingStated(endpoint);
+    }
+    if (head.pauseMillis() > 0) {
+      pauseEndpoint(head);
+    }
+  }
+
+  private void pauseEndpoint(EndpointResponseHead head) {
+    long until = request.context().loop().nanoTime() + head.pauseMillis() * NANOS_PER_MILLI;
+    if (request.context().pauses().pause(endpoint, until)) {
+      request
+          .context()
+          .log()
+          .event(
+              "endpoint_paused",
+              "endpoint",
+              endpoint.id(),
+              "millis",
+              head.pauseMillis(),
+              "source",
+              head.requestId());
+    }
+  }
+
+  @Override
+  public boolean isStillWanted() {
+    return !isDone && request.context().accepts(endpoint);
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
@@ -1,6 +1,8 @@
 package io.samphiredyke.gateway.request;
 
+import io.samphiredyke.core.pool.EndpointPauses;
 import io.samphiredyke.core.serving.CustomerSpec;
+import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.Route;
 import io.samphiredyke.core.serving.ServingConfiguration;
 import io.samphiredyke.gateway.frontend.CallerRequest;
@@ -41,7 +43,17 @@
       GatewayMetrics metrics,
       RandomGenerator random,
       RequestValueEstimator valueEstimator,
-      CallerWaitEstimator waitEstimator) {}
+      CallerWaitEstimator waitEstimator,
+      EndpointPauses pauses) {
+
+    /** Returns whether an instance of an endpoint accepts requests from this host now. */
+    boolean accepts(EndpointRecord endpoint) {
+      EndpointRecord current = state.endpoints().find(endpoint.id());
+      return current != null
+          && current.startedAtMillis() == endpoint.startedAtMillis()
+          && !pauses.isPaused(endpoint, loop.nanoTime());
+    }
+  }
 
   private final Context context;
 
@@ -66,7 +78,13 @@
             metrics,
             random,
             new RequestValueEstimator(),
-            new CallerWaitEstimator());
+            new CallerWaitEstimator(),
+            new EndpointPauses());
+  }
+
+  /** Returns the endpoints that want no requests from this host for a time. */
+  public EndpointPauses pauses() {
+    return context.pauses();
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/EndpointStatements.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/EndpointStatements.java
@@ -2,6 +2,7 @@
 
 import io.samphiredyke.core.pool.EndpointLimits;
 import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
 import java.util.function.BiConsumer;
@@ -23,6 +24,18 @@
   private final Consumer<SchedulingMessage> broadcast;
   private final DecisionLog log;
   private final EndpointLimits limits = new EndpointLimits();
+  private LeavingListener leavingListener = (endpointId, startedAtMillis) -> false;
+
+  /** Excludes an instance of an endpoint that stated that it leaves. */
+  public interface LeavingListener {
+
+    /**
+     * Called for each such statement.
+     *
+     * @return whether the endpoint accepted requests until now
+     */
+    boolean leaving(String endpointId, long startedAtMillis);
+  }
 
   /**
    * Creates an instance that knows no statements.
@@ -93,6 +106,24 @@
     scheduler.limit(message.endpointId(), perSecond, loop.nanoTime());
   }
 
+  /** Sets the listener for endpoints that leave. */
+  public void setLeavingListener(LeavingListener listener) {
+    leavingListener = listener;
+  }
+
+  /** Records that an endpoint stated in a response that it leaves. */
+  public void leavingStated(EndpointRecord endpoint) {
+    if (leavingListener.leaving(endpoint.id(), endpoint.startedAtMillis())) {
+      broadcast.accept(
+          new SchedulingMessage.EndpointLeaving(endpoint.id(), endpoint.startedAtMillis()));
+    }
+  }
+
+  /** Handles the message of another host. */
+  void received(SchedulingMessage.EndpointLeaving message) {
+    leavingListener.leaving(message.endpointId(), message.startedAtMillis());
+  }
+
   private static String describe(double perSecond) {
     return perSecond == EndpointLimits.NONE ? "none" : Double.toString(perSecond);
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -286,6 +286,10 @@
       statements.received(from, limit);
       return;
     }
+    if (message instanceof SchedulingMessage.EndpointLeaving leaving) {
+      statements.received(leaving);
+      return;
+    }
     if (!(message instanceof SchedulingMessage.EndpointUpdate update)) {
       slotClient.received(from, message);
       return;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
@@ -91,6 +91,9 @@
    */
   record EndpointLimit(String endpointId, double requestsPerSecond) implements SchedulingMessage {}
 
+  /** An instance of an endpoint stated in a response to the sender that it leaves. */
+  record EndpointLeaving(String endpointId, long startedAtMillis) implements SchedulingMessage {}
+
   /**
    * A changed endpoint entry.
    *
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
@@ -32,6 +32,7 @@
   private static final int HELD_SLOTS_REPORT = 8;
   private static final int ENDPOINT_UPDATE = 9;
   private static final int ENDPOINT_LIMIT = 10;
+  private static final int ENDPOINT_LEAVING = 11;
 
   private SchedulingMessageCodec() {}
 
@@ -70,6 +71,9 @@
     } else if (message instanceof SchedulingMessage.EndpointLimit limit) {
       packer.packInt(ENDPOINT_LIMIT).packString(limit.endpointId());
       packer.packDouble(limit.requestsPerSecond());
+    } else if (message instanceof SchedulingMessage.EndpointLeaving leaving) {
+      packer.packInt(ENDPOINT_LEAVING).packString(leaving.endpointId());
+      packer.packLong(leaving.startedAtMillis());
     }
   }
 
@@ -157,6 +161,8 @@
       case ENDPOINT_UPDATE -> readEndpointUpdate(in);
       case ENDPOINT_LIMIT ->
           new SchedulingMessage.EndpointLimit(in.unpackString(), in.unpackDouble());
+      case ENDPOINT_LEAVING ->
+          new SchedulingMessage.EndpointLeaving(in.unpackString(), in.unpackLong());
       default -> throw new IOException("unknown scheduling message type " + type);
     };
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -57,6 +57,11 @@
       connected.close();
       return;
     }
+    if (!listener.isStillWanted()) {
+      connected.close();
+      connectFailed("the endpoint accepts no requests any more");
+      return;
+    }
     channel = connected;
     connected.pipeline().addLast(this);
     ByteBuf body = request.body();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
@@ -7,6 +7,14 @@
 /** Receives the response of an endpoint, on the event loop. */
 public interface ExchangeListener {
 
+  /**
+   * Returns whether the request is still to be sent, asked when a new connection is open. If not,
+   * the exchange fails as unsent.
+   */
+  default boolean isStillWanted() {
+    return true;
+  }
+
   /** Called when the head of the response has arrived. */
   void onHead(EndpointResponseHead head, HttpResponse response);
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -25,6 +25,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
@@ -33,6 +34,9 @@
 /** Base class of tests that run gateways against stand-ins of the platform, over loopback. */
 abstract class GatewayHarness {
 
+  /** More than the slots of one endpoint. */
+  private static final int CONCURRENT_REQUESTS = 8;
+
   /** Next port to try, below the ephemeral port range and different for each test process. */
   private static final AtomicInteger NEXT_PORT =
       new AtomicInteger(12_000 + (int) (ProcessHandle.current().pid() % 1_500) * 8);
@@ -171,6 +175,27 @@
     return client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).join();
   }
 
+  /** Sends concurrent requests, so that all endpoints of the service get some. */
+  List<HttpResponse<String>> postConcurrently(RunningGateway to, String path) {
+    List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+    for (int i = 0; i < CONCURRENT_REQUESTS; i++) {
+      HttpRequest request =
+          request(to, path).POST(HttpRequest.BodyPublishers.ofString("x")).build();
+      responses.add(client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+    }
+    return responses.stream().map(CompletableFuture::join).toList();
+  }
+
+  /** Sends requests until an endpoint has received one. */
+  void reach(RunningGateway running, String path, EndpointStandIn endpoint) {
+    int before = endpoint.arrivals().size();
+    await(
+        () -> {
+          postConcurrently(running, path);
+          return endpoint.arrivals().size() > before;
+        });
+  }
+
   static int runs(List<EndpointStandIn> endpoints) {
     return endpoints.stream().mapToInt(endpoint -> endpoint.runs().size()).sum();
   }
