Endpoint limits: a limit that is stated again after its end is a change

Cause, found by reading the change: the end is kept as an infinite limit, and the relative difference to infinity was never above the bound, so that a second limit went only to the granting scheduler, and an older response could end it. Runs: limitStatedAgainAfterItsEndIsAChange failed before and passes.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLimits.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLimits.java
@@ -42,7 +42,10 @@
   private record Limit(double perSecond, long changedAt, long confirmedAt) {
 
     boolean isOther(double stated) {
-      return perSecond != stated && !(Math.abs(stated - perSecond) <= MIN_CHANGE * perSecond);
+      if (perSecond == NONE || stated == NONE) {
+        return perSecond != stated;
+      }
+      return Math.abs(stated - perSecond) > MIN_CHANGE * perSecond;
     }
   }
 
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/EndpointLimitsTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/EndpointLimitsTest.java
@@ -27,6 +27,14 @@
     assertThat(limits.responded("e", EndpointLimits.NONE, 12, 13)).isEqualTo(Effect.CONFIRMED);
   }
 
+  @Test
+  void limitStatedAgainAfterItsEndIsAChange() {
+    limits.responded("e", 2, 0, 10);
+    limits.responded("e", EndpointLimits.NONE, 11, 12);
+    assertThat(limits.responded("e", 2, 13, 14)).isEqualTo(Effect.CHANGED);
+    assertThat(limits.responded("e", EndpointLimits.NONE, 13, 15)).isEqualTo(Effect.NONE);
+  }
+
   @Test
   void announcementOfAnotherHostCountsLikeAnOwnOne() {
     assertThat(limits.announced("e", 2, 10)).isTrue();
