--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -51,7 +51,10 @@
   /** Timeout of a call, in addition to its long poll; a response takes a few milliseconds. */
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(1_000);
 
-  /** Interval at which the read condition is checked again while it does not hold. */
+  /**
+   * Interval at which the read condition is checked again while it does not hold, and after which a
+   * response of an older era is read anew.
+   */
   private static final Duration RECHECK_INTERVAL = Duration.ofMillis(200);
 
   private static final double NANOS_PER_SECOND = 1e9;
@@ -176,7 +179,7 @@
 
   private void onSnapshot(StoreBatch batch) {
     if (!cursor.acceptSnapshot(batch.era(), batch.nextOffset())) {
-      readSnapshot();
+      scheduleStep(this::readSnapshot, RECHECK_INTERVAL);
       return;
     }
     recordSuccess();
@@ -234,8 +237,11 @@
   }
 
   private void onLongPollDone(StoreBatch batch) {
+    int callGeneration = generation;
     if (onRecords(batch)) {
       scheduleRead();
+    } else if (callGeneration == generation) {
+      scheduleStep(this::readSnapshot, RECHECK_INTERVAL);
     }
   }
 
