--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/PoolBenchmark.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/jmh/PoolBenchmark.java
@@ -64,7 +64,8 @@
     int endpoints = Integer.parseInt(parts[0]);
     int waiting = Integer.parseInt(parts[1]);
     for (int i = 0; i < endpoints; i++) {
-      scheduler.put(new EndpointRecord("e" + i, "s", "10.0.0.1:1", "a", SLOTS, false, 0, 1, 0), now);
+      scheduler.put(
+          new EndpointRecord("e" + i, "s", "10.0.0.1:1", "a", SLOTS, false, 0, 1, 0), now);
     }
     int slots = endpoints * SLOTS;
     int filled = waiting == 0 ? slots / 2 : slots + waiting;
