Log: caller and content of requests that failed or are retried

The lines `repeat` and `failed` name the caller and a 64-bit hash of method, path with query, and body; the hash is computed only for them. No decision uses it.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -51,6 +51,7 @@
   private final String service;
   private final double value;
   private final Set<String> excluded = new HashSet<>();
+  private final RequestContent content;
   private final ResponseRelay relay;
   private final RequestLog log;
   private @Nullable Future<?> timer;
@@ -74,6 +75,7 @@
     this.head = head;
     this.route = route;
     this.customer = customer;
+    this.content = new RequestContent(request, customer);
     long waitedMillis = context.waitEstimator().waitedMillis(route.name(), head.remainingMillis());
     this.deadlines =
         new RequestDeadlines(route, head.remainingMillis(), waitedMillis, request.arrivedAt());
@@ -296,7 +298,7 @@
   }
 
   private void retry(EndpointAttempt previous, String reason) {
-    log.retried(reason, previous.endpoint().id());
+    log.retried(reason, previous.endpoint().id(), content.fingerprint());
     excluded.add(previous.endpoint().id());
     relay.prepareRetry();
     acquireSlot();
@@ -330,7 +332,8 @@
         millisSinceArrival(),
         possibleExecutions,
         relay.lastEventId(),
-        lastEndpointId);
+        lastEndpointId,
+        content.fingerprint());
     end();
     if (relay.hasStarted()) {
       request.writer().abort();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway.request;
 
 import io.samphiredyke.core.pool.PromptPart;
+import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
@@ -63,7 +64,8 @@
         afterEvent);
   }
 
-  void retried(String reason, String endpointId) {
+  /** Logs that the request is retried; its content relates the failures of several attempts. */
+  void retried(String reason, String endpointId, RequestFingerprint content) {
     log.event(
         "repeat",
         "id",
@@ -72,6 +74,8 @@
         reason,
         "endpoint",
         endpointId,
+        "request",
+        content,
         "parts",
         promptParts());
     metrics.retried();
@@ -116,7 +120,8 @@
       long millis,
       int possibleExecutions,
       long lastEvent,
-      String endpointId) {
+      String endpointId,
+      RequestFingerprint content) {
     log.event(
         "failed",
         "id",
@@ -135,6 +140,8 @@
         lastEvent,
         "endpoint",
         endpointId,
+        "request",
+        content,
         "parts",
         promptParts());
     metrics.failed(reason);
