Peer links: a message that its link has not written goes over the next one

What callers saw: a request to a sound peer failed with "the link is closed or its queue is full" just when its link had been condemned; PeerTransportTest.replacesUnresponsiveLinks failed so on a busy machine.

Cause: OutboundLink completed the reply of a timed-out request before it closed the link, so whoever reacted at once was given the same link. The same window is open between the lookup of a link and the queueing on its event loop, for each cause of a close, and a close failed the messages that had waited and that another link could carry.

Change: the link is closed before the timeout is reported. What has not been written when a link closes goes over the link that replaces it, within its own timeout and once only; if the peer could not be reached or authenticated it fails as before. A full queue stays a refusal, with its own text. What was written stays "may have arrived".

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/OutboundLink.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/OutboundLink.java
@@ -16,31 +16,47 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The opening side of a link to one address, confined to its event loop.
  *
- * <p>A link is not reconnected: when it fails, all its requests fail, and the next message opens a
- * new link. If a request times out and no frame at all was received meanwhile, the link is closed,
- * because a firewall or a load balancer may have dropped the state of the connection.
+ * <p>A link is not reconnected: when it closes, the requests that it has written fail, and the next
+ * message opens a new link. Messages that it has not written go over that link as well, once,
+ * unless the peer could not be reached or authenticated. If a request times out and no frame at all
+ * was received meanwhile, the link is closed, because a firewall or a load balancer may have
+ * dropped the state of the connection.
  */
 final class OutboundLink extends SimpleChannelInboundHandler<PeerFrame> {
 
-  private record PendingMessage(
+  /**
+   * A message that has not been written.
+   *
+   * @param incarnation the process that must receive it, or null for any process at the address
+   * @param deadline when its sender stops waiting, in nanoseconds of the event loop's clock
+   * @param reply receives the reply, null if there is none
+   * @param wasMoved whether another link closed before it could write the message
+   */
+  record UnsentMessage(
       PeerMessage message,
       @Nullable String incarnation,
-      long correlationId,
-      @Nullable CompletableFuture<PeerMessage> reply) {}
+      long deadline,
+      @Nullable CompletableFuture<PeerMessage> reply,
+      boolean wasMoved) {}
+
+  private record PendingMessage(UnsentMessage content, long correlationId) {}
 
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final Handshake handshake;
   private final PeerOptions options;
   private final PeerCounters counters;
+  private final Consumer<UnsentMessage> replacement;
   private final String nonce = Handshake.nonce();
   private final Deque<PendingMessage> pending = new ArrayDeque<>();
   private final Map<Long, CompletableFuture<PeerMessage>> pendingReplies = new HashMap<>();
@@ -50,17 +66,24 @@
   private long framesReceived;
   private volatile boolean closed;
 
+  /**
+   * Creates a link that is not open.
+   *
+   * @param replacement sends messages over the link that replaces this one
+   */
   OutboundLink(
       EventLoop loop,
       InetSocketAddress address,
       Handshake handshake,
       PeerOptions options,
-      PeerCounters counters) {
+      PeerCounters counters,
+      Consumer<UnsentMessage> replacement) {
     this.loop = loop;
     this.address = address;
     this.handshake = handshake;
     this.options = options;
     this.counters = counters;
+    this.replacement = replacement;
   }
 
   boolean isClosed() {
@@ -86,7 +109,7 @@
         .addListener(
             done -> {
               if (!done.isSuccess()) {
-                close("failed to connect to " + address);
+                failToReach("failed to connect to " + address);
               }
             });
     loop.schedule(this::checkHandshake, connectMillis * 2L, TimeUnit.MILLISECONDS);
@@ -94,12 +117,12 @@
 
   private void checkHandshake() {
     if (peer == null) {
-      close("no handshake in time with " + address);
+      failToReach("no handshake in time with " + address);
     }
   }
 
   void send(PeerMessage message, @Nullable String incarnation) {
-    loop.execute(() -> enqueue(new PendingMessage(message, incarnation, PeerFrame.ONE_WAY, null)));
+    send(new UnsentMessage(message, incarnation, Long.MAX_VALUE, null, false));
   }
 
   void request(
@@ -107,21 +130,36 @@
       @Nullable String incarnation,
       long timeoutNanos,
       CompletableFuture<PeerMessage> reply) {
-    loop.execute(
-        () -> {
-          long correlationId = ++lastCorrelationId;
-          long framesReceivedBefore = framesReceived;
-          enqueue(new PendingMessage(message, incarnation, correlationId, reply));
-          loop.schedule(
-              () -> onTimeout(correlationId, framesReceivedBefore, reply),
-              timeoutNanos,
-              TimeUnit.NANOSECONDS);
-        });
+    long deadline = loop.ticker().nanoTime() + timeoutNanos;
+    send(new UnsentMessage(message, incarnation, deadline, reply, false));
+  }
+
+  void send(UnsentMessage message) {
+    loop.execute(() -> accept(message));
+  }
+
+  private void accept(UnsentMessage message) {
+    CompletableFuture<PeerMessage> reply = message.reply();
+    if (reply == null) {
+      enqueue(new PendingMessage(message, PeerFrame.ONE_WAY));
+      return;
+    }
+    long correlationId = ++lastCorrelationId;
+    long framesReceivedBefore = framesReceived;
+    enqueue(new PendingMessage(message, correlationId));
+    loop.schedule(
+        () -> onTimeout(correlationId, framesReceivedBefore, reply),
+        Math.max(0, message.deadline() - loop.ticker().nanoTime()),
+        TimeUnit.NANOSECONDS);
   }
 
   private void enqueue(PendingMessage item) {
-    if (closed || pending.size() >= options.maxPendingMessages()) {
-      fail(item, "the link to " + address + " is closed or its queue is full");
+    if (closed) {
+      moveOrFail(item, "the link to " + address + " is closed");
+      return;
+    }
+    if (pending.size() >= options.maxPendingMessages()) {
+      fail(item, "the queue of the link to " + address + " is full");
       return;
     }
     if (peer == null) {
@@ -131,6 +169,17 @@
     write(item);
   }
 
+  private void moveOrFail(PendingMessage item, String reason) {
+    UnsentMessage message = item.content();
+    if (message.wasMoved()) {
+      fail(item, reason);
+      return;
+    }
+    replacement.accept(
+        new UnsentMessage(
+            message.message(), message.incarnation(), message.deadline(), message.reply(), true));
+  }
+
   private void write(PendingMessage item) {
     PeerIdentity remote = peer;
     Channel connected = channel;
@@ -138,19 +187,21 @@
       fail(item, "the link to " + address + " is not established");
       return;
     }
-    if (item.incarnation() != null && !item.incarnation().equals(remote.incarnation())) {
+    if (item.content().incarnation() != null
+        && !item.content().incarnation().equals(remote.incarnation())) {
       fail(item, address + " belongs to another process now");
       return;
     }
-    if (item.reply() != null) {
-      pendingReplies.put(item.correlationId(), item.reply());
+    if (item.content().reply() != null) {
+      pendingReplies.put(item.correlationId(), item.content().reply());
     }
-    connected.writeAndFlush(new PeerFrame(item.correlationId(), item.message()));
+    connected.writeAndFlush(new PeerFrame(item.correlationId(), item.content().message()));
   }
 
   private static void fail(PendingMessage item, String reason) {
-    if (item.reply() != null) {
-      item.reply().completeExceptionally(new PeerUnreachableException(reason, false));
+    CompletableFuture<PeerMessage> reply = item.content().reply();
+    if (reply != null) {
+      reply.completeExceptionally(new PeerUnreachableException(reason, false));
     }
   }
 
@@ -159,14 +210,19 @@
     if (reply.isDone()) {
       return;
     }
-    pending.removeIf(item -> item.correlationId() == correlationId);
-    boolean written = pendingReplies.remove(correlationId) != null;
-    reply.completeExceptionally(
-        new PeerUnreachableException("no reply from " + address + " within the timeout", written));
+    boolean isWaiting = pending.removeIf(item -> item.correlationId() == correlationId);
+    boolean isWritten = pendingReplies.remove(correlationId) != null;
+    if (!isWaiting && !isWritten) {
+      return;
+    }
+    // The link is closed first, so that a sender that reacts to the timeout gets a new one.
     if (framesReceived == framesReceivedBefore && !closed) {
       counters.unresponsiveLink();
       close("the link to " + address + " received no data");
     }
+    reply.completeExceptionally(
+        new PeerUnreachableException(
+            "no reply from " + address + " within the timeout", isWritten));
   }
 
   @Override
@@ -197,7 +253,7 @@
         frame.message() instanceof Welcome welcome && handshake.isAuthentic(welcome, nonce);
     if (!valid) {
       counters.rejectedHandshake();
-      close(address + " failed to authenticate");
+      failToReach(address + " failed to authenticate");
       return;
     }
     Welcome welcome = (Welcome) frame.message();
@@ -209,6 +265,16 @@
     }
   }
 
+  /** Closes the link and fails its messages, because the peer is the cause. */
+  private void failToReach(String reason) {
+    closed = true;
+    List<PendingMessage> unsent = List.copyOf(pending);
+    pending.clear();
+    close(reason);
+    unsent.forEach(item -> fail(item, reason));
+  }
+
+  /** Closes the link; messages that it has not written go over the link that replaces it. */
   void close(String reason) {
     closed = true;
     Channel connected = channel;
@@ -216,12 +282,12 @@
       connected.close();
     }
     while (!pending.isEmpty()) {
-      fail(pending.remove(), reason);
+      moveOrFail(pending.remove(), reason);
     }
-    pendingReplies
-        .values()
-        .forEach(reply -> reply.completeExceptionally(new PeerUnreachableException(reason, true)));
+    List<CompletableFuture<PeerMessage>> unanswered = List.copyOf(pendingReplies.values());
     pendingReplies.clear();
+    unanswered.forEach(
+        reply -> reply.completeExceptionally(new PeerUnreachableException(reason, true)));
   }
 
   EventLoop loop() {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerTransport.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerTransport.java
@@ -139,7 +139,8 @@
     return reply;
   }
 
-  private OutboundLink link(InetSocketAddress to) {
+  /** Returns the link to an address, a new one if there is none or it has closed. */
+  OutboundLink link(InetSocketAddress to) {
     return links.compute(to, (address, existing) -> isUsable(existing) ? existing : open(address));
   }
 
@@ -148,11 +149,29 @@
   }
 
   private OutboundLink open(InetSocketAddress address) {
-    OutboundLink link = new OutboundLink(group.next(), address, handshake, options, counters);
+    OutboundLink link =
+        new OutboundLink(
+            group.next(),
+            address,
+            handshake,
+            options,
+            counters,
+            message -> resend(address, message));
     link.open();
     return link;
   }
 
+  /** Sends a message that a closed link has not written. */
+  private void resend(InetSocketAddress to, OutboundLink.UnsentMessage message) {
+    CompletableFuture<PeerMessage> reply = message.reply();
+    if (!stopped) {
+      link(to).send(message);
+    } else if (reply != null) {
+      reply.completeExceptionally(
+          new PeerUnreachableException("this process is shutting down", false));
+    }
+  }
+
   /** Closes the listening socket and all links. */
   public CompletableFuture<Void> stop() {
     stopped = true;
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerTransportTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerTransportTest.java
@@ -111,6 +111,66 @@
         .isEqualTo(read("b"));
   }
 
+  /** A caller that reacts to a timeout at once uses the link that replaces the unresponsive one. */
+  @Test
+  void linkIsReplacedBeforeItsTimeoutIsReported() {
+    PeerTransport server =
+        start(
+            "server",
+            (from, message, reply) -> {
+              if (!message.equals(read("unanswered"))) {
+                reply.accept(message);
+              }
+            },
+            NEW);
+    PeerTransport client = echo("client", NEW);
+    client.request(server.address(), null, read("first"), REPLY_TIMEOUT).join();
+    CompletableFuture<PeerMessage> next =
+        client
+            .request(server.address(), null, read("unanswered"), Duration.ofMillis(400))
+            .exceptionallyCompose(
+                e -> client.request(server.address(), null, read("b"), REPLY_TIMEOUT));
+    assertThat(next.join()).isEqualTo(read("b"));
+  }
+
+  /** Closes the link on its own thread, after a message has found it and before it is queued. */
+  @Test
+  void messageForALinkThatClosesGoesOverTheNextOne() {
+    PeerTransport server = start("server", (from, message, reply) -> reply.accept(message), NEW);
+    PeerTransport client = echo("client", NEW);
+    client.request(server.address(), null, read("first"), REPLY_TIMEOUT).join();
+    OutboundLink link = client.link(server.address());
+    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+    link.loop()
+        .execute(
+            () -> {
+              client
+                  .request(server.address(), null, read("b"), REPLY_TIMEOUT)
+                  .whenComplete(
+                      (message, failure) -> {
+                        if (failure == null) {
+                          reply.complete(message);
+                        } else {
+                          reply.completeExceptionally(failure);
+                        }
+                      });
+              link.close("closed by the test");
+            });
+    assertThat(reply.join()).isEqualTo(read("b"));
+  }
+
+  /** Closes the link while a message waits for its handshake. */
+  @Test
+  void messageThatWaitsForALinkThatClosesGoesOverTheNextOne() {
+    PeerTransport server = start("server", (from, message, reply) -> reply.accept(message), NEW);
+    PeerTransport client = echo("client", NEW);
+    OutboundLink link = client.link(server.address());
+    CompletableFuture<PeerMessage> reply =
+        client.request(server.address(), null, read("b"), REPLY_TIMEOUT);
+    link.loop().execute(() -> link.close("closed by the test"));
+    assertThat(reply.join()).isEqualTo(read("b"));
+  }
+
   @Test
   void closesLinksWithMalformedFrames() throws Exception {
     PeerTransport server = echo("server", NEW);
