Crash evidence: a request sent to an endpoint that is already down did not crash it

Change: an attempt that was sent after the crash of its instance was reported is no evidence. Unit test added; it could not fail before, as the method is new.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
@@ -80,6 +80,15 @@
     return suspects.size();
   }
 
+  /**
+   * Returns whether an instance was reported to have crashed before a request was sent to it, so
+   * that the request can't be the cause.
+   */
+  public boolean hadCrashedBefore(String instance, long sentAt) {
+    Crash crash = crashes.get(instance);
+    return crash != null && sentAt - crash.firstReportAt > 0;
+  }
+
   /**
    * Records that an instance ended its connection while it ran a request.
    *
@@ -141,8 +150,7 @@
    * @return whether a crash of the instance was recorded until now
    */
   public boolean responded(String instance, long sentAt, long now) {
-    Crash crash = crashes.get(instance);
-    return crash != null && sentAt - crash.firstReportAt > 0 && dismiss(instance, now);
+    return hadCrashedBefore(instance, sentAt) && dismiss(instance, now);
   }
 
   /**
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/quarantine/CrashSuspectsTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/quarantine/CrashSuspectsTest.java
@@ -136,4 +136,13 @@
     settle();
     assertThat(suspects.findCauses(now)).containsExactly(GUILTY);
   }
+
+  /** What is sent to an instance that is already down ends as well, but is not the cause. */
+  @Test
+  void requestSentAfterACrashDidNotCauseIt() {
+    crash(1, GUILTY);
+    assertThat(suspects.hadCrashedBefore("i-1", now - MILLI)).isFalse();
+    assertThat(suspects.hadCrashedBefore("i-1", now + MILLI)).isTrue();
+    assertThat(suspects.hadCrashedBefore("i-2", now + MILLI)).isFalse();
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -215,7 +215,7 @@
     possibleExecutions++;
     releaseSlot(failed, failed.failureOutcome());
     if (failed.wasBrokenOff()) {
-      content.brokenOff(failed.endpoint(), head.requestId());
+      content.brokenOff(failed, head.requestId());
     }
     boolean canResume = !relay.hasStarted() || relay.canResume();
     if (route.kind().isRetryable() && canResume && possibleExecutions < route.maxAttempts()) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -73,6 +73,11 @@
     return wasBrokenOff;
   }
 
+  /** Returns when the request was sent, in nanoseconds of the control loop's clock. */
+  long sentAt() {
+    return sentAt;
+  }
+
   EndpointRecord endpoint() {
     return endpoint;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.CustomerSpec;
-import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.gateway.frontend.CallerRequest;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import org.jspecify.annotations.Nullable;
@@ -56,9 +55,9 @@
     return isIsolated ? fingerprint() : null;
   }
 
-  /** Records that an endpoint ended the connection while it ran the request. */
-  void brokenOff(EndpointRecord endpoint, String requestId) {
-    crashes.crashed(endpoint, fingerprint(), requestId);
+  /** Records that an endpoint ended the connection of an attempt. */
+  void brokenOff(EndpointAttempt attempt, String requestId) {
+    crashes.crashed(attempt.endpoint(), fingerprint(), attempt.sentAt(), requestId);
   }
 
   /** Records that the request was served. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
@@ -118,10 +118,15 @@
   /**
    * Records that an endpoint ended the connection of a request of this host.
    *
+   * @param sentAt when the request was sent
    * @param requestId id of the caller's attempt, for the log
    */
-  public void crashed(EndpointRecord endpoint, RequestFingerprint request, String requestId) {
+  public void crashed(
+      EndpointRecord endpoint, RequestFingerprint request, long sentAt, String requestId) {
     String instance = instance(endpoint);
+    if (suspects.hadCrashedBefore(instance, sentAt)) {
+      return;
+    }
     SchedulingMessage.EndpointCrashed report =
         new SchedulingMessage.EndpointCrashed(instance, request);
     if (!observe(report, requestId)) {
