Soak: requests that crash endpoints, two software versions, callers that take up streams

One request in sixty crashes each endpoint that runs it, with one of two contents on two routes; the process of the endpoint ends and another one starts 2 s later at its address. Instances have two versions by turns, and callers take up streams that broke off, at another host. Checked over the whole run, from what endpoints report: at most three arrivals of each crashing request later than 3 s after the third, whatever happens to the hosts, and no stream that goes on at another version.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpResponse;
 import io.samphiredyke.platform.standin.CallerStandIn;
 import io.samphiredyke.platform.standin.PlatformFixtures;
@@ -41,6 +42,14 @@
   /** One in this many requests is sent as the customer with a quota. */
   private static final int LIMITED_ONE_IN = 3;
 
+  /** One in this many requests crashes the endpoints that run it. */
+  private static final int CRASHING_ONE_IN = 60;
+
+  /** Number of different requests that crash endpoints, over all callers. */
+  private static final int CRASHING_REQUESTS = 2;
+
+  private static final RequestKind[] CRASHING_KINDS = {RequestKind.SAFE, RequestKind.UNSAFE};
+
   private final EventLoop loop;
   private final HttpClient http;
   private final Fleet fleet;
@@ -128,35 +137,85 @@
   }
 
   private void send() {
+    if (random.nextInt(CRASHING_ONE_IN) == 0) {
+      sendCrashing();
+      return;
+    }
     RequestKind[] kinds = RequestKind.values();
     RequestKind kind = kinds[random.nextInt(kinds.length)];
     String id = Long.toHexString(random.nextLong());
     boolean isLimited = random.nextInt(LIMITED_ONE_IN) == 0;
-    observations.recordRequest(id, kind);
-    ResponseReader reader =
-        new ResponseReader(
-            id, kind, host.name(), exchange -> loop.execute(() -> requestEnded(exchange)));
-    reader.setStream(
-        http.open(
-            CallerStandIn.request(
-                SocketAddresses.parse(host.proxiedAddress()),
-                "/" + kind.route() + "/" + id,
-                id,
-                isLimited ? PlatformFixtures.LIMITED_KEY : PlatformFixtures.KEY,
-                kind.isStream(),
-                RESPONSE_TIMEOUT),
-            reader));
+    ResponseReader reader = reader(id, id, 0, kind);
+    open(
+        reader,
+        CallerStandIn.request(
+            SocketAddresses.parse(host.proxiedAddress()),
+            "/" + kind.route() + "/" + id,
+            id,
+            isLimited ? PlatformFixtures.LIMITED_KEY : PlatformFixtures.KEY,
+            kind.isStream(),
+            RESPONSE_TIMEOUT));
     if (random.nextInt(ABANDON_ONE_IN) == 0) {
       loop.schedule(reader::abandon, ABANDON_AFTER_MILLIS, TimeUnit.MILLISECONDS);
     }
+  }
+
+  private void sendCrashing() {
+    RequestKind kind = CRASHING_KINDS[random.nextInt(CRASHING_KINDS.length)];
+    String id = Long.toHexString(random.nextLong());
+    open(
+        reader(id, id, 0, kind),
+        CallerStandIn.crashingRequest(
+            SocketAddresses.parse(host.proxiedAddress()),
+            kind.route(),
+            random.nextInt(CRASHING_REQUESTS),
+            id,
+            RESPONSE_TIMEOUT));
+  }
+
+  /** Takes up a stream that broke off, once more if it breaks off again. */
+  private void takeUp(String streamId, int lastEvent) {
+    switchHost(System.currentTimeMillis());
+    String id = Long.toHexString(random.nextLong());
+    observations.recordTakeUp(id, streamId);
+    open(
+        reader(id, streamId, lastEvent, RequestKind.RESUMABLE),
+        CallerStandIn.takeUp(
+            SocketAddresses.parse(host.proxiedAddress()),
+            "/" + RequestKind.RESUMABLE.route() + "/" + streamId,
+            id,
+            streamId,
+            lastEvent,
+            RESPONSE_TIMEOUT));
+  }
+
+  private ResponseReader reader(String id, String streamId, int lastEvent, RequestKind kind) {
+    observations.recordRequest(id, kind);
+    return new ResponseReader(
+        id,
+        streamId,
+        lastEvent,
+        kind,
+        host.name(),
+        (reader, exchange) -> loop.execute(() -> requestEnded(reader, exchange)));
+  }
+
+  private void open(ResponseReader reader, HttpRequest request) {
+    reader.setStream(http.open(request, reader));
     loop.schedule(reader::abandon, RESPONSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void requestEnded(Exchange exchange) {
+  private void requestEnded(ResponseReader reader, Exchange exchange) {
     observations.recordExchange(exchange);
     if (!exchange.isServed()) {
       keepHostUntil = 0;
     }
+    boolean canTakeUp = exchange.kind() == RequestKind.RESUMABLE && reader.isBrokenOff();
+    if (canTakeUp && !stopped) {
+      loop.schedule(
+          () -> takeUp(reader.streamId(), reader.lastEvent()), RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
     scheduleNext(exchange.isServed() ? random.nextLong(MAX_THINK_MILLIS) : RETRY_MILLIS);
   }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
@@ -41,6 +42,12 @@
    */
   private static final int SECOND_OCTETS = 200;
 
+  /** Software versions that the instances of endpoints have by turns. */
+  private static final int SOFTWARE_VERSIONS = 2;
+
+  /** Time from the crash of an endpoint to the start of another one at its address. */
+  private static final long CRASH_DOWN_MILLIS = 2_000;
+
   /** JVM options of the gateway, as in deploy/system.toml. */
   private static final List<String> JAVA =
       List.of(
@@ -203,7 +210,8 @@
 
   private ChildProcess startEndpoint(Endpoint endpoint) {
     String service = endpoint.isStream ? "model" : "plain";
-    String id = service.charAt(0) + "-" + instanceCount.incrementAndGet();
+    int number = instanceCount.incrementAndGet();
+    String id = service.charAt(0) + "-" + number;
     List<String> arguments =
         List.of(
             id,
@@ -211,13 +219,16 @@
             endpoint.isStream ? "stream" : "plain",
             endpoint.address,
             endpoint.registeredAddress,
-            storeAddress());
+            storeAddress(),
+            "v" + number % SOFTWARE_VERSIONS);
     return start(
-        id,
-        EndpointProcess.class,
-        arguments,
-        id,
-        line -> observations.readEndpointOutput(service, line));
+        id, EndpointProcess.class, arguments, id, line -> readOutput(endpoint, service, line));
+  }
+
+  private void readOutput(Endpoint endpoint, String service, String line) {
+    if (observations.readEndpointOutput(service, line)) {
+      group.schedule(endpoint::replace, CRASH_DOWN_MILLIS, TimeUnit.MILLISECONDS);
+    }
   }
 
   private ChildProcess start(
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Observations.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Observations.java
@@ -9,12 +9,23 @@
 /** Requests, responses and executions recorded during a run. Thread-safe. */
 final class Observations {
 
-  /** The execution of a request at an endpoint. */
-  record Execution(String id, String service, String customer, long millis) {}
+  /**
+   * The execution of a request at an endpoint.
+   *
+   * @param version version of the endpoint's software
+   * @param firstEvent number of the first event of a stream that it produces
+   */
+  record Execution(
+      String id, String service, String customer, String version, int firstEvent, long millis) {}
+
+  /** The end of an endpoint under a request that crashes endpoints, identified by its path. */
+  record Crash(String path, long millis) {}
 
   private final Map<String, RequestKind> sent = new ConcurrentHashMap<>();
   private final Queue<Exchange> exchanges = new ConcurrentLinkedQueue<>();
   private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
+  private final Queue<Crash> crashes = new ConcurrentLinkedQueue<>();
+  private final Map<String, String> takenUp = new ConcurrentHashMap<>();
 
   /** Records that a caller is about to send a request. */
   void recordRequest(String id, RequestKind kind) {
@@ -26,12 +37,42 @@
     exchanges.add(exchange);
   }
 
-  /** Records the execution that a line of an endpoint's output reports, if any. */
-  void readEndpointOutput(String service, String line) {
+  /** Records that a request takes up a stream that another one began. */
+  void recordTakeUp(String id, String streamId) {
+    takenUp.put(id, streamId);
+  }
+
+  /** Returns the id of the request that began the stream of a request. */
+  String streamOf(String id) {
+    return takenUp.getOrDefault(id, id);
+  }
+
+  /**
+   * Records the execution or the crash that a line of an endpoint's output reports, if any.
+   *
+   * @return whether the endpoint crashed
+   */
+  boolean readEndpointOutput(String service, String line) {
     String[] fields = line.split(" ");
-    if (fields.length == 4 && fields[0].equals("ran")) {
-      executions.add(new Execution(fields[1], service, fields[2], Long.parseLong(fields[3])));
+    if (fields.length == 6 && fields[0].equals("ran")) {
+      executions.add(
+          new Execution(
+              fields[1],
+              service,
+              fields[2],
+              fields[3],
+              Integer.parseInt(fields[4]),
+              Long.parseLong(fields[5])));
+    }
+    boolean isCrash = fields.length == 3 && fields[0].equals("crashed");
+    if (isCrash) {
+      crashes.add(new Crash(fields[1], Long.parseLong(fields[2])));
     }
+    return isCrash;
+  }
+
+  List<Crash> crashes() {
+    return List.copyOf(crashes);
   }
 
   Map<String, RequestKind> sent() {
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/ResultChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/ResultChecker.java
@@ -1,10 +1,12 @@
 package io.samphiredyke.soak;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** Compares the responses to callers with the executions at endpoints. */
 final class ResultChecker {
@@ -21,6 +23,14 @@
   private static final double QUOTA_TOLERANCE = 1.1;
   private static final int QUOTA_SLACK = 5;
 
+  /** Crashes after which a request must no longer reach endpoints, and the time that it takes. */
+  private static final int TOLERATED_CRASHES = 3;
+
+  private static final long SETTLE_MILLIS = 3_000;
+
+  /** Crashes that are tolerated after that. */
+  private static final int TOLERATED_LATE_CRASHES = 3;
+
   private final Observations observations;
   private final List<String> findings = new ArrayList<>();
 
@@ -40,6 +50,8 @@
     checker.checkSingleExecution(executions);
     checker.checkExchanges(executions);
     checker.checkQuota(limitedCustomer, limitedRate);
+    checker.checkCrashes();
+    checker.checkVersions();
     return checker.findings;
   }
 
@@ -110,4 +122,45 @@
       }
     }
   }
+
+  /** Checks that a request that has crashed some endpoints reaches hardly any more. */
+  private void checkCrashes() {
+    Map<String, List<Long>> byPath = new TreeMap<>();
+    observations
+        .crashes()
+        .forEach(
+            crash ->
+                byPath.computeIfAbsent(crash.path(), key -> new ArrayList<>()).add(crash.millis()));
+    byPath.forEach(
+        (path, times) -> {
+          times.sort(null);
+          if (times.size() < TOLERATED_CRASHES) {
+            return;
+          }
+          long settled = times.get(TOLERATED_CRASHES - 1) + SETTLE_MILLIS;
+          long late = times.stream().filter(time -> time > settled).count();
+          if (late > TOLERATED_LATE_CRASHES) {
+            findings.add("BUDGET " + path + " crashed " + late + " endpoints too many: " + times);
+          }
+        });
+  }
+
+  /** Checks that streams go on only at the software version that began them. */
+  private void checkVersions() {
+    Map<String, String> begunAt = new HashMap<>();
+    observations.executions().stream()
+        .sorted(Comparator.comparingLong(Observations.Execution::millis))
+        .forEach(
+            execution -> {
+              String stream = observations.streamOf(execution.id());
+              if (execution.firstEvent() == 1) {
+                begunAt.put(stream, execution.version());
+                return;
+              }
+              String version = begunAt.get(stream);
+              if (version != null && !version.equals(execution.version())) {
+                findings.add("ORDER a stream of " + version + " went on: " + execution);
+              }
+            });
+  }
 }
