Soak: crashing requests end with the faults of a run

The measurement is of the time after the last fault, so crashing requests, a fault as well, end before its 12 s of recovery. Bound unchanged.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
@@ -60,6 +60,7 @@
   private Fleet.Host host;
   private long keepHostUntil;
   private volatile boolean stopped;
+  private volatile boolean sendsCrashing = true;
 
   Caller(
       EventLoop loop,
@@ -83,6 +84,11 @@
     stopped = true;
   }
 
+  /** Ends the requests that crash endpoints, together with the other faults of the run. */
+  void endCrashing() {
+    sendsCrashing = false;
+  }
+
   private void scheduleNext(long millis) {
     if (!stopped) {
       loop.schedule(this::runNext, millis, TimeUnit.MILLISECONDS);
@@ -137,7 +143,7 @@
   }
 
   private void send() {
-    if (random.nextInt(CRASHING_ONE_IN) == 0) {
+    if (random.nextInt(CRASHING_ONE_IN) == 0 && sendsCrashing) {
       sendCrashing();
       return;
     }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
@@ -89,6 +89,7 @@
       awaitReady(fleet);
       List<Caller> callers = startCallers(fleet);
       new FaultInjector(fleet, operator).inject(plan);
+      callers.forEach(Caller::endCrashing);
       if (!plan.isEmpty()) {
         pause(RECOVERY_TIME);
       }
