Soak: a caller takes up a stream twice at most

Trace: all 66 failures of the last 7 s are take-ups refused with "the software version that began the stream is not known", some ten a second. Its plan kills all hosts while endpoints have two versions, which loses the origins of the streams, as the postmortem of second1 says; a caller of the soak then took up its stream every 150 ms without end, which no caller of the users does (they retry once). The refusals are true and immediate; the bound of the check is unchanged.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Caller.java
@@ -48,6 +48,9 @@
   /** Number of different requests that crash endpoints, over all callers. */
   private static final int CRASHING_REQUESTS = 2;
 
+  /** How often a caller takes up the same stream. */
+  private static final int MAX_TAKE_UPS = 2;
+
   private static final RequestKind[] CRASHING_KINDS = {RequestKind.SAFE, RequestKind.UNSAFE};
 
   private final EventLoop loop;
@@ -59,6 +62,7 @@
   private long addressesUsableUntil;
   private Fleet.Host host;
   private long keepHostUntil;
+  private int takeUps;
   private volatile boolean stopped;
   private volatile boolean sendsCrashing = true;
 
@@ -179,8 +183,9 @@
             RESPONSE_TIMEOUT));
   }
 
-  /** Takes up a stream that broke off, once more if it breaks off again. */
+  /** Takes up a stream that broke off. */
   private void takeUp(String streamId, int lastEvent) {
+    takeUps++;
     switchHost(System.currentTimeMillis());
     String id = Long.toHexString(random.nextLong());
     observations.recordTakeUp(id, streamId);
@@ -217,11 +222,12 @@
       keepHostUntil = 0;
     }
     boolean canTakeUp = exchange.kind() == RequestKind.RESUMABLE && reader.isBrokenOff();
-    if (canTakeUp && !stopped) {
+    if (canTakeUp && takeUps < MAX_TAKE_UPS && !stopped) {
       loop.schedule(
           () -> takeUp(reader.streamId(), reader.lastEvent()), RETRY_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
+    takeUps = 0;
     scheduleNext(exchange.isServed() ? random.nextLong(MAX_THINK_MILLIS) : RETRY_MILLIS);
   }
 }
