Roll-outs: a service's traffic is moved to a new software version or taken back

Cause: the operator's order for a roll-out was not read and no status was written; a faulty version got its full share of the requests.

Built: the service's scheduler grants the new version a share of its own grants (VersionSplit), compares the answers of both versions by route (VersionComparison) and decides on the stages (RolloutController); stages are kept in the store, written at the position read before, and sent to the other hosts. Nothing is read, sent or decided without an order.

Ruled out: a count of exposure in the store, messages of evidence from all hosts (design note).

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -1,12 +1,10 @@
 package io.samphiredyke.core.pool;
 
-import java.util.ArrayList;
+import io.samphiredyke.core.rollout.VersionFilter;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -27,12 +25,6 @@
   /** Endpoints that are compared exactly for a request, beside those that hold its prompt. */
   private static final int COMPARED_ENDPOINTS = 6;
 
-  /** Remembered parts of prompts; bounds the memory to about two megabytes. */
-  private static final int MAX_PROMPT_PARTS = 8_192;
-
-  /** Endpoints remembered for a part, those that read it last; the others may be busy. */
-  private static final int MAX_HOLDERS = 4;
-
   private static final class Entry {
     final EndpointLoad load;
     final long number;
@@ -42,6 +34,8 @@
     boolean isFreeIgnoringPause;
     boolean isPaused;
     boolean isThrottled;
+    boolean isWithheld;
+    String version = "";
 
     Entry(EndpointLoad load, long number) {
       this.load = load;
@@ -64,20 +58,15 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final TreeSet<Entry> free = new TreeSet<>(BY_COST);
   private final TreeSet<Entry> freeIgnoringPause = new TreeSet<>(BY_COST);
+  private final Map<String, Integer> endpointsByVersion = new HashMap<>();
+  private final TreeSet<Entry> withheld = new TreeSet<>(BY_COST);
   private final TreeSet<Entry> paused = new TreeSet<>(BY_PAUSE_END);
   private final Set<Entry> limited = new LinkedHashSet<>();
   private final TreeSet<Entry> throttled = new TreeSet<>(BY_NEXT_GRANT);
-  private final Map<Long, List<String>> holders =
-      new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, List<String>> eldest) {
-          return size() > MAX_PROMPT_PARTS;
-        }
-      };
+  private final PromptHolders holders = new PromptHolders();
   private WorkEstimate averageWork = WorkEstimate.PLAIN;
   private double capacityShare = 1;
+  private VersionFilter filter = VersionFilter.ADMIT_ALL;
   private @Nullable Entry guaranteed;
   private int slots;
   private int pausedSlots;
@@ -131,6 +120,8 @@
     Entry entry = new Entry(load, added++);
     load.rateLimit().setShare(capacityShare);
     entries.put(load.endpoint().id(), entry);
+    entry.version = load.endpoint().version();
+    endpointsByVersion.merge(entry.version, 1, Integer::sum);
     insert(entry);
     chooseGuaranteed();
   }
@@ -141,6 +132,7 @@
       return null;
     }
     detach(entry);
+    endpointsByVersion.merge(entry.version, -1, Integer::sum);
     chooseGuaranteed();
     return entry.load;
   }
@@ -151,6 +143,34 @@
     reindexAll();
   }
 
+  /** Returns the number of endpoints of a software version. */
+  int endpointsOf(String version) {
+    return endpointsByVersion.getOrDefault(version, 0);
+  }
+
+  /** Returns the number of requests that run at endpoints of other versions than the given one. */
+  int runningExcept(String version) {
+    int running = 0;
+    for (Entry entry : entries.values()) {
+      running += entry.version.equals(version) ? 0 : entry.load.runningCount();
+    }
+    return running;
+  }
+
+  /** Sets the versions whose endpoints get requests. */
+  void setFilter(VersionFilter updated) {
+    if (updated.equals(filter)) {
+      return;
+    }
+    VersionFilter previous = filter;
+    filter = updated;
+    for (Entry entry : entries.values()) {
+      if (previous.admits(entry.version) != updated.admits(entry.version)) {
+        reindex(entry);
+      }
+    }
+  }
+
   /** Sets the work by which endpoints are ordered. */
   void setAverageWork(WorkEstimate work) {
     averageWork = work;
@@ -170,9 +190,20 @@
     }
     detach(entry);
     change.run();
+    updateVersion(entry);
     insert(entry);
   }
 
+  /** An endpoint may restart with the same id and another version. */
+  private void updateVersion(Entry entry) {
+    String version = entry.load.endpoint().version();
+    if (!version.equals(entry.version)) {
+      endpointsByVersion.merge(entry.version, -1, Integer::sum);
+      endpointsByVersion.merge(version, 1, Integer::sum);
+      entry.version = version;
+    }
+  }
+
   private void reindex(Entry entry) {
     detach(entry);
     insert(entry);
@@ -196,6 +227,10 @@
     if (entry.isThrottled) {
       throttled.remove(entry);
     }
+    if (entry.isWithheld) {
+      withheld.remove(entry);
+    }
+    entry.isWithheld = false;
     entry.isFree = false;
     entry.isFreeIgnoringPause = false;
     entry.isPaused = false;
@@ -205,6 +240,11 @@
   private void insert(Entry entry) {
     // The random part spreads requests over endpoints of equal cost.
     entry.cost = entry.load.expectedCostMillis(averageWork) + random.nextDouble();
+    entry.isWithheld = !filter.admits(entry.version);
+    if (entry.isWithheld) {
+      withheld.add(entry);
+      return;
+    }
     entry.isPaused = entry.load.pausedUntil() > pausesEndedUntil;
     entry.isThrottled = entry.load.rateLimit().nextGrantAt() > pausesEndedUntil;
     entry.isFree = !entry.isThrottled && !entry.isPaused && freeSlots(entry, false) > 0;
@@ -277,7 +317,7 @@
    * the cause is probably common to them, and pausing them would make the service unavailable.
    */
   private boolean ignoresPauses() {
-    return paused.size() * 2 >= entries.size();
+    return paused.size() * 2 >= entries.size() - withheld.size();
   }
 
   /** Returns the endpoints with a free slot. */
@@ -308,7 +348,7 @@
       }
     }
     for (PromptPart part : request.estimate().parts()) {
-      for (String id : holders.getOrDefault(part.id(), List.of())) {
+      for (String id : holders.of(part)) {
         Entry holder = entries.get(id);
         if (holder == null || !usable.contains(holder) || isBarred(holder, request)) {
           continue;
@@ -320,9 +360,27 @@
         }
       }
     }
+    if (best == null && !withheld.isEmpty() && filter.admitsResumptions()) {
+      return withheldFor(request);
+    }
     return best == null ? null : best.load;
   }
 
+  /** Returns a withheld endpoint with a free slot for a request that no other one may get. */
+  private @Nullable EndpointLoad withheldFor(SlotRequest request) {
+    for (Entry entry : entries.values()) {
+      if (!entry.isWithheld && !request.excluded().contains(entry.load.endpoint().id())) {
+        return null;
+      }
+    }
+    for (Entry entry : withheld) {
+      if (!isBarred(entry, request) && freeSlots(entry, false) > 0) {
+        return entry.load;
+      }
+    }
+    return null;
+  }
+
   private static boolean isBarred(Entry entry, SlotRequest request) {
     return request.excluded().contains(entry.load.endpoint().id())
         || (request.isIsolated() && entry.load.runsIsolated());
@@ -334,23 +392,6 @@
 
   /** Records that an endpoint has read a prompt. */
   void promptSent(EndpointLoad load, WorkEstimate work) {
-    for (PromptPart part : work.parts()) {
-      List<String> known = holders.getOrDefault(part.id(), List.of());
-      String id = load.endpoint().id();
-      if (known.isEmpty() || !known.get(0).equals(id)) {
-        holders.put(part.id(), withFirst(id, known));
-      }
-    }
-  }
-
-  private static List<String> withFirst(String id, List<String> known) {
-    List<String> updated = new ArrayList<>(MAX_HOLDERS);
-    updated.add(id);
-    for (String other : known) {
-      if (updated.size() < MAX_HOLDERS && !other.equals(id)) {
-        updated.add(other);
-      }
-    }
-    return updated;
+    holders.add(load.endpoint().id(), work);
   }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -36,6 +36,7 @@
   private static final long MAX_PAUSE_MILLIS = 2_000;
 
   private EndpointRecord endpoint;
+  private long warmUntil;
   private final double roundingOffset;
   private final boolean isEngine;
   private final PrefixCacheEstimate cache;
@@ -62,15 +63,27 @@
       boolean isEngine,
       long cacheTokens,
       ServiceLatency average,
-      double roundingOffset) {
+      double roundingOffset,
+      long now) {
     this.endpoint = endpoint;
+    this.warmUntil = now + warmUpNanos(endpoint);
     this.roundingOffset = roundingOffset;
     this.isEngine = isEngine;
     this.average = average;
     this.cache = new PrefixCacheEstimate(cacheTokens);
   }
 
+  private static long warmUpNanos(EndpointRecord endpoint) {
+    return (long) (endpoint.warmUpRemainingMillis() * NANOS_PER_MILLI);
+  }
+
+  /** Returns whether it was still slow after its start at a time. */
+  boolean isWarmingUp(long at) {
+    return at - warmUntil < 0;
+  }
+
   void update(EndpointRecord updated, long now) {
+    warmUntil = now + warmUpNanos(updated);
     if (updated.startedAtMillis() != endpoint.startedAtMillis()) {
       rateLimit.set(RateLimit.NONE, now);
     }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -1,6 +1,8 @@
 package io.samphiredyke.core.pool;
 
 import io.samphiredyke.core.quarantine.RequestFingerprint;
+import io.samphiredyke.core.rollout.RolloutEvidence;
+import io.samphiredyke.core.rollout.VersionSplit;
 import io.samphiredyke.core.serving.CustomerSpec;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.ServiceSpec;
@@ -117,6 +119,18 @@
     }
   }
 
+  /** Sets how a service's requests are split between software versions, null for no roll-out. */
+  public void setSplit(String service, @Nullable VersionSplit split, long now) {
+    ServicePool pool = pool(service);
+    pool.versions().setSplit(split);
+    pool.grantFreeSlots(now);
+  }
+
+  /** Returns what the answers show about the roll-out of a service, or null if there is none. */
+  public @Nullable RolloutEvidence rolloutEvidence(String service, long now) {
+    return pool(service).versions().evidence(now);
+  }
+
   /** Returns the quarantined prompt parts, which other hosts may add to. */
   public PartQuarantine quarantine() {
     return quarantine;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -20,9 +20,7 @@
 
   private static final long MAX_RETRY_MILLIS = 5_000;
 
-  /**
-   * Largest part by which a retry time deviates at random, so that callers do not return at once.
-   */
+  /** Largest part by which a retry time deviates at random, so that returns are spread. */
   private static final double RETRY_SPREAD = 0.2;
 
   /** Lower bound of the slots in estimates, so that no return is scheduled as endless. */
@@ -49,6 +47,7 @@
   private boolean isEngine;
   private long cacheTokens = DEFAULT_CACHE_TOKENS;
   private final AverageWork averageWork = new AverageWork();
+  private final VersionTraffic versions;
 
   ServicePool(
       PoolListener listener, RandomGenerator random, RetryBudget budget, CrashGuard crashGuard) {
@@ -57,6 +56,7 @@
     this.random = random;
     this.retryBudget = budget;
     this.endpoints = new EndpointIndex(random);
+    this.versions = new VersionTraffic(endpoints, latency);
   }
 
   void configure(ServiceSpec spec) {
@@ -70,7 +70,8 @@
       endpoints.change(known, () -> known.update(endpoint, now));
       return;
     }
-    endpoints.add(new EndpointLoad(endpoint, isEngine, cacheTokens, latency, random.nextDouble()));
+    endpoints.add(
+        new EndpointLoad(endpoint, isEngine, cacheTokens, latency, random.nextDouble(), now));
   }
 
   /**
@@ -84,6 +85,11 @@
     endpoints.setCapacityShare(updated);
   }
 
+  /** Returns the split of the requests between software versions. */
+  VersionTraffic versions() {
+    return versions;
+  }
+
   /** Sets the requests per second that an endpoint accepts. */
   void limit(String endpointId, double perSecond, long now) {
     EndpointLoad endpoint = endpoints.find(endpointId);
@@ -177,6 +183,7 @@
   /** Grants free slots to the waiting requests, in the order of {@link WaitingQueue}. */
   void grantFreeSlots(long now) {
     endpoints.endPauses(now);
+    versions.applyFilter();
     while (!waiting.isEmpty() && endpoints.hasFreeSlot()) {
       SlotRequest best = null;
       EndpointLoad target = null;
@@ -205,6 +212,7 @@
           overdueChecks.granted(target, entry);
         });
     endpoints.promptSent(target, request.estimate());
+    versions.granted(target.endpoint());
     held.add(request, target);
     listener.granted(request, target.endpoint().id());
   }
@@ -216,6 +224,9 @@
   void release(
       EndpointLoad endpoint, long requestId, Outcome outcome, double observedMillis, long now) {
     RunningRequest released = endpoint.running(requestId);
+    if (released != null) {
+      versions.ended(endpoint, released, outcome, observedMillis, now);
+    }
     endpoints.change(endpoint, () -> endpoint.release(requestId, outcome, observedMillis, now));
     if (released != null) {
       held.remove(released.request);
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotRequest.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotRequest.java
@@ -10,6 +10,7 @@
  * @param id id, unique across all hosts and over time
  * @param requester host that received the request and that sends it to the endpoint
  * @param service service that must serve it
+ * @param route route by which it came, empty if unknown
  * @param rank priority; 0 is the highest
  * @param value benefit of serving it, relative to the mean of its class
  * @param estimate estimated work for the endpoint
@@ -27,6 +28,7 @@
     long id,
     String requester,
     String service,
+    String route,
     int rank,
     double value,
     WorkEstimate estimate,
@@ -38,7 +40,7 @@
     long objectiveDeadline,
     long startDeadline) {
 
-  /** Creates a request for a slot beside any other requests. */
+  /** Creates a request of an unknown route for a slot beside any other requests. */
   public SlotRequest(
       long id,
       String requester,
@@ -56,6 +58,7 @@
         id,
         requester,
         service,
+        "",
         rank,
         value,
         estimate,
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.samphiredyke.core.follow.PositionCheck;
-import io.samphiredyke.core.membership.IncarnationId;
 import io.samphiredyke.core.membership.Member;
 import io.samphiredyke.core.membership.MemberState;
 import io.samphiredyke.core.pool.PoolOptions;
@@ -17,6 +16,7 @@
 import io.samphiredyke.gateway.request.RequestService;
 import io.samphiredyke.gateway.request.ServingState;
 import io.samphiredyke.gateway.request.StartupQueue;
+import io.samphiredyke.gateway.rollout.RolloutService;
 import io.samphiredyke.gateway.scheduling.HostCapacity;
 import io.samphiredyke.gateway.scheduling.PeerGroup;
 import io.samphiredyke.gateway.store.ConfigurationLagDetector;
@@ -97,6 +97,7 @@
   private final HostRegistry registry;
   private final QuarantineArchive quarantine;
   private final StoreEraTracker storeEra;
+  private final RolloutService rollouts;
   private boolean stopping;
   private boolean ready;
 
@@ -122,7 +123,7 @@
     this.peers =
         new PeerGroup(
             loop,
-            self(settings, random),
+            HostCapacity.member(settings, random),
             options,
             Duration.ofMillis(settings.quotaWindowMillis()),
             random,
@@ -144,8 +145,10 @@
     this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
     HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
     this.store = new StoreClient(http, SocketAddresses.parse(settings.storeAddress()));
+    this.rollouts = new RolloutService(loop, peers, store, settings.rolloutExposure(), log);
     ConfigurationReceiver configurations =
-        new ConfigurationReceiver(this::configure, this::onConfigurationRead, log);
+        new ConfigurationReceiver(
+            this::configure, rollouts::operatorRecords, this::onConfigurationRead, log);
     this.endpoints =
         new EndpointReceiver(loop, directory, log, this::updateReady, this::onEndpointsRead);
     this.configurationFollower =
@@ -198,26 +201,14 @@
             log, frontend, peers, connections, directory, configurationFollower, endpointFollower)
         .registerStatements(
             peers.statements(), service.pauses(), scheduler().quarantine(), storeEra)
-        .registerCrashes(peers.crashes());
+        .registerCrashes(peers.crashes())
+        .registerRollouts(rollouts);
   }
 
   private PoolScheduler scheduler() {
     return peers.slotClient().scheduler();
   }
 
-  private static Member self(HostSettings settings, RandomGenerator random) {
-    return Member.builder()
-        .name(settings.hostName())
-        .address(settings.peerAddress())
-        .incarnation(IncarnationId.random(random))
-        .dataCentre(settings.dataCentre())
-        .generation(System.currentTimeMillis() / 1_000)
-        .draining(true)
-        .callerAddress(settings.callerAddress())
-        .capacity(HostCapacity.of(settings.cores(), settings.linkMegabits()))
-        .build();
-  }
-
   private CallerLimits limits() {
     ServingConfiguration configuration = state.configuration();
     return configuration == null ? CallerLimits.defaults() : configuration.limits();
@@ -276,6 +267,7 @@
   private void onStoreRestored() {
     registry.registerAgain(random);
     quarantine.writeAgain(random);
+    rollouts.onStoreRestored();
   }
 
   private Duration configurationWait() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -6,6 +6,7 @@
 import io.samphiredyke.gateway.frontend.FrontendServer;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.rollout.RolloutService;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.EndpointStatements;
 import io.samphiredyke.gateway.scheduling.PeerGroup;
@@ -76,7 +77,7 @@
     return this;
   }
 
-  void registerCrashes(CrashWatch crashes) {
+  GatewayGauges registerCrashes(CrashWatch crashes) {
     metrics.gauge(
         "samphiredyke_suspected_requests",
         "Requests that were running when an endpoint crashed and have not been served since.",
@@ -85,5 +86,11 @@
         "samphiredyke_quarantined_requests",
         "Requests that are refused, because they crash endpoints.",
         crashes.quarantine()::size);
+    return this;
+  }
+
+  void registerRollouts(RolloutService rollouts) {
+    metrics.gauge(
+        "samphiredyke_running_rollouts", "Roll-outs that have not ended.", rollouts::running);
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SlotAcquisition.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SlotAcquisition.java
@@ -122,6 +122,7 @@
     SlotRequirements requirements =
         new SlotRequirements(
             eligibility.service(),
+            route.name(),
             CustomerCharge.rank(route, charged),
             value,
             head.estimate(),
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -0,0 +1,354 @@
+package io.samphiredyke.gateway.rollout;
+
+import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.rollout.RolloutController;
+import io.samphiredyke.core.rollout.RolloutEvidence;
+import io.samphiredyke.core.rollout.RolloutOrder;
+import io.samphiredyke.core.rollout.RolloutStage;
+import io.samphiredyke.core.rollout.RolloutState;
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.gateway.scheduling.PeerGroup;
+import io.samphiredyke.net.control.ControlEventLoop;
+import io.samphiredyke.platform.MalformedRecordException;
+import io.samphiredyke.platform.RolloutCodec;
+import io.samphiredyke.platform.StoreClient;
+import io.samphiredyke.platform.StoreRecord;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Carries out the roll-outs that the operator orders. The host that schedules a service decides on
+ * its roll-out; the other hosts apply the stage that they are told.
+ */
+public final class RolloutService {
+
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+  private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
+  private static final long BROADCAST_NANOS = Duration.ofMillis(500).toNanos();
+
+  /** Age from which a stage that nobody confirmed is not relied on. */
+  private static final long MAX_STAGE_AGE_NANOS = Duration.ofSeconds(3).toNanos();
+
+  /**
+   * How long a final stage is still sent and, by a scheduler that has not written it, written; old
+   * endpoints are gone afterwards.
+   */
+  private static final long FINAL_NANOS = Duration.ofSeconds(10).toNanos();
+
+  private final ControlEventLoop loop;
+  private final PeerGroup peers;
+  private final PoolScheduler scheduler;
+  private final RolloutArchive archive;
+  private final RolloutController controller;
+  private final DecisionLog log;
+  private final Map<String, ServiceRollout> rollouts = new HashMap<>();
+  private boolean isTicking;
+  private boolean isStoreRestored;
+
+  /**
+   * Creates a service without roll-outs.
+   *
+   * @param permittedExposure share of a service's requests that a faulty version may get
+   */
+  public RolloutService(
+      ControlEventLoop loop,
+      PeerGroup peers,
+      StoreClient store,
+      double permittedExposure,
+      DecisionLog log) {
+    this.loop = loop;
+    this.peers = peers;
+    this.scheduler = peers.slotClient().scheduler();
+    this.archive = new RolloutArchive(loop, store);
+    this.controller = new RolloutController(permittedExposure);
+    this.log = log;
+    peers.setRolloutListener(this::received);
+  }
+
+  /** Applies the orders among records of the operator's topic. */
+  public void operatorRecords(List<StoreRecord> records) {
+    for (StoreRecord record : records) {
+      if (record.key().startsWith(StoreClient.ROLLOUT_PREFIX)) {
+        apply(record);
+      }
+    }
+  }
+
+  private void apply(StoreRecord record) {
+    byte[] value = record.value();
+    if (value == null || value.length == 0) {
+      abandon(record.key().substring(StoreClient.ROLLOUT_PREFIX.length()));
+      return;
+    }
+    try {
+      ordered(RolloutCodec.decodeOrder(value, record.offset()));
+    } catch (MalformedRecordException e) {
+      log.event("rollout_rejected", "key", record.key(), "reason", e.getMessage());
+    }
+  }
+
+  private void abandon(String service) {
+    if (rollouts.remove(service) != null) {
+      log.event("rollout_abandoned", "service", service, "reason", "the order was deleted");
+      scheduler.setSplit(service, null, loop.nanoTime());
+    }
+  }
+
+  private void ordered(RolloutOrder order) {
+    ServiceRollout known = rollouts.get(order.service());
+    if (known != null && isKnown(order, known)) {
+      return;
+    }
+    log.event(
+        "rollout_ordered",
+        "service",
+        order.service(),
+        "version",
+        order.version(),
+        "duration_ms",
+        order.durationMillis(),
+        "offset",
+        order.offset());
+    begin(order);
+  }
+
+  /** A restored store gives out offsets again, so the same order may return at another one. */
+  private boolean isKnown(RolloutOrder order, ServiceRollout known) {
+    if (order.offset() == known.order().offset()) {
+      return true;
+    }
+    boolean isAlike =
+        order.version().equals(known.order().version())
+            && order.durationMillis() == known.order().durationMillis();
+    if (isStoreRestored && isAlike) {
+      known.moveOrder(order);
+      known.storedStage = null;
+      return true;
+    }
+    return order.offset() < known.order().offset() && !isStoreRestored;
+  }
+
+  private ServiceRollout begin(RolloutOrder order) {
+    ServiceRollout rollout = new ServiceRollout(order, loop.nanoTime());
+    rollouts.put(order.service(), rollout);
+    rollout.split.hold();
+    scheduler.setSplit(order.service(), rollout.split, loop.nanoTime());
+    readStage(rollout);
+    startTicking();
+    return rollout;
+  }
+
+  private void readStage(ServiceRollout rollout) {
+    loop.whenDone(
+        archive.read(rollout.order().service()),
+        stored -> {
+          rollout.isRead = true;
+          RolloutState state = stored.state();
+          if (state != null && state.supersedes(rollout.state())) {
+            adopt(rollout, state, "store");
+          }
+        },
+        failure -> {
+          log.event("rollout_not_read", "reason", String.valueOf(failure.getMessage()));
+          loop.schedule(() -> readStage(rollout), RETRY_INTERVAL);
+        });
+  }
+
+  /** Handles the stage that another host states. */
+  private void received(RolloutState state) {
+    String service = state.order().service();
+    ServiceRollout known = rollouts.get(service);
+    if (known == null || state.order().offset() > known.order().offset()) {
+      known = begin(state.order());
+    }
+    if (state.order().offset() != known.order().offset()) {
+      return;
+    }
+    RolloutState present = known.state();
+    if (state.supersedes(present)) {
+      adopt(known, state, "host");
+    } else if (present != null && present.stage() == state.stage()) {
+      if (!known.isScheduler && loop.nanoTime() - known.heardAt() > MAX_STAGE_AGE_NANOS) {
+        applyStage(known, present.stage());
+      }
+      known.confirmed(loop.nanoTime());
+    }
+  }
+
+  private void adopt(ServiceRollout rollout, RolloutState state, String source) {
+    if (state.order().offset() != rollout.order().offset()) {
+      return;
+    }
+    enter(rollout, state, source);
+  }
+
+  private void enter(ServiceRollout rollout, RolloutState next, String source) {
+    RolloutState before = rollout.state();
+    rollout.enter(next, loop.nanoTime());
+    log.event(
+        "rollout",
+        "service",
+        next.order().service(),
+        "version",
+        next.order().version(),
+        "stage",
+        next.stage(),
+        "before",
+        before == null ? "none" : before.stage(),
+        "elapsed_ms",
+        next.elapsedMillis(),
+        "exposure",
+        rollout.split.exposure(),
+        "reason",
+        next.reason(),
+        "source",
+        source);
+    applyStage(rollout, next.stage());
+    startTicking();
+  }
+
+  private void applyStage(ServiceRollout rollout, RolloutStage stage) {
+    controller.apply(stage, rollout.split);
+    scheduler.setSplit(rollout.order().service(), rollout.split, loop.nanoTime());
+  }
+
+  private void startTicking() {
+    if (!isTicking) {
+      isTicking = true;
+      loop.schedule(this::tick, TICK_INTERVAL);
+    }
+  }
+
+  private void tick() {
+    isTicking = false;
+    boolean isAnyActive = false;
+    for (ServiceRollout rollout : List.copyOf(rollouts.values())) {
+      isAnyActive |= check(rollout, loop.nanoTime());
+    }
+    if (isAnyActive) {
+      startTicking();
+    }
+  }
+
+  /** Returns whether the roll-out must be checked again. */
+  private boolean check(ServiceRollout rollout, long now) {
+    boolean wasScheduler = rollout.isScheduler;
+    rollout.isScheduler = peers.isSchedulerOf(rollout.order().service());
+    RolloutState state = rollout.state();
+    if (state != null && state.stage().isFinal() && rollout.inStageNanos(now) > FINAL_NANOS) {
+      if (state.stage() == RolloutStage.SUCCEEDED) {
+        scheduler.setSplit(rollout.order().service(), null, now);
+      }
+      return false;
+    }
+    if (!rollout.isScheduler) {
+      if (state != null
+          && !state.stage().isFinal()
+          && now - rollout.heardAt() > MAX_STAGE_AGE_NANOS) {
+        rollout.split.hold();
+      }
+      return true;
+    }
+    if (!wasScheduler) {
+      takeOver(rollout);
+    }
+    if (state == null) {
+      if (rollout.isRead) {
+        enter(rollout, RolloutState.begin(rollout.order()), "order");
+      }
+      return true;
+    }
+    decide(rollout, state, now);
+    return true;
+  }
+
+  private void takeOver(ServiceRollout rollout) {
+    rollout.split.restartComparison();
+    rollout.storedStage = null;
+    RolloutState state = rollout.state();
+    if (state != null) {
+      applyStage(rollout, state.stage());
+    }
+  }
+
+  private void decide(ServiceRollout rollout, RolloutState state, long now) {
+    RolloutEvidence evidence = scheduler.rolloutEvidence(rollout.order().service(), now);
+    long elapsed = rollout.elapsedMillis(state, now);
+    RolloutState next =
+        evidence == null
+            ? null
+            : controller.decide(state, elapsed, rollout.inStageNanos(now) / 1_000_000, evidence);
+    if (next != null && next.stage() == RolloutStage.SUCCEEDED) {
+      write(rollout, next, elapsed);
+      next = null;
+    } else if (next != null) {
+      enter(rollout, next, "decision");
+      rollout.nextBroadcastAt = now;
+    }
+    RolloutState present = next == null ? state : next;
+    if (now - rollout.nextBroadcastAt >= 0) {
+      rollout.nextBroadcastAt = now + BROADCAST_NANOS;
+      peers.broadcastRollout(present.next(present.stage(), elapsed, present.reason()));
+    }
+    if (rollout.storedStage != present.stage()) {
+      write(rollout, present, elapsed);
+    }
+  }
+
+  private void write(ServiceRollout rollout, RolloutState state, long elapsedMillis) {
+    if (rollout.isWriting) {
+      return;
+    }
+    rollout.isWriting = true;
+    loop.whenDone(
+        archive.write(state, elapsedMillis),
+        other -> written(rollout, state, other),
+        failure -> {
+          log.event(
+              "rollout_not_written",
+              "service",
+              state.order().service(),
+              "stage",
+              state.stage(),
+              "reason",
+              String.valueOf(failure.getMessage()));
+          loop.schedule(() -> rollout.isWriting = false, RETRY_INTERVAL);
+        });
+  }
+
+  private void written(
+      ServiceRollout rollout, RolloutState written, Optional<RolloutState> superseding) {
+    rollout.isWriting = false;
+    if (superseding.isPresent()) {
+      adopt(rollout, superseding.get(), "store");
+      return;
+    }
+    rollout.storedStage = written.stage();
+    if (written.supersedes(rollout.state())) {
+      enter(rollout, written, "stored decision");
+      rollout.nextBroadcastAt = loop.nanoTime();
+    }
+  }
+
+  /** Writes the stages that this host decides on again, because an older copy was restored. */
+  public void onStoreRestored() {
+    isStoreRestored = true;
+    rollouts.values().forEach(rollout -> rollout.storedStage = null);
+    if (!rollouts.isEmpty()) {
+      startTicking();
+    }
+  }
+
+  /** Returns how many roll-outs have not ended. */
+  public int running() {
+    int running = 0;
+    for (ServiceRollout rollout : rollouts.values()) {
+      RolloutState state = rollout.state();
+      running += state == null || !state.stage().isFinal() ? 1 : 0;
+    }
+    return running;
+  }
+}
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
@@ -0,0 +1,74 @@
+package io.samphiredyke.gateway.rollout;
+
+import io.samphiredyke.core.rollout.RolloutOrder;
+import io.samphiredyke.core.rollout.RolloutStage;
+import io.samphiredyke.core.rollout.RolloutState;
+import io.samphiredyke.core.rollout.VersionSplit;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** What this host knows of the roll-out of one service. Times are nanoseconds of its clock. */
+final class ServiceRollout {
+
+  final VersionSplit split;
+  private RolloutOrder order;
+  private @Nullable RolloutState state;
+  private long stageSince;
+  private long heardAt;
+  boolean isScheduler;
+  boolean isRead;
+  boolean isWriting;
+  @Nullable RolloutStage storedStage;
+  long nextBroadcastAt;
+
+  ServiceRollout(RolloutOrder order, long now) {
+    this.order = order;
+    this.split = new VersionSplit(order);
+    this.heardAt = now;
+    this.nextBroadcastAt = now;
+  }
+
+  RolloutOrder order() {
+    return order;
+  }
+
+  /** Replaces the position of the same order, after the store has given it another one. */
+  void moveOrder(RolloutOrder moved) {
+    order = moved;
+    RolloutState known = state;
+    if (known != null) {
+      state = new RolloutState(moved, known.stage(), known.elapsedMillis(), known.reason());
+    }
+  }
+
+  @Nullable RolloutState state() {
+    return state;
+  }
+
+  void enter(RolloutState next, long now) {
+    RolloutState known = state;
+    if (known == null || known.stage() != next.stage()) {
+      stageSince = now;
+    }
+    state = next;
+    heardAt = now;
+  }
+
+  /** Records that another host has confirmed the stage. */
+  void confirmed(long now) {
+    heardAt = now;
+  }
+
+  long heardAt() {
+    return heardAt;
+  }
+
+  /** Returns the time since the order, milliseconds. */
+  long elapsedMillis(RolloutState known, long now) {
+    return known.elapsedMillis() + TimeUnit.NANOSECONDS.toMillis(now - stageSince);
+  }
+
+  long inStageNanos(long now) {
+    return now - stageSince;
+  }
+}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/HostCapacity.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/HostCapacity.java
@@ -1,6 +1,8 @@
 package io.samphiredyke.gateway.scheduling;
 
+import io.samphiredyke.core.membership.IncarnationId;
 import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.platform.HostSettings;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -82,4 +84,18 @@
     }
     return sample;
   }
+
+  /** Returns the membership entry of a host that starts, draining until it is ready. */
+  public static Member member(HostSettings settings, RandomGenerator random) {
+    return Member.builder()
+        .name(settings.hostName())
+        .address(settings.peerAddress())
+        .incarnation(IncarnationId.random(random))
+        .dataCentre(settings.dataCentre())
+        .generation(System.currentTimeMillis() / 1_000)
+        .draining(true)
+        .callerAddress(settings.callerAddress())
+        .capacity(of(settings.cores(), settings.linkMegabits()))
+        .build();
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -22,6 +22,7 @@
 import io.samphiredyke.core.membership.MembershipSettings;
 import io.samphiredyke.core.membership.MembershipSink;
 import io.samphiredyke.core.pool.PoolOptions;
+import io.samphiredyke.core.rollout.RolloutState;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.net.control.SocketAddresses;
@@ -33,6 +34,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -282,20 +284,6 @@
     membersChanged();
   }
 
-  /** Receives endpoint entries that another host read from the store. */
-  public interface EndpointUpdateListener {
-
-    /**
-     * Called when entries have changed.
-     *
-     * @param era era of the store in which the offsets are valid
-     * @param completeFrom offset from which on all changes are included
-     * @param nextOffset offset that the sender reads next
-     * @param changes changed entries in the order of their offsets
-     */
-    void endpointsUpdated(long era, long completeFrom, long nextOffset, List<StoreRecord> changes);
-  }
-
   /** Sets the listener for endpoint updates of other hosts. */
   public void setEndpointUpdateListener(EndpointUpdateListener listener) {
     dispatcher.setEndpointUpdateListener(listener);
@@ -336,6 +324,26 @@
     broadcast(new SchedulingMessage.ConfigurationPosition(era, nextOffset));
   }
 
+  /** Sets the listener for stages of roll-outs that other hosts state. */
+  public void setRolloutListener(Consumer<RolloutState> listener) {
+    dispatcher.setRolloutListener(listener);
+  }
+
+  /** Sends the stage of a roll-out to all other hosts. */
+  public void broadcastRollout(RolloutState state) {
+    broadcast(new SchedulingMessage.RolloutStaged(state));
+  }
+
+  /**
+   * Returns whether this host schedules a service for the group, that is, whether it is selected
+   * and sees at least half of the hosts.
+   */
+  public boolean isSchedulerOf(String service) {
+    long now = loop.nanoTime();
+    return slotClient.selector().select(service, now).equals(membership.self().address())
+        && capacityShare.estimate(membership.liveMembers(), now) >= 1;
+  }
+
   private void broadcast(SchedulingMessage toAll) {
     byte[] message = SchedulingMessageCodec.encode(toAll);
     for (Member member : membership.liveMembers()) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerMessageDispatcher.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerMessageDispatcher.java
@@ -1,8 +1,10 @@
 package io.samphiredyke.gateway.scheduling;
 
+import io.samphiredyke.core.rollout.RolloutState;
 import io.samphiredyke.platform.StoreRecord;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** Passes the messages of other hosts to the components that handle them. */
@@ -13,9 +15,11 @@
   private final PromptQuarantine quarantine;
   private final CrashWatch crashes;
   private final StreamOrigins streams;
-  private PeerGroup.@Nullable EndpointUpdateListener endpointUpdateListener;
+  private @Nullable EndpointUpdateListener endpointUpdateListener;
   private PeerGroup.@Nullable ConfigurationPositionListener configurationPositionListener;
 
+  private Consumer<RolloutState> rolloutListener = state -> {};
+
   PeerMessageDispatcher(
       SlotClient slotClient,
       EndpointStatements statements,
@@ -29,7 +33,7 @@
     this.streams = streams;
   }
 
-  void setEndpointUpdateListener(PeerGroup.EndpointUpdateListener listener) {
+  void setEndpointUpdateListener(EndpointUpdateListener listener) {
     endpointUpdateListener = listener;
   }
 
@@ -37,6 +41,10 @@
     configurationPositionListener = listener;
   }
 
+  void setRolloutListener(Consumer<RolloutState> listener) {
+    rolloutListener = listener;
+  }
+
   /** Handles a message of another host. */
   void received(String from, SchedulingMessage message) {
     if (message instanceof SchedulingMessage.EndpointLimit limit) {
@@ -47,6 +55,8 @@
       quarantine.received(from, part);
     } else if (message instanceof SchedulingMessage.ConfigurationPosition position) {
       receivedPosition(from, position);
+    } else if (message instanceof SchedulingMessage.RolloutStaged staged) {
+      rolloutListener.accept(staged.state());
     } else if (message instanceof SchedulingMessage.EndpointUpdate update) {
       receivedUpdate(update);
     } else if (!crashes.received(from, message) && !streams.received(from, message)) {
@@ -62,7 +72,7 @@
   }
 
   private void receivedUpdate(SchedulingMessage.EndpointUpdate update) {
-    PeerGroup.EndpointUpdateListener listener = endpointUpdateListener;
+    EndpointUpdateListener listener = endpointUpdateListener;
     if (listener == null) {
       return;
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
@@ -4,6 +4,7 @@
 import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.core.pool.WorkEstimate;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
+import io.samphiredyke.core.rollout.RolloutState;
 import io.samphiredyke.core.serving.StreamOrigin;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
   record Acquire(
       long slotRequestId,
       String service,
+      String route,
       int rank,
       double value,
       WorkEstimate estimate,
@@ -154,6 +156,9 @@
   record StreamOriginResponse(String requestId, @Nullable StreamOrigin origin)
       implements SchedulingMessage {}
 
+  /** The stage that a roll-out has reached. */
+  record RolloutStaged(RolloutState state) implements SchedulingMessage {}
+
   /**
    * A changed endpoint entry.
    *
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
@@ -5,6 +5,9 @@
 import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.core.pool.WorkEstimate;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
+import io.samphiredyke.core.rollout.RolloutOrder;
+import io.samphiredyke.core.rollout.RolloutStage;
+import io.samphiredyke.core.rollout.RolloutState;
 import io.samphiredyke.core.serving.StreamOrigin;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -46,6 +49,7 @@
   private static final int STREAM_BEGAN = 19;
   private static final int STREAM_ORIGIN_QUERY = 20;
   private static final int STREAM_ORIGIN_RESPONSE = 21;
+  private static final int ROLLOUT_STAGED = 22;
 
   private SchedulingMessageCodec() {}
 
@@ -127,6 +131,27 @@
     } else if (message instanceof SchedulingMessage.StreamOriginResponse response) {
       packer.packInt(STREAM_ORIGIN_RESPONSE).packString(response.requestId());
       writeOrigin(packer, response.origin());
+    } else if (message instanceof SchedulingMessage.RolloutStaged staged) {
+      writeRollout(packer.packInt(ROLLOUT_STAGED), staged.state());
+    }
+  }
+
+  private static void writeRollout(MessagePacker packer, RolloutState state) throws IOException {
+    RolloutOrder order = state.order();
+    packer.packString(order.service()).packString(order.version());
+    packer.packLong(order.durationMillis()).packLong(order.offset());
+    packer.packString(state.stage().name()).packLong(state.elapsedMillis());
+    packer.packString(state.reason());
+  }
+
+  private static RolloutState readRollout(MessageUnpacker in) throws IOException {
+    try {
+      RolloutOrder order =
+          new RolloutOrder(in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
+      RolloutStage stage = RolloutStage.valueOf(in.unpackString());
+      return new RolloutState(order, stage, in.unpackLong(), in.unpackString());
+    } catch (IllegalArgumentException e) {
+      throw new IOException("malformed roll-out", e);
     }
   }
 
@@ -163,7 +188,8 @@
 
   private static void writeAcquire(MessagePacker packer, SchedulingMessage.Acquire acquire)
       throws IOException {
-    packer.packLong(acquire.slotRequestId()).packString(acquire.service()).packInt(acquire.rank());
+    packer.packLong(acquire.slotRequestId()).packString(acquire.service());
+    packer.packString(acquire.route()).packInt(acquire.rank());
     packer.packDouble(acquire.value());
     packer.packInt(acquire.estimate().promptTokens()).packInt(acquire.estimate().outputTokens());
     packer.packArrayHeader(acquire.estimate().parts().size());
@@ -265,6 +291,7 @@
       case STREAM_ORIGIN_RESPONSE ->
           new SchedulingMessage.StreamOriginResponse(
               in.unpackString(), in.tryUnpackNil() ? null : readOrigin(in));
+      case ROLLOUT_STAGED -> new SchedulingMessage.RolloutStaged(readRollout(in));
       default -> throw new IOException("unknown scheduling message type " + type);
     };
   }
@@ -272,6 +299,7 @@
   private static SchedulingMessage.Acquire readAcquire(MessageUnpacker in) throws IOException {
     long slotRequestId = in.unpackLong();
     String service = in.unpackString();
+    String route = in.unpackString();
     int rank = in.unpackInt();
     double value = in.unpackDouble();
     int promptTokens = in.unpackInt();
@@ -292,6 +320,7 @@
     return new SchedulingMessage.Acquire(
         slotRequestId,
         service,
+        route,
         rank,
         value,
         new WorkEstimate(promptTokens, outputTokens, List.copyOf(parts)),
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
@@ -131,6 +131,7 @@
         new SchedulingMessage.Acquire(
             request.id(),
             request.service(),
+            request.route(),
             request.rank(),
             request.value(),
             request.estimate(),
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotRequirements.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotRequirements.java
@@ -10,6 +10,7 @@
  * Parameters of a slot acquisition. Times are nanoseconds of this process's monotonic clock.
  *
  * @param service service that must serve the request
+ * @param route route by which the request came
  * @param rank rank, 0 is the highest
  * @param value benefit of serving the request, relative to the mean of its route
  * @param estimate expected work
@@ -24,6 +25,7 @@
  */
 public record SlotRequirements(
     String service,
+    String route,
     int rank,
     double value,
     WorkEstimate estimate,
@@ -40,6 +42,7 @@
         id,
         requester,
         service,
+        route,
         rank,
         value,
         estimate,
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
@@ -7,6 +7,7 @@
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.StoreRecord;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Decodes configuration records and applies those that are newer than the active one. */
 public final class ConfigurationReceiver implements TopicFollower.Receiver {
@@ -27,6 +28,7 @@
   public static final long NO_OFFSET = -1;
 
   private final Target target;
+  private final Consumer<List<StoreRecord>> otherRecords;
   private final Runnable onRead;
   private final DecisionLog log;
   private byte[] newestBytes = new byte[0];
@@ -34,10 +36,13 @@
   /**
    * Creates a receiver.
    *
+   * @param otherRecords receives all records of the topic
    * @param onRead runs after each response of the store
    */
-  public ConfigurationReceiver(Target target, Runnable onRead, DecisionLog log) {
+  public ConfigurationReceiver(
+      Target target, Consumer<List<StoreRecord>> otherRecords, Runnable onRead, DecisionLog log) {
     this.target = target;
+    this.otherRecords = otherRecords;
     this.onRead = onRead;
     this.log = log;
   }
@@ -59,6 +64,7 @@
         apply(record.offset(), value);
       }
     }
+    otherRecords.accept(records);
     onRead.run();
   }
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -138,6 +138,7 @@
             0.1,
             1_000,
             8_000,
+            0.1,
             5,
             1,
             1_000);
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/store/ConfigurationReceiverTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/store/ConfigurationReceiverTest.java
@@ -17,7 +17,10 @@
   private long active = -1;
   private final ConfigurationReceiver receiver =
       new ConfigurationReceiver(
-          this::configure, () -> {}, new DecisionLog(OutputStream.nullOutputStream(), () -> 0));
+          this::configure,
+          records -> {},
+          () -> {},
+          new DecisionLog(OutputStream.nullOutputStream(), () -> 0));
 
   private boolean configure(ServingConfiguration configuration, long offset) {
     if (configuration.version() <= active) {
