Roll-outs: streams at a withheld version keep to its limits, and no permitted slot stays free

Cause, found by reading the diff: an endpoint that is withheld got streams that began there although it was paused or its rate limit was used up; and with a large share, requests waited for the old version while the new one had slots that its share permitted, as grants to it begin in batches.

PoolSchedulerRolloutTest: limitOfAnOldEndpointHoldsForItsStreams and noSlotStaysFreeThatTheSharePermits fail without the change; two further tests hold the share and the streams of the old version. A version without endpoints is forgotten in the index.

Without an order nothing changes. Core tests of pool and rollout pass.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -132,7 +132,7 @@
       return null;
     }
     detach(entry);
-    endpointsByVersion.merge(entry.version, -1, Integer::sum);
+    removeVersion(entry.version);
     chooseGuaranteed();
     return entry.load;
   }
@@ -198,12 +198,16 @@
   private void updateVersion(Entry entry) {
     String version = entry.load.endpoint().version();
     if (!version.equals(entry.version)) {
-      endpointsByVersion.merge(entry.version, -1, Integer::sum);
+      removeVersion(entry.version);
       endpointsByVersion.merge(version, 1, Integer::sum);
       entry.version = version;
     }
   }
 
+  private void removeVersion(String version) {
+    endpointsByVersion.computeIfPresent(version, (key, count) -> count > 1 ? count - 1 : null);
+  }
+
   private void reindex(Entry entry) {
     detach(entry);
     insert(entry);
@@ -374,7 +378,10 @@
       }
     }
     for (Entry entry : withheld) {
-      if (!isBarred(entry, request) && freeSlots(entry, false) > 0) {
+      boolean mayGrant =
+          entry.load.pausedUntil() <= pausesEndedUntil
+              && entry.load.rateLimit().nextGrantAt() <= pausesEndedUntil;
+      if (mayGrant && !isBarred(entry, request) && freeSlots(entry, false) > 0) {
         return entry.load;
       }
     }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/VersionTraffic.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/VersionTraffic.java
@@ -36,8 +36,13 @@
     int newEndpoints = endpoints.endpointsOf(version);
     VersionFilter filter = current.filter(newEndpoints, endpoints.size() - newEndpoints);
     endpoints.setFilter(filter);
-    if (filter.kind() == VersionFilter.Kind.PREFER && !endpoints.hasFreeSlot()) {
+    if (endpoints.hasFreeSlot()) {
+      return;
+    }
+    if (filter.kind() == VersionFilter.Kind.PREFER) {
       endpoints.setFilter(new VersionFilter(VersionFilter.Kind.EXCEPT, version));
+    } else if (current.mayShare()) {
+      endpoints.setFilter(new VersionFilter(VersionFilter.Kind.PREFER, version));
     }
   }
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/FaultComparison.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/FaultComparison.java
@@ -48,6 +48,7 @@
   /** Bound of the endpoints that are told apart. */
   private static final int MAX_ENDPOINTS = 2_000;
 
+  /** Rate of the old version from which a stage is prolonged. */
   private static final double DISTURBED_RATE = 0.1;
 
   private final boolean dependsOnEndpoint;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/VersionSplit.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/VersionSplit.java
@@ -100,6 +100,11 @@
     return grantedToNew + 1 <= share * (granted + 1);
   }
 
+  /** Returns whether the share permits a grant to the new version now. */
+  public boolean mayShare() {
+    return mode == Mode.SHARED && mayGrantNew();
+  }
+
   /** Records a grant at an endpoint of a version. */
   public void granted(String version) {
     granted++;
