--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -58,7 +58,7 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final TreeSet<Entry> free = new TreeSet<>(BY_COST);
   private final TreeSet<Entry> freeIgnoringPause = new TreeSet<>(BY_COST);
-  private final Map<String, Integer> endpointsByVersion = new HashMap<>();
+  private final VersionCounts versions = new VersionCounts();
   private final TreeSet<Entry> withheld = new TreeSet<>(BY_COST);
   private final TreeSet<Entry> paused = new TreeSet<>(BY_PAUSE_END);
   private final Set<Entry> limited = new LinkedHashSet<>();
@@ -121,7 +121,7 @@
     load.rateLimit().setShare(capacityShare);
     entries.put(load.endpoint().id(), entry);
     entry.version = load.endpoint().version();
-    endpointsByVersion.merge(entry.version, 1, Integer::sum);
+    versions.add(entry.version);
     insert(entry);
     chooseGuaranteed();
   }
@@ -132,7 +132,7 @@
       return null;
     }
     detach(entry);
-    removeVersion(entry.version);
+    versions.remove(entry.version);
     chooseGuaranteed();
     return entry.load;
   }
@@ -145,7 +145,7 @@
 
   /** Returns the number of endpoints of a software version. */
   int endpointsOf(String version) {
-    return endpointsByVersion.getOrDefault(version, 0);
+    return versions.of(version);
   }
 
   /** Returns the number of requests that run at endpoints of other versions than the given one. */
@@ -198,16 +198,12 @@
   private void updateVersion(Entry entry) {
     String version = entry.load.endpoint().version();
     if (!version.equals(entry.version)) {
-      removeVersion(entry.version);
-      endpointsByVersion.merge(version, 1, Integer::sum);
+      versions.remove(entry.version);
+      versions.add(version);
       entry.version = version;
     }
   }
 
-  private void removeVersion(String version) {
-    endpointsByVersion.computeIfPresent(version, (key, count) -> count > 1 ? count - 1 : null);
-  }
-
   private void reindex(Entry entry) {
     detach(entry);
     insert(entry);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/ConfigurationReceiver.java
@@ -28,7 +28,7 @@
   public static final long NO_OFFSET = -1;
 
   private final Target target;
-  private final Consumer<List<StoreRecord>> otherRecords;
+  private final Consumer<List<StoreRecord>> recordListener;
   private final Runnable onRead;
   private final DecisionLog log;
   private byte[] newestBytes = new byte[0];
@@ -36,13 +36,13 @@
   /**
    * Creates a receiver.
    *
-   * @param otherRecords receives all records of the topic
+   * @param recordListener receives all records of the topic
    * @param onRead runs after each response of the store
    */
   public ConfigurationReceiver(
-      Target target, Consumer<List<StoreRecord>> otherRecords, Runnable onRead, DecisionLog log) {
+      Target target, Consumer<List<StoreRecord>> recordListener, Runnable onRead, DecisionLog log) {
     this.target = target;
-    this.otherRecords = otherRecords;
+    this.recordListener = recordListener;
     this.onRead = onRead;
     this.log = log;
   }
@@ -64,7 +64,7 @@
         apply(record.offset(), value);
       }
     }
-    otherRecords.accept(records);
+    recordListener.accept(records);
     onRead.run();
   }
 
