Roll-outs: a change of scheduler keeps the comparison, and success awaits the hosts' reports

By reading: a new scheduler could declare success before it knew what runs at the old version; a host cut off from half of the group rolled back for want of time although the other half had come further; a final stage was no longer written if the store was away for more than ten seconds.

Change: the comparison stays; twelve recent answers are needed for a trouble; success needs 1.2 s as decider in the stage; success and rollbacks for want of time are stored first and give way to a later stage; unfinished writes go on. The expanding stage lasts to 85% if fewer than 500 answers were compared.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/ChangeDetector.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/ChangeDetector.java
@@ -13,7 +13,7 @@
   /** Sum at which the test ends; about one false alarm in e^9 independent excursions. */
   private static final double THRESHOLD = 9;
 
-  /** Sum of a test whose events can't be told apart by endpoint. */
+  /** Sum of a test whose events occur at most endpoints of either version. */
   private static final double CERTAIN = 14;
 
   /** Increase of the rate that the test is most sensitive to. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/FaultComparison.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/FaultComparison.java
@@ -45,9 +45,12 @@
   /** Share of faulty endpoints that is sufficient if fewer of the old version are faulty. */
   private static final double NEARLY_ALL = 0.95;
 
-  /** Bound of the endpoints that are told apart. */
+  /** Bound of the endpoints that are distinguished. */
   private static final int MAX_ENDPOINTS = 2_000;
 
+  /** Recent answers that are needed, so that a single fault is no trouble. */
+  private static final double MIN_DISTURBED = 12;
+
   /** Rate of the old version from which a stage is prolonged. */
   private static final double DISTURBED_RATE = 0.1;
 
@@ -92,7 +95,9 @@
    * Returns whether the old version shows the fault so often that little is seen of the new one.
    */
   boolean isDisturbed(long now) {
-    return Math.max(baseline.rate(now), onset.rate(now)) >= DISTURBED_RATE;
+    boolean isKnown = onset.weight(now) >= MIN_DISTURBED;
+    double recent = isKnown ? onset.rate(now) : 0;
+    return Math.max(baseline.rate(now), recent) >= DISTURBED_RATE;
   }
 
   /** Records an answer of the new version; returns a description if the version is worse. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/RolloutController.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/RolloutController.java
@@ -15,16 +15,22 @@
   private static final double EXPANSION_WITH_FEW_ANSWERS = 0.6;
   private static final double EARLIEST_COMPLETION = 0.7;
   private static final double EXPANSION_IF_DISTURBED = 0.7;
-  private static final double COMPLETION_IF_DISTURBED = 0.85;
+  private static final double LATEST_COMPLETION = 0.85;
   private static final double MIN_EXPANDING = 0.1;
   private static final double MIN_COMPLETING = 0.05;
 
+  /** Hosts report twice a second which requests still run; a new scheduler awaits these reports. */
+  private static final long MIN_COMPLETING_MILLIS = 1_200;
+
   /** Leaves time to store the outcome. */
   private static final double LATEST_DECISION = 0.93;
 
   private static final long ENOUGH_ANSWERS = 40;
   private static final long FEW_ANSWERS = 10;
 
+  /** Answers from which the expanding stage is not prolonged. */
+  private static final long MANY_ANSWERS = 500;
+
   /** Largest share of the traffic that the canary stage uses. */
   private static final double MAX_CANARY_SHARE = 0.05;
 
@@ -60,7 +66,7 @@
    * Returns the state that follows, or null to stay.
    *
    * @param elapsedMillis time since the order
-   * @param inStageMillis time since this host has known the stage
+   * @param inStageMillis time for which this host has decided in the stage
    */
   public @Nullable RolloutState decide(
       RolloutState state, long elapsedMillis, long inStageMillis, RolloutEvidence evidence) {
@@ -75,7 +81,8 @@
     double elapsed = elapsedMillis / duration;
     double inStage = inStageMillis / duration;
     if (state.stage() == RolloutStage.COMPLETING) {
-      return inStage >= MIN_COMPLETING && evidence.oldRunning() == 0
+      boolean isComplete = inStage >= MIN_COMPLETING && inStageMillis >= MIN_COMPLETING_MILLIS;
+      return isComplete && evidence.oldRunning() == 0
           ? state.next(RolloutStage.SUCCEEDED, elapsedMillis, "nothing runs at the old version")
           : null;
     }
@@ -84,7 +91,8 @@
           RolloutStage.ROLLED_BACK, elapsedMillis, "out of time in stage " + state.stage());
     }
     if (state.stage() == RolloutStage.EXPANDING) {
-      double earliest = evidence.isDisturbed() ? COMPLETION_IF_DISTURBED : EARLIEST_COMPLETION;
+      boolean isClear = !evidence.isDisturbed() && evidence.newAnswers() >= MANY_ANSWERS;
+      double earliest = isClear ? EARLIEST_COMPLETION : LATEST_COMPLETION;
       return elapsed >= earliest && inStage >= MIN_EXPANDING
           ? state.next(RolloutStage.COMPLETING, elapsedMillis, "not worse at half of the traffic")
           : null;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/VersionComparison.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/VersionComparison.java
@@ -15,7 +15,7 @@
 
   private static final String ALL_ROUTES = "";
 
-  /** Bound of the routes that are told apart, so that memory stays bounded. */
+  /** Bound of the routes that are distinguished, so that memory stays bounded. */
   private static final int MAX_ROUTES = 64;
 
   /** An answer is slow for its endpoint if it took this many times the endpoint's median. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/VersionSplit.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/VersionSplit.java
@@ -22,7 +22,7 @@
   private static final int LARGE_SHARE_BATCH = 8;
 
   private final RolloutOrder order;
-  private VersionComparison comparison = new VersionComparison();
+  private final VersionComparison comparison = new VersionComparison();
   private Mode mode = Mode.HELD;
   private double share;
   private boolean isPreferring;
@@ -141,11 +141,6 @@
     }
   }
 
-  /** Forgets all answers, because they are too old to compare with. */
-  public void restartComparison() {
-    comparison = new VersionComparison();
-  }
-
   /** Returns what the answers show. */
   public RolloutEvidence evidence(int oldRunning, long now) {
     return new RolloutEvidence(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutArchive.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutArchive.java
@@ -55,18 +55,20 @@
   }
 
   /**
-   * Writes a state unless the store has one that supersedes it.
+   * Writes a state unless the store has one that supersedes the state from which it follows.
    *
+   * @param previous the state from which it follows, or the state itself
    * @return the superseding state, or empty if the state and its status were written
    */
-  CompletableFuture<Optional<RolloutState>> write(RolloutState state, long elapsedMillis) {
+  CompletableFuture<Optional<RolloutState>> write(
+      RolloutState state, RolloutState previous, long elapsedMillis) {
     String service = state.order().service();
     byte[] encoded = RolloutCodec.encodeState(state, loop.epochMillis() - elapsedMillis);
     return read(service)
         .thenCompose(
             stored -> {
               RolloutState other = stored.state();
-              if (other != null && other.supersedes(state)) {
+              if (other != null && other.supersedes(previous)) {
                 return CompletableFuture.completedFuture(Optional.of(other));
               }
               return store
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -21,7 +21,7 @@
 
 /**
  * Carries out the roll-outs that the operator orders. The host that schedules a service decides on
- * its roll-out; the other hosts apply the stage that they are told.
+ * its roll-out; the other hosts apply the stage that it announces.
  */
 public final class RolloutService {
 
@@ -238,7 +238,12 @@
     boolean wasScheduler = rollout.isScheduler;
     rollout.isScheduler = peers.isSchedulerOf(rollout.order().service());
     RolloutState state = rollout.state();
-    if (state != null && state.stage().isFinal() && rollout.inStageNanos(now) > FINAL_NANOS) {
+    boolean isStored =
+        !rollout.isScheduler || (state != null && rollout.storedStage == state.stage());
+    if (state != null
+        && state.stage().isFinal()
+        && isStored
+        && rollout.inStageNanos(now) > FINAL_NANOS) {
       if (state.stage() == RolloutStage.SUCCEEDED) {
         scheduler.setSplit(rollout.order().service(), null, now);
       }
@@ -253,7 +258,7 @@
       return true;
     }
     if (!wasScheduler) {
-      takeOver(rollout);
+      takeOver(rollout, now);
     }
     if (state == null) {
       if (rollout.isRead) {
@@ -265,8 +270,8 @@
     return true;
   }
 
-  private void takeOver(ServiceRollout rollout) {
-    rollout.split.restartComparison();
+  private void takeOver(ServiceRollout rollout, long now) {
+    rollout.schedulerSince = now;
     rollout.storedStage = null;
     RolloutState state = rollout.state();
     if (state != null) {
@@ -280,9 +285,9 @@
     RolloutState next =
         evidence == null
             ? null
-            : controller.decide(state, elapsed, rollout.inStageNanos(now) / 1_000_000, evidence);
-    if (next != null && next.stage() == RolloutStage.SUCCEEDED) {
-      write(rollout, next, elapsed);
+            : controller.decide(state, elapsed, rollout.decidingMillis(now), evidence);
+    if (next != null && evidence != null && isStoredFirst(next, evidence)) {
+      write(rollout, next, state, elapsed);
       next = null;
     } else if (next != null) {
       enter(rollout, next, "decision");
@@ -294,17 +299,26 @@
       peers.broadcastRollout(present.next(present.stage(), elapsed, present.reason()));
     }
     if (rollout.storedStage != present.stage()) {
-      write(rollout, present, elapsed);
+      write(rollout, present, present, elapsed);
     }
   }
 
-  private void write(ServiceRollout rollout, RolloutState state, long elapsedMillis) {
+  /**
+   * Returns whether a decision takes effect only when it is stored: success, as old endpoints stop
+   * at once, and a rollback for want of time, as another host may have come further.
+   */
+  private static boolean isStoredFirst(RolloutState next, RolloutEvidence evidence) {
+    return next.stage().isFinal() && evidence.finding() == null;
+  }
+
+  private void write(
+      ServiceRollout rollout, RolloutState state, RolloutState previous, long elapsedMillis) {
     if (rollout.isWriting) {
       return;
     }
     rollout.isWriting = true;
     loop.whenDone(
-        archive.write(state, elapsedMillis),
+        archive.write(state, previous, elapsedMillis),
         other -> written(rollout, state, other),
         failure -> {
           log.event(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
@@ -16,6 +16,7 @@
   private long stageSince;
   private long heardAt;
   boolean isScheduler;
+  long schedulerSince;
   boolean isRead;
   boolean isWriting;
   @Nullable RolloutStage storedStage;
@@ -68,6 +69,11 @@
     return known.elapsedMillis() + TimeUnit.NANOSECONDS.toMillis(now - stageSince);
   }
 
+  /** Returns for how long this host has decided in the present stage, milliseconds. */
+  long decidingMillis(long now) {
+    return TimeUnit.NANOSECONDS.toMillis(Math.min(now - stageSince, now - schedulerSince));
+  }
+
   long inStageNanos(long now) {
     return now - stageSince;
   }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RolloutTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RolloutTest.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -109,7 +108,6 @@
         .isLessThanOrEqualTo(EXPOSED_SHARE * (exposed + runs(plainEndpoints)) + EXPOSED_SLACK);
   }
 
-  @Tag("known-red")
   @Test
   void goodVersionSucceedsInTime() {
     long startedAt = System.nanoTime();
@@ -156,7 +154,6 @@
     assertSucceeds(startedAt);
   }
 
-  @Tag("known-red")
   @Test
   void rollOutSurvivesTheLossOfTheDecidingHost() {
     long startedAt = System.nanoTime();
