Roll-outs: an order that returns after the store was restored goes on where it was

Cause: after a restored store the operator writes the same order again, at a lower offset. The host moved its roll-out to the returned offset, while the record in the store still named the first one, so that neither superseded the other: the roll-out stayed at the stage it had and never ended (RolloutTest.rollOutGoesOnAfterTheStoreWasRestored, red before).

Change: hosts keep the first position; a host that starts and finds a record of an alike order at another position takes the position of the record. A gauge states how many requests a host has granted to new versions.

Ruled out: the judgement (reports arrived and were compared) and the status (nothing was written because no stage was reached).

Result: RolloutTest (10 tests, two new) and the core tests of roll-outs green. Also shown now: a version that was taken back gets nothing after a restart of all hosts.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/RolloutOrder.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/RolloutOrder.java
@@ -18,4 +18,16 @@
       throw new IllegalArgumentException("the duration must be positive: " + durationMillis);
     }
   }
+
+  /** Returns whether an order asks for the same, at whatever position. */
+  public boolean isAlike(RolloutOrder other) {
+    return service.equals(other.service)
+        && version.equals(other.version)
+        && durationMillis == other.durationMillis;
+  }
+
+  /** Returns whether another order is this one, written again after the store was restored. */
+  public boolean isReturnedAs(RolloutOrder other) {
+    return isAlike(other) && other.offset < offset;
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -92,5 +92,9 @@
   void registerRollouts(RolloutService rollouts) {
     metrics.gauge(
         "samphiredyke_running_rollouts", "Roll-outs that have not ended.", rollouts::running);
+    metrics.gauge(
+        "samphiredyke_rollout_exposure",
+        "Requests that this host has granted to the new versions of roll-outs.",
+        rollouts::exposure);
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -115,20 +115,17 @@
     begin(order);
   }
 
-  /** A restored store gives out offsets again, so the same order may return at another one. */
+  /**
+   * Returns whether an order is not newer than the known one. A restored store gives out offsets
+   * again, so the same order may return at another one; hosts keep the first.
+   */
   private boolean isKnown(RolloutOrder order, ServiceRollout known) {
-    if (order.offset() == known.order().offset()) {
-      return true;
-    }
-    boolean isAlike =
-        order.version().equals(known.order().version())
-            && order.durationMillis() == known.order().durationMillis();
-    if (isStoreRestored && isAlike) {
-      known.moveOrder(order);
-      known.storedStage = null;
-      return true;
+    if (!isStoreRestored) {
+      return order.offset() <= known.order().offset();
     }
-    return order.offset() < known.order().offset() && !isStoreRestored;
+    RolloutState state = known.state();
+    boolean isRunning = state == null || !state.stage().isFinal();
+    return order.isAlike(known.order()) && (isRunning || order.offset() <= known.order().offset());
   }
 
   private ServiceRollout begin(RolloutOrder order) {
@@ -147,6 +144,9 @@
         stored -> {
           rollout.isRead = true;
           RolloutState state = stored.state();
+          if (state != null && state.order().isReturnedAs(rollout.order())) {
+            rollout.setOrder(state.order());
+          }
           if (state != null && state.supersedes(rollout.state())) {
             adopt(rollout, state, "store");
           }
@@ -356,6 +356,11 @@
     }
   }
 
+  /** Returns how many requests this host has granted to the new versions of known roll-outs. */
+  public long exposure() {
+    return rollouts.values().stream().mapToLong(rollout -> rollout.split.exposure()).sum();
+  }
+
   /** Returns how many roll-outs have not ended. */
   public int running() {
     int running = 0;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
@@ -33,13 +33,9 @@
     return order;
   }
 
-  /** Replaces the position of the same order, after the store has given it another one. */
-  void moveOrder(RolloutOrder moved) {
-    order = moved;
-    RolloutState known = state;
-    if (known != null) {
-      state = new RolloutState(moved, known.stage(), known.elapsedMillis(), known.reason());
-    }
+  /** Replaces the order by the same one as it was known before the store was restored. */
+  void setOrder(RolloutOrder original) {
+    order = original;
   }
 
   @Nullable RolloutState state() {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RolloutTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RolloutTest.java
@@ -9,7 +9,9 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,7 +29,7 @@
 
   private final AtomicBoolean isLoading = new AtomicBoolean(true);
   private final List<EndpointStandIn> newEndpoints = new ArrayList<>();
-  private final List<RunningGateway> hosts = new ArrayList<>();
+  private final List<RunningGateway> hosts = new CopyOnWriteArrayList<>();
   private Thread load = new Thread(() -> {});
 
   @BeforeEach
@@ -63,11 +65,15 @@
     }
   }
 
-  private void order(EndpointStandIn.Behaviour behaviour) {
+  private void writeOrder() {
     store.put(
         StoreClient.OPERATOR_TOPIC,
         STATUS_KEY,
         "{\"Service\":\"plain\",\"To\":\"v2\",\"DurationS\":" + DURATION_SECONDS + "}");
+  }
+
+  private void order(EndpointStandIn.Behaviour behaviour) {
+    writeOrder();
     for (int i = 1; i <= 3; i++) {
       EndpointStandIn endpoint = new EndpointStandIn("n-" + i, "plain", false);
       endpoint.setBehaviour(behaviour);
@@ -180,6 +186,40 @@
     assertRolledBack(startedAt);
   }
 
+  /** The operator and the endpoints write again; the order then has a lower offset than before. */
+  @Test
+  void rollOutGoesOnAfterTheStoreWasRestored() {
+    Map<String, Integer> copy = store.checkpoint();
+    configure(2);
+    configure(3);
+    long startedAt = System.nanoTime();
+    order(EndpointStandIn.Behaviour.SERVE);
+    await(() -> isStatus("running"));
+    store.restore(copy);
+    configure(4);
+    register("ready", plainEndpoints);
+    register("ready", newEndpoints);
+    writeOrder();
+    assertSucceeds(startedAt);
+  }
+
+  /** All hosts restart; what the new one knows it has read from the store. */
+  @Test
+  void rolledBackVersionGetsNothingAfterARestartOfAllHosts() {
+    order(EndpointStandIn.Behaviour.ERROR);
+    await(() -> isStatus("rolled_back"));
+    hosts.forEach(each -> each.gateway().peers().closeSocket());
+    RunningGateway restarted = startGateway("host-3", List.of());
+    hosts.set(0, restarted);
+    hosts.set(1, restarted);
+    await(restarted.gateway()::isReady);
+    int exposed = runs(newEndpoints);
+    for (int i = 0; i < 40; i++) {
+      get(restarted, "/safe/x");
+    }
+    assertThat(runs(newEndpoints)).isEqualTo(exposed);
+  }
+
   @Test
   void malformedOrderIsLoggedAndChangesNothing() {
     store.put(StoreClient.OPERATOR_TOPIC, STATUS_KEY, "{\"Service\":\"plain\",\"To\":\"v2\"}");
