Lost state: a starting host asks a stopping one, which stays until another host has its state

Change: PeerStateSelector. A starting host looks through the known hosts every 50 ms and asks the one that states the newest configuration, draining or not; hosts without state are asked once in 300 ms. An idle stopping host stays within its grace time while another live host lacks its configuration and none that goes on has it (event stop_held).

Ruled out: the lag detector, which fetches the configuration alone, so that the host still had no endpoints and didn't get ready.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
@@ -9,7 +9,7 @@
  *
  * <p>Callers cache addresses, so requests keep arriving for some seconds, and all of them are
  * served. After that time idle connections are closed, and running requests have the rest of the
- * grace period to complete.
+ * grace period to complete, and hosts that lack this host's configuration to load it.
  */
 final class GracefulShutdown {
 
@@ -25,6 +25,7 @@
   private final Gateway gateway;
   private final DecisionLog log;
   private boolean started;
+  private boolean isHeld;
   private long startedAt;
 
   GracefulShutdown(Gateway gateway, DecisionLog log) {
@@ -60,11 +61,21 @@
       gateway.frontend().stopAccepting();
     }
     boolean isIdle = millis >= addressLifetimeMillis && gateway.frontend().busyConnections() == 0;
-    if (isIdle || millis > gateway.graceMillis() - KILL_MARGIN_MILLIS) {
+    if (isIdle && !isStateNeeded() || millis > gateway.graceMillis() - KILL_MARGIN_MILLIS) {
       terminate(millis);
     }
   }
 
+  private boolean isStateNeeded() {
+    long version = gateway.configurationVersion();
+    boolean isNeeded = gateway.peerBootstrap().isNeeded(version);
+    if (isNeeded && !isHeld) {
+      isHeld = true;
+      log.event("stop_held", "version", version, "reason", "no other host has the configuration");
+    }
+    return isNeeded;
+  }
+
   private void terminate(long millis) {
     gateway.peers().leave();
     log.event("stop", "ms", millis, "busy", gateway.frontend().busyConnections());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBootstrap.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBootstrap.java
@@ -14,10 +14,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -39,18 +37,19 @@
    */
   private static final Duration INITIAL_DELAY = Duration.ofMillis(250);
 
-  private static final Duration RETRY_INTERVAL = Duration.ofMillis(300);
+  /** How often the known hosts are looked through; a stopping host may be known briefly only. */
+  private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
+
   private static final Duration TIMEOUT = Duration.ofMillis(500);
   private static final int OK = 200;
 
   private final ControlEventLoop loop;
   private final PeerGroup peers;
-  private final String self;
+  private final PeerStateSelector selector;
   private final HttpClient http;
   private final ConfigurationReceiver configuration;
   private final EndpointReceiver endpoints;
   private final DecisionLog log;
-  private final RandomGenerator random;
 
   /** Creates a bootstrap that has not started. */
   public PeerBootstrap(
@@ -64,12 +63,11 @@
       RandomGenerator random) {
     this.loop = loop;
     this.peers = peers;
-    this.self = self;
+    this.selector = new PeerStateSelector(self, random);
     this.http = http;
     this.configuration = configuration;
     this.endpoints = endpoints;
     this.log = log;
-    this.random = random;
   }
 
   /** Starts to check whether the store has provided the configuration and the endpoints. */
@@ -85,12 +83,11 @@
     if (isComplete()) {
       return;
     }
-    List<Member> candidates = new ArrayList<>(peers.liveMembers());
-    candidates.removeIf(member -> member.address().equals(self) || member.draining());
-    if (!candidates.isEmpty()) {
-      fetch(candidates.get(random.nextInt(candidates.size())));
+    Member source = selector.select(peers.liveMembers(), loop.nanoTime());
+    if (source != null) {
+      fetch(source);
     }
-    loop.schedule(this::check, RETRY_INTERVAL);
+    loop.schedule(this::check, CHECK_INTERVAL);
   }
 
   private void fetch(Member member) {
@@ -154,6 +151,16 @@
     }
   }
 
+  /**
+   * Returns whether this host must not stop yet, because another host still lacks its configuration
+   * and no host that goes on has it.
+   *
+   * @param version configuration version of this host, negative for none
+   */
+  public boolean isNeeded(long version) {
+    return selector.isNeeded(version, peers.liveMembers());
+  }
+
   /** Returns the state of this host in the form that other hosts load. */
   public byte[] page() {
     return Json.bytes(
