Test of a link that closes before its handshake: the order is forced

Cause, by its trace (OutboundLink.close, the messages that were written): the handshake had completed and the message was written before the test closed the link. Such a message may have arrived and must not be sent again, so the failure it got is the right one; the test didn't bring about what it states.

Change: all event loops are held until request and closing are queued. The assertion is the same. Ruled out: a message that was dropped (it was failed).

--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerTransportTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/peer/PeerTransportTest.java
@@ -159,15 +159,21 @@
     assertThat(reply.join()).isEqualTo(read("b"));
   }
 
-  /** Closes the link while a message waits for its handshake. */
+  /**
+   * Closes the link while a message waits for its handshake. All event loops are held until the
+   * message and the closing are queued, so that no handshake can complete between them.
+   */
   @Test
   void messageThatWaitsForALinkThatClosesGoesOverTheNextOne() {
     PeerTransport server = start("server", (from, message, reply) -> reply.accept(message), NEW);
     PeerTransport client = echo("client", NEW);
+    CompletableFuture<Void> queued = new CompletableFuture<>();
+    group.forEach(loop -> loop.execute(queued::join));
     OutboundLink link = client.link(server.address());
     CompletableFuture<PeerMessage> reply =
         client.request(server.address(), null, read("b"), REPLY_TIMEOUT);
     link.loop().execute(() -> link.close("closed by the test"));
+    queued.complete(null);
     assertThat(reply.join()).isEqualTo(read("b"));
   }
 
