--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/CustomerSharesTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/CustomerSharesTest.java
@@ -15,6 +15,10 @@
 
   private static final long UNLIMITED = 1_000_000;
   private static final int FLOOD = 100;
+
+  /** Later than all grants, so that no request becomes late. */
+  private static final long FAR = 60_000 * MILLI;
+
   private static final double HOLD_MILLIS = 100;
 
   private final CustomerShares shares = new CustomerShares();
@@ -35,23 +39,6 @@
     return charged;
   }
 
-  private SlotRequest request(long id, String customer) {
-    SlotRequest usual = request(id, 0, 0, 60_000);
-    return new SlotRequest(
-        id,
-        usual.requester(),
-        usual.service(),
-        usual.rank(),
-        usual.value(),
-        usual.estimate(),
-        customer,
-        0,
-        false,
-        Set.of(),
-        60_000 * MILLI,
-        60_000 * MILLI);
-  }
-
   private void configure(CustomerSpec... customers) {
     scheduler.configure(
         new ServingConfiguration(
@@ -63,9 +50,9 @@
   private List<Long> grantsOfAFlood() {
     scheduler.put(endpoint("e", 1), 0);
     for (long id = 1; id <= FLOOD; id++) {
-      scheduler.submit(request(id, "flooding"), 0);
+      scheduler.submit(request(id, "flooding", 0, FAR, 0), 0);
     }
-    scheduler.submit(request(FLOOD + 1, "other"), 0);
+    scheduler.submit(request(FLOOD + 1, "other", 0, FAR, 0), 0);
     for (int i = 0; i <= FLOOD; i++) {
       List<Long> granted = new ArrayList<>(grantOrder);
       scheduler.release("s", "e", granted.get(i), Outcome.SERVED, 50, i * 50 * MILLI);
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerFixture.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerFixture.java
@@ -35,6 +35,10 @@
   }
 
   static SlotRequest request(long id, int rank, long now, long startWithinMillis) {
+    return request(id, "", rank, now, startWithinMillis);
+  }
+
+  static SlotRequest request(long id, String customer, int rank, long now, long startWithinMillis) {
     return new SlotRequest(
         id,
         "host",
@@ -42,7 +46,7 @@
         rank,
         1,
         new WorkEstimate(4_000, 120, List.of(new PromptPart(id, 4_000))),
-        "",
+        customer,
         0,
         false,
         Set.of(),
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/rollout/RolloutControllerTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/rollout/RolloutControllerTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class RolloutControllerTest {
 
@@ -11,46 +13,33 @@
   private final RolloutController controller = new RolloutController(0.1);
   private final RolloutState canary = RolloutState.begin(new RolloutOrder("s", "v2", DURATION, 1));
 
-  private static RolloutEvidence evidence(int answers, int oldRunning) {
-    return new RolloutEvidence(answers, null, false, oldRunning);
-  }
-
   private RolloutStage after(RolloutStage stage, long elapsed, long inStage, RolloutEvidence seen) {
     RolloutState next = controller.decide(canary.next(stage, 0, "test"), elapsed, inStage, seen);
     return next == null ? stage : next.stage();
   }
 
-  /** A new scheduler learns from the reports of the hosts, each half second, what still runs. */
-  @Test
-  void newSchedulerAwaitsReportsBeforeItDeclaresSuccess() {
-    assertThat(after(RolloutStage.COMPLETING, 10_000, 700, evidence(100, 0)))
-        .isEqualTo(RolloutStage.COMPLETING);
-    assertThat(after(RolloutStage.COMPLETING, 10_000, 1_300, evidence(100, 0)))
-        .isEqualTo(RolloutStage.SUCCEEDED);
-  }
-
-  @Test
-  void successAwaitsTheEndOfRequestsAtTheOldVersion() {
-    assertThat(after(RolloutStage.COMPLETING, 20_000, 15_000, evidence(100, 1)))
-        .isEqualTo(RolloutStage.COMPLETING);
-  }
-
-  @Test
-  void versionWithoutAnswersIsRolledBackInTime() {
-    assertThat(after(RolloutStage.CANARY, 11_000, 11_000, evidence(0, 3)))
-        .isEqualTo(RolloutStage.CANARY);
-    assertThat(after(RolloutStage.CANARY, 11_200, 11_200, evidence(0, 3)))
-        .isEqualTo(RolloutStage.ROLLED_BACK);
-  }
-
-  @Test
-  void fewAnswersLengthenTheCanaryStage() {
-    assertThat(after(RolloutStage.CANARY, 6_000, 6_000, evidence(39, 3)))
-        .isEqualTo(RolloutStage.CANARY);
-    assertThat(after(RolloutStage.CANARY, 6_000, 6_000, evidence(40, 3)))
-        .isEqualTo(RolloutStage.EXPANDING);
-    assertThat(after(RolloutStage.CANARY, 7_300, 7_300, evidence(10, 3)))
-        .isEqualTo(RolloutStage.EXPANDING);
+  /** Hosts report each half second what still runs; a new scheduler learns it from the reports. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "new scheduler awaits reports before success, COMPLETING, 10000, 700, 100, 0, COMPLETING",
+    "new scheduler has received the reports, COMPLETING, 10000, 1300, 100, 0, SUCCEEDED",
+    "requests run at the old version, COMPLETING, 20000, 15000, 100, 1, COMPLETING",
+    "version without answers has time left, CANARY, 11000, 11000, 0, 3, CANARY",
+    "version without answers has no time left, CANARY, 11200, 11200, 0, 3, ROLLED_BACK",
+    "few answers lengthen the canary stage, CANARY, 6000, 6000, 39, 3, CANARY",
+    "enough answers end it, CANARY, 6000, 6000, 40, 3, EXPANDING",
+    "few answers end it later, CANARY, 7300, 7300, 10, 3, EXPANDING"
+  })
+  void stageFollowsFromTimeAndAnswers(
+      String name,
+      RolloutStage stage,
+      long elapsed,
+      long inStage,
+      int answers,
+      int oldRunning,
+      RolloutStage expected) {
+    RolloutEvidence seen = new RolloutEvidence(answers, null, false, oldRunning);
+    assertThat(after(stage, elapsed, inStage, seen)).isEqualTo(expected);
   }
 
   @Test
