Review: refusals after a restart stop a service for good

Cause: releasing a slot grants it to the next waiting request, which releases it again while the endpoint is paused; the recursion overflows the stack, and slots stay taken.

--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -19,12 +19,14 @@
 final class Gateway implements AutoCloseable {
 
   final Process process;
+  private final Path settings;
   final String ip;
   final int firstPort;
   final Path log;
 
-  private Gateway(Process process, String ip, int firstPort, Path log) {
+  private Gateway(Process process, Path settings, String ip, int firstPort, Path log) {
     this.process = process;
+    this.settings = settings;
     this.ip = ip;
     this.firstPort = firstPort;
     this.log = log;
@@ -88,11 +90,21 @@
             "Bounds.ttl_max_s=5",
             "Platform.Address=" + storeAddress,
             "Platform.form=log"));
-    Path log = folder.resolve(name + ".log");
+    return start(settings, ip, first, folder.resolve(name + ".log"));
+  }
+
+  /** Starts the process again with the same settings, after it has ended. */
+  Gateway startAgain() throws IOException {
+    return start(settings, ip, firstPort, log);
+  }
+
+  private static Gateway start(Path settings, String ip, int first, Path log) throws IOException {
     ProcessBuilder builder = new ProcessBuilder(runCommand());
     builder.environment().put("SAMPHIREDYKE_SETTINGS", settings.toString());
-    builder.redirectErrorStream(true).redirectOutput(log.toFile());
-    Gateway gateway = new Gateway(builder.start(), ip, first, log);
+    builder
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    Gateway gateway = new Gateway(builder.start(), settings, ip, first, log);
     Runtime.getRuntime().addShutdownHook(new Thread(gateway.process::destroyForcibly));
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
     while (!gateway.isReady(500)) {
