Surplus bytes of one response never become part of the next

Cause: HttpClientCodec keeps bytes that are no complete message, and the connection was reused with them. The next response was appended: "HTTP/1.1 200 OKHTTP/1.1 500 ..." reads as status 200. The body and the id are those of the right request, which rules out mixed-up requests.

ResponseDecoder tells whether data follows a response, closes idle connections on which data arrives, and rejects a head with a second status line. HttpClient of samphiredyke-net had the same fault; it also took interim responses for the response, and 101 stopped all decoding in both.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -10,10 +10,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.AttributeKey;
-import io.netty.util.ReferenceCountUtil;
 import io.samphiredyke.net.control.SocketAddresses;
+import io.samphiredyke.net.http.ResponseDecoder;
 import io.samphiredyke.net.http.TcpKeepAlive;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -27,7 +27,7 @@
  * Pool of persistent connections to endpoints.
  *
  * <p>An idle connection is closed well before the endpoint's idle timeout. It is closed immediately
- * if data or a close arrives while it carries no request.
+ * if data or a close arrives while it carries no request, see {@link ResponseDecoder}.
  */
 public final class EndpointConnectionPool {
 
@@ -95,7 +95,8 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     channel.attr(IDLE_STATE).set(new IdleState(address, 0));
-                    channel.pipeline().addLast(new HttpClientCodec());
+                    channel.pipeline().addLast(new ResponseDecoder());
+                    channel.pipeline().addLast(new HttpRequestEncoder());
                     channel.pipeline().addLast(new IdleGuard());
                   }
                 });
@@ -170,19 +171,9 @@
     return openedConnections;
   }
 
-  /** Closes a connection on which data arrives while it is idle. */
+  /** Removes an idle connection that ends. */
   private final class IdleGuard extends ChannelDuplexHandler {
 
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (ctx.pipeline().last() == this) {
-        ReferenceCountUtil.release(message);
-        ctx.close();
-        return;
-      }
-      ctx.fireChannelRead(message);
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       IdleState state = ctx.channel().attr(IDLE_STATE).get();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.samphiredyke.net.http.ResponseDecoder;
 import io.samphiredyke.platform.EndpointResponseHead;
 import java.net.SocketException;
 import org.jspecify.annotations.Nullable;
@@ -75,6 +76,7 @@
       return;
     }
     channel = connected;
+    connected.pipeline().get(ResponseDecoder.class).requestStarted(request.method());
     connected.pipeline().addLast(this);
     ByteBuf body = request.body();
     DefaultFullHttpRequest message =
@@ -127,11 +129,6 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
     if (finished) {
-      if (returnPending) {
-        // Surplus bytes after a complete response belong to no request.
-        returnPending = false;
-        ctx.close();
-      }
       return;
     }
     if (message.decoderResult().isFailure()) {
@@ -185,7 +182,8 @@
     if (isLast && !finished) {
       finished = true;
       ctx.channel().config().setAutoRead(true);
-      if (reusable && requestSent) {
+      boolean isReadCompletely = ctx.pipeline().get(ResponseDecoder.class).requestEnded();
+      if (reusable && requestSent && isReadCompletely) {
         returnPending = true;
       } else {
         ctx.close();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
@@ -23,12 +23,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Exchanges with endpoints that send malformed, surplus or truncated data. */
 class EndpointExchangeTest {
 
   private static final String OWN_RESPONSE =
       "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: r\r\nContent-Length: 3\r\n\r\nown";
+  private static final String FAILED_RESPONSE =
+      "HTTP/1.1 500 Internal Server Error\r\nX-Samphiredyke-Request-Id: r\r\n"
+          + "Content-Length: 6\r\n\r\nfailed";
   private static final String OTHER_RESPONSE =
       "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: q\r\nContent-Length: 5\r\n\r\nother";
 
@@ -99,15 +104,24 @@
     };
   }
 
-  /** Returns the response body, or an exclamation mark followed by the reason of the failure. */
+  /**
+   * Returns the response body, after the status of a failure, or an exclamation mark followed by
+   * the reason of the failure.
+   */
   private String exchange(String address) {
+    return exchange(address, HttpMethod.GET);
+  }
+
+  private String exchange(String address, HttpMethod method) {
     CompletableFuture<String> outcome = new CompletableFuture<>();
     ExchangeListener listener =
         new ExchangeListener() {
           private final StringBuilder body = new StringBuilder();
 
           @Override
-          public void onHead(EndpointResponseHead head, HttpResponse response) {}
+          public void onHead(EndpointResponseHead head, HttpResponse response) {
+            body.append(head.isSuccess() ? "" : head.status() + " ");
+          }
 
           @Override
           public void onContent(ByteBuf content) {
@@ -125,10 +139,9 @@
           }
         };
     OutgoingRequest request =
-        new OutgoingRequest(
-            "r", HttpMethod.GET, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        new OutgoingRequest("r", method, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     loop.execute(() -> pool.open(address, request, true, listener));
-    return outcome.join();
+    return outcome.completeOnTimeout("!no outcome", 5, TimeUnit.SECONDS).join();
   }
 
   @Test
@@ -154,6 +167,89 @@
     assertThat(acceptedConnections).as("connections with surplus bytes are not reused").hasValue(2);
   }
 
+  /** Sends the texts one after the other, each in response to one request of all connections. */
+  private static ResponseScript sendInTurn(String... texts) {
+    AtomicInteger requests = new AtomicInteger();
+    return socket -> send(texts[requests.getAndIncrement()]).respond(socket);
+  }
+
+  /** Guards against the begin of a surplus head that becomes the status of the next response. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "H",
+        "HTTP/1.1",
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: q",
+        "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: q\r\nContent-Length: 60\r\n\r\not"
+      })
+  void unfinishedSurplusHeadIsNotPartOfTheNextResponse(String surplus) throws IOException {
+    String address = serve(sendInTurn(OWN_RESPONSE + surplus, FAILED_RESPONSE));
+    assertThat(exchange(address)).isEqualTo("own");
+    assertThat(exchange(address)).isEqualTo("500 failed");
+    assertThat(acceptedConnections).hasValue(2);
+  }
+
+  /** Guards against surplus bytes that wait in the decoder of an idle connection. */
+  @Test
+  void bytesOnAnIdleConnectionCloseIt() throws IOException {
+    CompletableFuture<Integer> end = new CompletableFuture<>();
+    AtomicInteger requests = new AtomicInteger();
+    CompletableFuture<Void> firstEnded = new CompletableFuture<>();
+    String address =
+        serve(
+            socket -> {
+              send(requests.getAndIncrement() == 0 ? OWN_RESPONSE : FAILED_RESPONSE)
+                  .respond(socket);
+              if (requests.get() == 1) {
+                firstEnded.join();
+                send("HTTP/1.1 200 OK").respond(socket);
+                socket.setSoTimeout(5_000);
+                end.complete(socket.getInputStream().read());
+              }
+            });
+    assertThat(exchange(address)).isEqualTo("own");
+    firstEnded.complete(null);
+    assertThat(end.completeOnTimeout(0, 6, TimeUnit.SECONDS).join())
+        .as("end of the connection")
+        .isEqualTo(-1);
+    assertThat(exchange(address)).isEqualTo("500 failed");
+  }
+
+  /** Guards against surplus bytes that arrive when the connection carries the next request. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX-Samphiredyke-Server-Signature: a"
+      })
+  void surplusHeadBeforeTheResponseIsMalformed(String surplus) throws IOException {
+    String address = serve(sendInTurn(OWN_RESPONSE, surplus + FAILED_RESPONSE));
+    assertThat(exchange(address)).isEqualTo("own");
+    assertThat(exchange(address)).isEqualTo("!the answer is not valid HTTP");
+  }
+
+  @Test
+  void responseToHeadRequestHasNoBody() throws IOException {
+    String address = serve(send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"));
+    assertThat(exchange(address, HttpMethod.HEAD)).isEmpty();
+    assertThat(exchange(address, HttpMethod.HEAD)).isEmpty();
+    assertThat(acceptedConnections).hasValue(1);
+  }
+
+  @Test
+  void interimResponsesAreSkipped() throws IOException {
+    String address =
+        serve(
+            send(
+                "HTTP/1.1 100 Continue\r\n\r\n"
+                    + "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+                    + OWN_RESPONSE));
+    assertThat(exchange(address)).isEqualTo("own");
+  }
+
   @Test
   void endsAResponseWithoutLengthAtConnectionClose() throws IOException {
     String address =
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -24,12 +25,18 @@
  */
 final class ClientExchange extends SimpleChannelInboundHandler<HttpObject> implements HttpStream {
 
+  /** Interim responses to one request after which the server counts as faulty. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
   private final HttpClient client;
   private final HttpRequest request;
   private final StreamListener listener;
   private volatile @Nullable Channel channel;
   private volatile boolean closeRequested;
   private boolean finished;
+  private boolean releasePending;
+  private boolean isInterim;
+  private int interimResponses;
   private boolean keepAlive = true;
   private long lastReadNanos;
 
@@ -50,9 +57,11 @@
       connected.close();
       return;
     }
+    DefaultFullHttpRequest encoded = encode();
+    connected.pipeline().get(ResponseDecoder.class).requestStarted(encoded.method());
     connected.pipeline().addLast(this);
     lastReadNanos = nanoTime(connected);
-    connected.writeAndFlush(encode()).addListener(done -> onSent(done.cause()));
+    connected.writeAndFlush(encoded).addListener(done -> onSent(done.cause()));
     scheduleInactivityCheck(connected, request.timeout().toNanos());
   }
 
@@ -129,9 +138,17 @@
       return;
     }
     if (message instanceof HttpResponse response) {
+      isInterim = response.status().code() < HttpResponseStatus.OK.code();
+      if (isInterim) {
+        countInterimResponse();
+        return;
+      }
       keepAlive = HttpUtil.isKeepAlive(response);
       listener.onHeaders(response.status().code(), headers(response));
     }
+    if (isInterim) {
+      return;
+    }
     if (message instanceof HttpContent content) {
       readContent(content.content());
     }
@@ -140,6 +157,13 @@
     }
   }
 
+  private void countInterimResponse() {
+    interimResponses++;
+    if (interimResponses > MAX_INTERIM_RESPONSES) {
+      fail(new ConnectionLostException("interim responses without end"));
+    }
+  }
+
   private void readContent(ByteBuf content) {
     if (!content.isReadable()) {
       return;
@@ -151,17 +175,29 @@
 
   private void finish(ChannelHandlerContext ctx) {
     finished = true;
-    Channel connected = ctx.channel();
-    connected.config().setAutoRead(true);
-    ctx.pipeline().remove(this);
-    if (keepAlive) {
-      client.release(request.address(), connected);
-    } else {
-      connected.close();
+    ctx.channel().config().setAutoRead(true);
+    boolean isReadCompletely = ctx.pipeline().get(ResponseDecoder.class).requestEnded();
+    if (keepAlive && isReadCompletely) {
+      releasePending = true;
+      return;
     }
+    ctx.close();
     listener.onEnd();
   }
 
+  /** Returns the connection to the pool once no data is left in the present read. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (releasePending) {
+      releasePending = false;
+      ctx.pipeline().remove(this);
+      client.release(request.address(), ctx.channel());
+      listener.onEnd();
+      return;
+    }
+    ctx.fireChannelReadComplete();
+  }
+
   private static Map<String, String> headers(HttpResponse response) {
     Map<String, String> headers = new LinkedHashMap<>();
     response
@@ -172,6 +208,11 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    if (releasePending) {
+      releasePending = false;
+      listener.onEnd();
+      return;
+    }
     fail(new ConnectionLostException("the connection was closed before the end of the response"));
   }
 
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -8,7 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.AttributeKey;
 import java.io.ByteArrayOutputStream;
@@ -24,8 +24,8 @@
 /**
  * An HTTP/1.1 client with a pool of idle connections.
  *
- * <p>A pooled connection is reused only if it was idle for a short time. The client never sends a
- * request twice.
+ * <p>A pooled connection is reused only if it was idle for a short time, in which nothing arrived
+ * on it. The client never sends a request twice.
  */
 public final class HttpClient implements AutoCloseable {
 
@@ -173,7 +173,8 @@
       if (tls != null) {
         channel.pipeline().addLast(tls.newHandler(channel.alloc()));
       }
-      channel.pipeline().addLast(new HttpClientCodec());
+      channel.pipeline().addLast(new ResponseDecoder());
+      channel.pipeline().addLast(new HttpRequestEncoder());
     }
   }
 
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
@@ -77,6 +77,18 @@
         if (line.startsWith("GET /ok")) {
           out.write(
               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        } else if (line.startsWith("GET /surplus")) {
+          out.write(
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 Int"
+                  .getBytes(StandardCharsets.UTF_8));
+        } else if (line.startsWith("GET /interim")) {
+          out.write(
+              ("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                  .getBytes(StandardCharsets.UTF_8));
+        } else if (line.startsWith("GET /endless-interim")) {
+          while (true) {
+            out.write("HTTP/1.1 103 Early Hints\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+          }
         } else if (line.startsWith("GET /endless")) {
           out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.UTF_8));
           while (true) {
@@ -120,6 +132,27 @@
     assertThat(accepted).hasSize(2);
   }
 
+  /** Guards against the begin of a surplus response that becomes the status of the next one. */
+  @Test
+  void connectionWithBytesAfterTheResponseIsNotReused() {
+    assertThat(get("/surplus", false).join().status()).isEqualTo(200);
+    assertThat(get("/ok", false).join().status()).isEqualTo(200);
+    assertThat(accepted).hasSize(2);
+  }
+
+  /** Guards against an interim response that is taken for the response. */
+  @Test
+  void interimResponseIsSkipped() {
+    HttpResponse response = get("/interim", false).join();
+    assertThat(response.status()).isEqualTo(200);
+    assertThat(response.body()).asString().isEqualTo("ok");
+  }
+
+  @Test
+  void interimResponsesWithoutEndFail() {
+    assertThatThrownBy(() -> get("/endless-interim", false).join()).hasMessageContaining("interim");
+  }
+
   @Test
   void connectionThatTimedOutClosesTheIdleOnesToItsAddress() throws InterruptedException {
     get("/ok", false).join();
