A repeated attempt at the same endpoint gets a new connection

Cause: responses are matched by the request's id. After a refusal the request is sent to the same endpoint again, often on the same connection, where the copy of the refusal comes first and has the same id. One endpoint and no failure in between rule out two endpoints and a retry after a failure.

No earlier response can come on a new connection. Resumptions of the daemon's calls get one as well.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -54,6 +54,7 @@
         HttpRequest.get(address, "/v1/requests/" + requestId + "/stream")
             .header("last-event-id", Long.toString(buffer.lastChunkNumber()))
             .timeout(INACTIVITY_TIMEOUT)
+            .newConnection(true)
             .build();
     stream = http.open(request, new StreamReader(true));
   }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
@@ -67,7 +67,10 @@
   @Override
   protected void sendResume() {
     HttpRequest request =
-        HttpRequest.get(address, "/v1/results/" + requestId).timeout(INACTIVITY_TIMEOUT).build();
+        HttpRequest.get(address, "/v1/results/" + requestId)
+            .timeout(INACTIVITY_TIMEOUT)
+            .newConnection(true)
+            .build();
     http.send(request)
         .whenComplete(
             (response, failure) -> {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -209,7 +209,7 @@
     lastEndpointId = endpoint.id();
     EndpointAttempt next = new EndpointAttempt(this, endpoint, slot);
     attempt = next;
-    next.start(outgoing);
+    next.start(outgoing, !acquisition.eligibility().hasTried(endpoint.id()));
   }
 
   private long millisSinceArrival() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -86,11 +86,18 @@
     return slot;
   }
 
-  void start(OutgoingRequest outgoing) {
+  /**
+   * Sends the request.
+   *
+   * @param isFirst whether it is sent to the endpoint for the first time. An endpoint may repeat a
+   *     response late, and a connection that has carried the request could deliver the refusal of
+   *     the previous attempt as the response to this one.
+   */
+  void start(OutgoingRequest outgoing, boolean isFirst) {
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
     lastContentAt = sentAt;
-    exchange = request.context().connections().open(endpoint.address(), outgoing, true, this);
+    exchange = request.context().connections().open(endpoint.address(), outgoing, isFirst, this);
     if (!isDone && request.mayRetry()) {
       scheduleInactivityCheck(
           InactivityTimeout.beforeFirstEvent(request.route(), request.estimate()));
