A stopping host refuses the requests that it can't serve before its end

Cause: the process ended 600 ms before the end of the grace period whatever was in progress, and a request may wait for half of its timeout, which nothing related to the time that the process still had.

RequestsInProgress refuses what waits, for whatever reason, as soon as it could not end in time, returns slots that are granted too late, and answers what is left before the process ends. The daemon refuses what it has not dispatched at the end of its drain timeout.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -471,6 +471,7 @@
       loop.schedule(() -> awaitIdle(deadline), DRAIN_POLL_INTERVAL);
       return;
     }
+    components.entry().refuseUndispatched();
     logger.atInfo().log("leaving the cluster: host=%s unfinished=%d", host.name(), active);
     components.membership().leave();
     loop.schedule(this::stop, GOSSIP_PROPAGATION_DELAY);
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EntryService.java
@@ -131,13 +131,23 @@
     ResponseWriter writer = writerFactory.apply(session);
     session.submit(payload, writer);
     if (known == null && isDraining) {
-      session.refuse(
-          Problem.notExecuted(503, "draining", "this host is being stopped")
-              .withAddresses(successorAddresses(request)));
+      session.refuse(stopping(request));
     }
     return Optional.of(writer);
   }
 
+  /** Refuses the requests that have not been dispatched, because the host stops now. */
+  public void refuseUndispatched() {
+    List.copyOf(sessions.all()).stream()
+        .filter(session -> session.isActive() && !session.isDispatched())
+        .forEach(session -> session.refuse(stopping(session.request())));
+  }
+
+  private Problem stopping(RequestIdentity request) {
+    return Problem.notExecuted(503, "draining", "this host is being stopped")
+        .withAddresses(successorAddresses(request));
+  }
+
   /** Returns the problem for a request that does not fit into the session table. */
   static Problem tableFull(Problem.ExecutionStatus executionStatus) {
     return Problem.of(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
 import io.samphiredyke.gateway.request.RequestService;
+import io.samphiredyke.gateway.request.RequestsInProgress;
 import io.samphiredyke.gateway.request.ServingState;
 import io.samphiredyke.gateway.request.StartupQueue;
 import io.samphiredyke.gateway.rollout.RolloutService;
@@ -379,6 +380,10 @@
     return peers;
   }
 
+  RequestsInProgress requestsInProgress() {
+    return service.inProgress();
+  }
+
   /** Starts draining: the host is no longer ready, and running requests continue. */
   void drain() {
     if (!stopping) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
@@ -63,7 +63,8 @@
   private static void start(
       HostSettings settings, Path path, EventLoopGroup group, DecisionLog log) {
     Gateway gateway = new Gateway(settings, group, new SplittableRandom(seed()), log);
-    GracefulShutdown shutdown = new GracefulShutdown(gateway, log);
+    GracefulShutdown shutdown =
+        new GracefulShutdown(gateway, log, () -> Runtime.getRuntime().halt(0));
     SettingsReloader reloader = new SettingsReloader(path, settings, gateway, log);
     Signal.handle(SIGHUP, signal -> gateway.loop().execute(() -> reloader.reload("signal")));
     Signal.handle(new Signal("TERM"), signal -> shutdown.begin());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway;
 
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.gateway.request.RequestsInProgress;
 import java.time.Duration;
 
 /**
@@ -8,8 +9,9 @@
  * hosts, stops accepting connections, and terminates.
  *
  * <p>Callers cache addresses, so requests keep arriving for some seconds, and all of them are
- * served. After that time idle connections are closed, and running requests have the rest of the
- * grace period to complete, and hosts that lack this host's configuration to load it.
+ * served as long as they can end in time; see {@link RequestsInProgress} for the others. After that
+ * time idle connections are closed, and running requests have the rest of the grace period to
+ * complete, and hosts that lack this host's configuration to load it.
  */
 final class GracefulShutdown {
 
@@ -24,13 +26,20 @@
 
   private final Gateway gateway;
   private final DecisionLog log;
+  private final Runnable exit;
   private boolean started;
   private boolean isHeld;
   private long startedAt;
 
-  GracefulShutdown(Gateway gateway, DecisionLog log) {
+  /**
+   * Creates a shutdown that has not begun.
+   *
+   * @param exit ends the process
+   */
+  GracefulShutdown(Gateway gateway, DecisionLog log, Runnable exit) {
     this.gateway = gateway;
     this.log = log;
+    this.exit = exit;
   }
 
   /** Begins the shutdown. May be called from any thread. */
@@ -51,11 +60,15 @@
         "busy",
         gateway.frontend().busyConnections());
     gateway.drain();
+    long lifeMillis = gateway.graceMillis() - KILL_MARGIN_MILLIS;
+    gateway.requestsInProgress().stopAt(startedAt + lifeMillis * NANOS_PER_MILLI);
     gateway.loop().scheduleWithFixedDelay(this::check, CHECK_INTERVAL);
   }
 
   private void check() {
-    long millis = (gateway.loop().nanoTime() - startedAt) / NANOS_PER_MILLI;
+    long now = gateway.loop().nanoTime();
+    gateway.requestsInProgress().refuseUnservable(now);
+    long millis = (now - startedAt) / NANOS_PER_MILLI;
     long addressLifetimeMillis = (long) (gateway.callerTtlSeconds() * MAX_TTL_FACTOR * 1_000);
     if (millis >= addressLifetimeMillis) {
       gateway.frontend().stopAccepting();
@@ -77,9 +90,18 @@
   }
 
   private void terminate(long millis) {
+    int unanswered = gateway.requestsInProgress().size();
+    gateway.requestsInProgress().endAll();
     gateway.peers().leave();
-    log.event("stop", "ms", millis, "busy", gateway.frontend().busyConnections());
+    log.event(
+        "stop",
+        "ms",
+        millis,
+        "busy",
+        gateway.frontend().busyConnections(),
+        "unanswered",
+        unanswered);
     log.close();
-    Runtime.getRuntime().halt(0);
+    exit.run();
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -1,6 +1,5 @@
 package io.samphiredyke.gateway.request;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.pool.SlotRefusal;
@@ -15,7 +14,6 @@
 import io.samphiredyke.gateway.scheduling.SlotHandle;
 import io.samphiredyke.gateway.upstream.OutgoingRequest;
 import io.samphiredyke.platform.CallerRequestHead;
-import io.samphiredyke.platform.EndpointRequestHead;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +37,8 @@
   /** Retry-After for a stream whose software version no reachable host knows. */
   private static final long UNKNOWN_ORIGIN_RETRY_MILLIS = 1_000;
 
+  private static final String STOPPING = "the host stops";
+
   private final RequestService.Context context;
   private final CallerRequest request;
   private final CallerRequestHead head;
@@ -101,6 +101,7 @@
   }
 
   void start() {
+    context.inProgress().add(this);
     long remainingNanos = deadlines.deadline() - context.loop().nanoTime();
     timer = context.loop().schedule(this::timedOut, Duration.ofNanos(Math.max(0, remainingNanos)));
     long quarantinedMillis = context.quarantinedMillis(head.estimate());
@@ -109,20 +110,19 @@
       return;
     }
     if (head.isTakeUp() && route.kind().isStream()) {
-      context.streams().find(head.resumedRequestId(), this::takeUp);
+      OriginLookup.find(context, head.resumedRequestId(), route, this::takeUp);
     } else {
       acquisition.acquire(reachedEndpoint);
     }
   }
 
   /** Continues a stream of the caller, at the software version that began it only. */
-  private void takeUp(@Nullable StreamOrigin known) {
+  private void takeUp(@Nullable StreamOrigin origin, boolean isKnown) {
     if (ended) {
       return;
     }
-    StreamOrigin origin = known == null ? onlyPossibleOrigin() : known;
-    log.takenUp(head.resumedRequestId(), origin, known != null);
-    if (origin == null || !serves(origin.service())) {
+    log.takenUp(head.resumedRequestId(), origin, isKnown);
+    if (origin == null) {
       finishNotRun(
           ErrorResponses.SERVICE_UNAVAILABLE,
           "the software version that began the stream is not known",
@@ -133,18 +133,6 @@
     acquisition.acquire(reachedEndpoint);
   }
 
-  private boolean serves(String service) {
-    return route.targets().stream().anyMatch(target -> target.service().equals(service));
-  }
-
-  private @Nullable StreamOrigin onlyPossibleOrigin() {
-    if (route.targets().size() != 1) {
-      return null;
-    }
-    String service = route.targets().get(0).service();
-    return context.streams().onlyOrigin(service, context.state().endpoints().ofService(service));
-  }
-
   /** Called before the first event of a stream is passed on. */
   private void streamBegins() {
     EndpointAttempt serving = attempt;
@@ -170,6 +158,11 @@
       refused(SlotRefusal.ofQuarantinedRequest());
       return;
     }
+    if (!context.inProgress().canServe(route.name(), context.loop().nanoTime())) {
+      slot.release(Outcome.WITHDRAWN);
+      refuseBeforeStop();
+      return;
+    }
     EndpointRecord endpoint = context.state().endpoints().find(slot.endpointId());
     if (endpoint == null || !acquisition.eligibility().includes(endpoint)) {
       slot.release(Outcome.WITHDRAWN);
@@ -185,20 +178,8 @@
 
   private void send(EndpointRecord endpoint, SlotHandle slot) {
     long remainingMillis = (deadlines.deadline() - context.loop().nanoTime()) / NANOS_PER_MILLI;
-    HttpHeaders headers =
-        EndpointRequestHead.create(
-            request.head().headers(),
-            customer == null ? "" : customer.name(),
-            endpoint.id(),
-            remainingMillis,
-            relay.lastEventId());
     OutgoingRequest outgoing =
-        new OutgoingRequest(
-            head.requestId(),
-            request.head().method(),
-            request.head().uri(),
-            headers,
-            request.body());
+        content.outgoing(head.requestId(), endpoint.id(), remainingMillis, relay.lastEventId());
     log.sent(
         endpoint,
         slot.grantedBy(),
@@ -291,6 +272,7 @@
 
   /** Called when the complete response has been relayed. */
   void completed(EndpointAttempt serving, int status) {
+    context.inProgress().ran(route.name(), context.loop().nanoTime() - serving.sentAt());
     boolean isError = status >= ErrorResponses.INTERNAL_SERVER_ERROR;
     releaseSlot(serving, isError ? Outcome.ERRORED : Outcome.SERVED);
     content.served();
@@ -328,6 +310,32 @@
     }
   }
 
+  /** Refuses the request if it waits, because the host stops before it could be served. */
+  void refuseBeforeStop() {
+    if (ended || attempt != null) {
+      return;
+    }
+    acquisition.withdraw();
+    if (possibleExecutions > 0) {
+      finishFailed(ErrorResponses.BAD_GATEWAY, STOPPING);
+    } else {
+      finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, STOPPING, 0);
+    }
+  }
+
+  /** Ends the request in any state, because the process ends. */
+  void endBeforeStop() {
+    refuseBeforeStop();
+    EndpointAttempt running = attempt;
+    if (ended || running == null) {
+      return;
+    }
+    running.cancel();
+    possibleExecutions++;
+    releaseSlot(running, Outcome.WITHDRAWN);
+    finishFailed(ErrorResponses.BAD_GATEWAY, STOPPING);
+  }
+
   private void timedOut() {
     if (ended) {
       return;
@@ -377,6 +385,7 @@
       return;
     }
     ended = true;
+    context.inProgress().remove(this);
     acquisition.close();
     Future<?> pending = timer;
     if (pending != null) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
@@ -1,10 +1,13 @@
 package io.samphiredyke.gateway.request;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.CustomerSpec;
 import io.samphiredyke.gateway.frontend.CallerRequest;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
+import io.samphiredyke.gateway.upstream.OutgoingRequest;
+import io.samphiredyke.platform.EndpointRequestHead;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +28,21 @@
     this.caller = customer == null ? "" : customer.name();
   }
 
+  /**
+   * Returns the request for an endpoint.
+   *
+   * @param remainingMillis time that the caller has left
+   * @param lastEventId event after which a stream is continued, or -1
+   */
+  OutgoingRequest outgoing(
+      String requestId, String endpointId, long remainingMillis, long lastEventId) {
+    HttpHeaders headers =
+        EndpointRequestHead.create(
+            request.head().headers(), caller, endpointId, remainingMillis, lastEventId);
+    return new OutgoingRequest(
+        requestId, request.head().method(), request.head().uri(), headers, request.body());
+  }
+
   RequestFingerprint fingerprint() {
     RequestFingerprint known = fingerprint;
     if (known == null) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
@@ -50,7 +50,8 @@
       CallerWaitEstimator waitEstimator,
       EndpointPauses pauses,
       CrashWatch crashes,
-      StreamOrigins streams) {
+      StreamOrigins streams,
+      RequestsInProgress inProgress) {
 
     /** Returns for how long a prompt is quarantined, 0 if it is not, in milliseconds. */
     long quarantinedMillis(WorkEstimate estimate) {
@@ -96,7 +97,8 @@
             new CallerWaitEstimator(),
             new EndpointPauses(),
             crashes,
-            streams);
+            streams,
+            new RequestsInProgress());
   }
 
   /** Returns the endpoints that want no requests from this host for a time. */
@@ -104,6 +106,11 @@
     return context.pauses();
   }
 
+  /** Returns the requests that are not answered. */
+  public RequestsInProgress inProgress() {
+    return context.inProgress();
+  }
+
   @Override
   public Observer handle(CallerRequest request) {
     CallerRequestHead head = CallerRequestHead.decode(request.head());
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -49,6 +49,7 @@
   final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
   final HttpClient client = HttpClient.newHttpClient();
   int requestCount;
+  int graceMillis = 8_000;
 
   @BeforeEach
   void startPlatform() {
@@ -131,7 +132,7 @@
             seeds,
             storeAddress(),
             1_200,
-            8_000,
+            graceMillis,
             2_000,
             0.2,
             50,
--- /dev/null
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
@@ -0,0 +1,130 @@
+package io.samphiredyke.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.platform.standin.EndpointStandIn;
+import io.samphiredyke.platform.standin.EndpointStandIn.Behaviour;
+import java.io.ByteArrayOutputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests that a host has read and not answered when it is stopped. */
+@Timeout(60)
+class GracefulShutdownTest extends GatewayHarness {
+
+  /** Slots of the two plain endpoints. */
+  private static final int SLOTS = 8;
+
+  private static final int WAITING = 4;
+
+  /** Time from the end of the process until a caller has received what was sent before. */
+  private static final long DELIVERY_MILLIS = 500;
+
+  @BeforeEach
+  void shortenGrace() {
+    graceMillis = 2_500;
+  }
+
+  private CompletableFuture<HttpResponse<String>> sendAsync(RunningGateway to, String path) {
+    HttpRequest request = request(to, path).POST(HttpRequest.BodyPublishers.ofString("x")).build();
+    return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private List<CompletableFuture<HttpResponse<String>>> sendAsync(RunningGateway to, int count) {
+    List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      responses.add(sendAsync(to, "/unsafe/x"));
+    }
+    return responses;
+  }
+
+  /** Begins the shutdown; the future completes where the process would end. */
+  private CompletableFuture<Void> stop(RunningGateway running) {
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    DecisionLog log = new DecisionLog(new ByteArrayOutputStream(), System::currentTimeMillis);
+    new GracefulShutdown(running.gateway(), log, () -> ended.complete(null)).begin();
+    return ended;
+  }
+
+  private static long count(List<CompletableFuture<HttpResponse<String>>> all, int status) {
+    return all.stream()
+        .filter(CompletableFuture::isDone)
+        .filter(response -> response.join().statusCode() == status)
+        .count();
+  }
+
+  private static void awaitDelivery(List<CompletableFuture<HttpResponse<String>>> responses) {
+    CompletableFuture.allOf(responses.toArray(CompletableFuture[]::new))
+        .completeOnTimeout(null, DELIVERY_MILLIS, TimeUnit.MILLISECONDS)
+        .join();
+  }
+
+  private void hang() {
+    plainEndpoints.forEach(endpoint -> endpoint.setBehaviour(Behaviour.HANG));
+  }
+
+  /** Guards against requests that wait for a slot and are closed without an answer. */
+  @Test
+  void waitingRequestsAreRefusedAndRunningOnesReportedBeforeTheEnd() {
+    RunningGateway running = startConfiguredGateway();
+    hang();
+    List<CompletableFuture<HttpResponse<String>>> responses = sendAsync(running, SLOTS + WAITING);
+    await(() -> runs(plainEndpoints) == SLOTS);
+    stop(running).join();
+    awaitDelivery(responses);
+    assertThat(count(responses, 503)).as("refused").isEqualTo(WAITING);
+    assertThat(count(responses, 502)).as("unknown").isEqualTo(SLOTS);
+    assertThat(runs(plainEndpoints)).isEqualTo(SLOTS);
+  }
+
+  /** Guards against the same for requests that wait at the scheduler of another host. */
+  @Test
+  void requestsThatWaitAtAnotherHostAreRefused() {
+    RunningGateway first = startConfiguredGateway();
+    RunningGateway second = startGateway("host-2", List.of(first.peerAddress()));
+    await(() -> first.gateway().readyAddresses().size() == 2);
+    await(() -> second.gateway().readyAddresses().size() == 2);
+    boolean isFirstScheduler = first.gateway().peers().isSchedulerOf("plain");
+    RunningGateway stopped = isFirstScheduler ? second : first;
+    hang();
+    List<CompletableFuture<HttpResponse<String>>> responses = sendAsync(stopped, SLOTS + WAITING);
+    await(() -> runs(plainEndpoints) == SLOTS);
+    stop(stopped).join();
+    awaitDelivery(responses);
+    assertThat(count(responses, 503)).as("refused").isEqualTo(WAITING);
+    assertThat(count(responses, 502)).as("unknown").isEqualTo(SLOTS);
+  }
+
+  /** Guards against work that is begun although the process ends before it. */
+  @Test
+  void requestThatWouldRunBeyondTheEndIsRefused() throws InterruptedException {
+    RunningGateway running = startConfiguredGateway();
+    plainEndpoints.forEach(endpoint -> endpoint.setBehaviour(Behaviour.SLOW));
+    assertThat(post(running, "/unsafe/x", "x").statusCode()).isEqualTo(200);
+    final CompletableFuture<Void> ended = stop(running);
+    Thread.sleep(graceMillis - EndpointStandIn.SLOW_MILLIS);
+    HttpResponse<String> response = post(running, "/unsafe/x", "x");
+    assertThat(ended).as("the host still runs").isNotDone();
+    assertThat(response.statusCode()).isEqualTo(503);
+    assertThat(response.headers().firstValue("Retry-After")).hasValue("0.000");
+    assertThat(runs(plainEndpoints)).isEqualTo(1);
+  }
+
+  /** Guards against requests that wait for the configuration when the host is stopped. */
+  @Test
+  void requestsOfTheStartAreRefused() {
+    RunningGateway running = startGateway("host-1", List.of());
+    List<CompletableFuture<HttpResponse<String>>> responses = sendAsync(running, WAITING);
+    stop(running).join();
+    awaitDelivery(responses);
+    assertThat(count(responses, 503)).isEqualTo(WAITING);
+  }
+}
