--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointReceiver.java
@@ -28,6 +28,9 @@
    */
   private static final int MAX_CHANGES = 12;
 
+  /** Maximum size of these changes, below that of the largest datagram that hosts accept. */
+  private static final int MAX_CHANGED_BYTES = 12 * 1024;
+
   /** How long changes are retained, so that later datagrams compensate for a lost one. */
   private static final long CHANGE_RETENTION_NANOS = 3_000_000_000L;
 
@@ -95,7 +98,9 @@
     directory.registryRead(now);
     records.forEach(record -> apply(record, now));
     directory.tick(now);
-    while (changes.size() > MAX_CHANGES || isExpired(changes.peekFirst(), now)) {
+    while (changes.size() > MAX_CHANGES
+        || changedBytes() > MAX_CHANGED_BYTES
+        || isExpired(changes.peekFirst(), now)) {
       completeFrom = changes.removeFirst().record().offset() + 1;
     }
     onRead.accept(nextOffset);
@@ -114,7 +119,8 @@
             ? knownEndpoints.remove(record.key())
             : knownEndpoints.put(record.key(), current);
     if (!Objects.equals(previous, current)) {
-      changes.addLast(new Change(record, now));
+      // Other hosts learn of a malformed entry as a removal, which keeps their update short.
+      changes.addLast(new Change(newer == null ? removal(record) : record, now));
     }
     if (newer == null) {
       entries.remove(record.key());
@@ -124,11 +130,24 @@
     }
   }
 
+  private static StoreRecord removal(StoreRecord record) {
+    return new StoreRecord(record.offset(), record.key(), null);
+  }
+
   /** Returns the recent changes, for hosts that do not read the store. */
   public List<StoreRecord> changes() {
     return changes.stream().map(Change::record).toList();
   }
 
+  private int changedBytes() {
+    int bytes = 0;
+    for (Change change : changes) {
+      byte[] value = change.record().value();
+      bytes += change.record().key().length() + (value == null ? 0 : value.length);
+    }
+    return bytes;
+  }
+
   private static boolean isExpired(@Nullable Change change, long now) {
     return change != null && now - change.readAt() > CHANGE_RETENTION_NANOS;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/HostRegistry.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/HostRegistry.java
@@ -2,9 +2,11 @@
 
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
+import io.samphiredyke.platform.MalformedRecordException;
 import io.samphiredyke.platform.StoreBatch;
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.StoreRecord;
+import io.samphiredyke.platform.WireAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -100,11 +102,19 @@
     for (StoreRecord record : batch.records()) {
       byte[] value = record.value();
       if (value != null && value.length > 0) {
-        addresses.add(new String(value, StandardCharsets.UTF_8));
+        addAddress(record.key(), new String(value, StandardCharsets.UTF_8), addresses);
       }
     }
     hasCompletedRead = true;
     log.event("hosts_listed", "hosts", addresses.size());
     receiver.accept(addresses);
   }
+
+  private void addAddress(String host, String value, List<String> addresses) {
+    try {
+      addresses.add(WireAddress.parse("address", value));
+    } catch (MalformedRecordException e) {
+      log.event("host_record_rejected", "key", host, "reason", e.getMessage());
+    }
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/QuarantineArchive.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/QuarantineArchive.java
@@ -44,6 +44,9 @@
 
   private static final int RADIX = 16;
 
+  /** Longest time for which a record is believed, 30 days. */
+  private static final long MAX_REMAINING_MILLIS = Duration.ofDays(30).toMillis();
+
   private final ControlEventLoop loop;
   private final StoreClient store;
   private final PromptQuarantine quarantine;
@@ -125,9 +128,14 @@
       }
       String[] fields = value.split(" ", -1);
       int strikes = Integer.parseInt(fields[0]);
-      long remaining = Long.parseLong(fields[fields.length - 1]) - loop.epochMillis();
-      quarantine.add(Long.parseUnsignedLong(key, RADIX), strikes, remaining, "store");
-    } catch (IllegalArgumentException e) {
+      long remaining =
+          Math.subtractExact(Long.parseLong(fields[fields.length - 1]), loop.epochMillis());
+      quarantine.add(
+          Long.parseUnsignedLong(key, RADIX),
+          strikes,
+          Math.min(MAX_REMAINING_MILLIS, remaining),
+          "store");
+    } catch (IllegalArgumentException | ArithmeticException e) {
       log.event("quarantine_record_rejected", "key", key, "reason", e.getMessage());
     }
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -231,7 +231,7 @@
       return;
     }
     recordSuccess();
-    receiver.onSnapshot(batch.records(), batch.nextOffset());
+    apply(() -> receiver.onSnapshot(batch.records(), batch.nextOffset()), batch);
     scheduleRead();
   }
 
@@ -293,10 +293,28 @@
       return false;
     }
     recordSuccess();
-    receiver.onRecords(batch.records(), batch.nextOffset());
+    apply(() -> receiver.onRecords(batch.records(), batch.nextOffset()), batch);
     return true;
   }
 
+  /** Applies records; an unexpected error in one batch must not end the following of the topic. */
+  private void apply(Runnable application, StoreBatch batch) {
+    try {
+      application.run();
+    } catch (RuntimeException e) {
+      log.event(
+          "records_failed",
+          "topic",
+          topic,
+          "records",
+          batch.records().size(),
+          "next",
+          batch.nextOffset(),
+          "reason",
+          String.valueOf(e));
+    }
+  }
+
   private void recordSuccess() {
     if (failures > 0) {
       log.event("store_back", "topic", topic, "failures", failures, "silent_ms", silentMillis());
