A host that may be out of step reads the endpoints before it continues a stream

A host cut off from the others and the store, while endpoints of a new version joined, continued their streams at the version that it knew.

Cause: where no host knows a stream, its version follows from the endpoints if this host has seen only one for long, however old its knowledge is. Cut off from the other hosts alone it holds, by the same test.

If hosts that were asked don't respond, a read of the endpoints that begins after the take-up arrived has to succeed first; otherwise the take-up is refused. The version of a stream that begins counts at once.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/VersionHistory.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/serving/VersionHistory.java
@@ -22,14 +22,19 @@
   /** Records the endpoints that are present, and forgets versions that were last present before. */
   public void observe(List<EndpointRecord> endpoints, long horizonNanos, long now) {
     for (EndpointRecord endpoint : endpoints) {
-      lastPresentAt
-          .computeIfAbsent(endpoint.service(), service -> new HashMap<>())
-          .put(endpoint.version(), now);
+      observe(new StreamOrigin(endpoint.service(), endpoint.version()), now);
     }
     lastPresentAt.values().forEach(each -> each.values().removeIf(at -> now - at > horizonNanos));
     lastPresentAt.values().removeIf(Map::isEmpty);
   }
 
+  /** Records a version at which a stream began, perhaps before the endpoints were recorded. */
+  public void observe(StreamOrigin origin, long now) {
+    lastPresentAt
+        .computeIfAbsent(origin.service(), service -> new HashMap<>())
+        .put(origin.version(), now);
+  }
+
   /** Returns whether a service has or lately had endpoints of several versions. */
   public boolean isMixed(String service) {
     return lastPresentAt.getOrDefault(service, Map.of()).size() > 1;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -3,8 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.samphiredyke.core.follow.PositionCheck;
-import io.samphiredyke.core.membership.Member;
-import io.samphiredyke.core.membership.MemberState;
 import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.PoolScheduler;
 import io.samphiredyke.core.serving.CallerLimits;
@@ -24,6 +22,7 @@
 import io.samphiredyke.gateway.store.ConfigurationReceiver;
 import io.samphiredyke.gateway.store.ConfigurationWatch;
 import io.samphiredyke.gateway.store.EndpointReceiver;
+import io.samphiredyke.gateway.store.EndpointRefresh;
 import io.samphiredyke.gateway.store.EndpointUpdateBroadcaster;
 import io.samphiredyke.gateway.store.HostRegistry;
 import io.samphiredyke.gateway.store.PeerBootstrap;
@@ -39,9 +38,9 @@
 import io.samphiredyke.platform.StoreClient;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /** Creates and connects the components of the gateway process, which share one event loop. */
@@ -92,6 +91,7 @@
   private final TopicFollower configurationFollower;
   private final TopicFollower endpointFollower;
   private final EndpointUpdateBroadcaster endpointUpdates;
+  private final EndpointRefresh endpointRefresh;
   private final PeerBootstrap peerBootstrap;
   private final ConfigurationLagDetector configurationLag;
   private final ConfigurationWatch configurationWatch;
@@ -140,7 +140,8 @@
             connections,
             log,
             metrics,
-            random);
+            random,
+            this::confirmEndpoints);
     peers.statements().setLeavingListener(directory::markLeaving);
     this.startupQueue = new StartupQueue(loop, service);
     this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
@@ -151,7 +152,7 @@
         new ConfigurationReceiver(
             this::configure, rollouts::operatorRecords, this::onConfigurationRead, log);
     this.endpoints =
-        new EndpointReceiver(loop, directory, log, this::updateReady, this::onEndpointsRead);
+        new EndpointReceiver(loop, directory, log, this::onEndpointsLoaded, this::onEndpointsRead);
     this.configurationFollower =
         new TopicFollower(
             loop,
@@ -184,6 +185,7 @@
     this.endpointUpdates =
         new EndpointUpdateBroadcaster(
             loop, peers, settings.peerAddress(), endpoints, endpointFollower);
+    this.endpointRefresh = new EndpointRefresh(loop, endpointFollower);
     endpointFollower.setReadCondition(endpointUpdates::mustReadStore);
     this.peerBootstrap =
         new PeerBootstrap(
@@ -281,6 +283,16 @@
 
   private void onEndpointsRead(long nextOffset) {
     endpointUpdates.broadcast(nextOffset);
+    endpointRefresh.onRead();
+  }
+
+  private void onEndpointsLoaded() {
+    updateReady();
+    endpointRefresh.onRead();
+  }
+
+  private void confirmEndpoints(Consumer<Boolean> listener) {
+    endpointRefresh.confirm(listener);
   }
 
   private boolean configure(ServingConfiguration newer, long offset) {
@@ -346,22 +358,9 @@
     return ready;
   }
 
-  /**
-   * Returns the caller addresses of ready hosts. Suspected hosts are omitted unless there are no
-   * others, because a caller that tries one of them loses a second.
-   */
+  /** Returns the caller addresses of ready hosts, for a caller to choose from. */
   List<String> readyAddresses() {
-    List<Member> alive = new ArrayList<>();
-    List<Member> suspected = new ArrayList<>();
-    for (Member member : peers.liveMembers()) {
-      if (!member.draining() && !member.callerAddress().isEmpty()) {
-        (member.state() == MemberState.ALIVE ? alive : suspected).add(member);
-      }
-    }
-    List<Member> usable = alive.isEmpty() ? suspected : alive;
-    return HostCapacity.weightedSample(usable, ManagementServer.MAX_ADDRESSES, random).stream()
-        .map(Member::callerAddress)
-        .toList();
+    return HostCapacity.readyAddresses(peers.liveMembers(), ManagementServer.MAX_ADDRESSES, random);
   }
 
   double callerTtlSeconds() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OriginLookup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OriginLookup.java
@@ -22,17 +22,32 @@
 
   private OriginLookup() {}
 
-  /** Looks up a stream; the listener is called during this call or later. */
+  /**
+   * Looks up a stream; the listener is called during this call or later.
+   *
+   * <p>If no host knows the stream, its version follows from the endpoints if there is only one. A
+   * host that others don't respond to may be cut off and know outdated endpoints only, so it reads
+   * the present ones first, and does not guess if that fails.
+   */
   static void find(
       RequestService.Context context, String requestId, Route route, Listener listener) {
     context
         .streams()
         .find(
             requestId,
-            known -> {
-              StreamOrigin origin = known == null ? onlyPossible(context, route) : known;
-              boolean isServed = origin != null && serves(route, origin.service());
-              listener.found(isServed ? origin : null, known != null);
+            (known, isComplete) -> {
+              if (known != null) {
+                listener.found(serves(route, known.service()) ? known : null, true);
+              } else if (isComplete) {
+                listener.found(onlyPossible(context, route), false);
+              } else {
+                context
+                    .confirmEndpoints()
+                    .accept(
+                        isConfirmed ->
+                            listener.found(
+                                isConfirmed ? onlyPossible(context, route) : null, false));
+              }
             });
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
@@ -19,6 +19,7 @@
 import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.platform.CallerRequestHead;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /** Validates requests against the configuration and starts their processing. */
@@ -36,7 +37,11 @@
         public void onWritable() {}
       };
 
-  /** The components shared by all requests. */
+  /**
+   * The components shared by all requests.
+   *
+   * @param confirmEndpoints reads the present endpoints and tells whether it succeeded
+   */
   record Context(
       ControlEventLoop loop,
       ServingState state,
@@ -51,7 +56,8 @@
       EndpointPauses pauses,
       CrashWatch crashes,
       StreamOrigins streams,
-      RequestsInProgress inProgress) {
+      RequestsInProgress inProgress,
+      Consumer<Consumer<Boolean>> confirmEndpoints) {
 
     /** Returns for how long a prompt is quarantined, 0 if it is not, in milliseconds. */
     long quarantinedMillis(WorkEstimate estimate) {
@@ -71,7 +77,11 @@
 
   private final Context context;
 
-  /** Creates the service. */
+  /**
+   * Creates the service.
+   *
+   * @param confirmEndpoints reads the present endpoints and tells whether it succeeded
+   */
   public RequestService(
       ControlEventLoop loop,
       ServingState state,
@@ -82,7 +92,8 @@
       EndpointConnectionPool connections,
       DecisionLog log,
       GatewayMetrics metrics,
-      RandomGenerator random) {
+      RandomGenerator random,
+      Consumer<Consumer<Boolean>> confirmEndpoints) {
     this.context =
         new Context(
             loop,
@@ -98,7 +109,8 @@
             new EndpointPauses(),
             crashes,
             streams,
-            new RequestsInProgress());
+            new RequestsInProgress(),
+            confirmEndpoints);
   }
 
   /** Returns the endpoints that want no requests from this host for a time. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/HostCapacity.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/HostCapacity.java
@@ -2,6 +2,7 @@
 
 import io.samphiredyke.core.membership.IncarnationId;
 import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberState;
 import io.samphiredyke.platform.HostSettings;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -98,4 +99,23 @@
         .capacity(of(settings.cores(), settings.linkMegabits()))
         .build();
   }
+
+  /**
+   * Returns the caller addresses of ready hosts. Suspected hosts are omitted unless there are no
+   * others, because a caller that tries one of them loses a second.
+   *
+   * @param limit maximum number of addresses
+   */
+  public static List<String> readyAddresses(List<Member> live, int limit, RandomGenerator random) {
+    List<Member> alive = new ArrayList<>();
+    List<Member> suspected = new ArrayList<>();
+    for (Member member : live) {
+      if (!member.draining() && !member.callerAddress().isEmpty()) {
+        (member.state() == MemberState.ALIVE ? alive : suspected).add(member);
+      }
+    }
+    return weightedSample(alive.isEmpty() ? suspected : alive, limit, random).stream()
+        .map(Member::callerAddress)
+        .toList();
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
@@ -16,7 +16,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -52,9 +51,22 @@
 
   private record Stream(StreamOrigin origin, long beganAt, boolean isOwn) {}
 
+  /** Receives the result of a lookup. */
+  @FunctionalInterface
+  public interface LookupListener {
+
+    /**
+     * Called once.
+     *
+     * @param origin the origin, or null if no host that responded knows it
+     * @param isComplete whether all hosts that may know it have responded
+     */
+    void found(@Nullable StreamOrigin origin, boolean isComplete);
+  }
+
   /** A lookup that waits for the responses of other hosts. */
   private static final class Query {
-    final List<Consumer<@Nullable StreamOrigin>> listeners = new ArrayList<>();
+    final List<LookupListener> listeners = new ArrayList<>();
     final Set<String> unanswered = new HashSet<>();
   }
 
@@ -126,6 +138,7 @@
       return;
     }
     streams.put(requestId, new Stream(origin, loop.nanoTime(), true));
+    history.observe(origin, loop.nanoTime());
     if (!history.isCertain(origin.service(), horizonNanos, loop.nanoTime())) {
       sendToKeepers(requestId, origin);
     }
@@ -151,12 +164,12 @@
   /**
    * Looks up where a stream began.
    *
-   * @param listener receives the origin, or null if no host knows it, during this call or later
+   * @param listener is called during this call or later
    */
-  public void find(String requestId, Consumer<@Nullable StreamOrigin> listener) {
+  public void find(String requestId, LookupListener listener) {
     Stream known = streams.get(requestId);
     if (known != null || requestId.isEmpty() || requestId.length() > MAX_ID_CHARS) {
-      listener.accept(known == null ? null : known.origin());
+      listener.found(known == null ? null : known.origin(), known != null);
       return;
     }
     Query pending = queries.get(requestId);
@@ -167,7 +180,7 @@
     Query query = new Query();
     query.unanswered.addAll(selectHosts(requestId, ASKED_HOSTS));
     if (query.unanswered.isEmpty()) {
-      listener.accept(null);
+      listener.found(null, false);
       return;
     }
     query.listeners.add(listener);
@@ -186,7 +199,7 @@
 
   private void timedOut(String requestId, Query query) {
     if (queries.remove(requestId, query)) {
-      query.listeners.forEach(listener -> listener.accept(null));
+      query.listeners.forEach(listener -> listener.found(null, false));
     }
   }
 
@@ -232,7 +245,7 @@
     query.unanswered.remove(from);
     if (response.origin() != null || query.unanswered.isEmpty()) {
       queries.remove(response.requestId());
-      query.listeners.forEach(listener -> listener.accept(response.origin()));
+      query.listeners.forEach(listener -> listener.found(response.origin(), true));
     }
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -92,6 +92,8 @@
   private long calls;
   private int generation;
   private long lastReadAt = Long.MIN_VALUE;
+  private long callBeganAt;
+  private long lastReadBeganAt = Long.MIN_VALUE;
 
   /**
    * Creates a follower.
@@ -187,6 +189,7 @@
     generation++;
     waitsForRecords = !wait.isZero();
     long startedAt = loop.nanoTime();
+    callBeganAt = startedAt;
     call =
         HedgedCall.start(
             loop,
@@ -321,6 +324,7 @@
     }
     failures = 0;
     lastReadAt = loop.nanoTime();
+    lastReadBeganAt = callBeganAt;
   }
 
   private void scheduleRead() {
@@ -367,6 +371,11 @@
         cursor.needsSnapshot() ? this::readSnapshot : this::read, Duration.ofMillis(backoff));
   }
 
+  /** Returns whether a read that began at or after a time has succeeded. */
+  public boolean hasReadSince(long nanoTime) {
+    return lastReadBeganAt != Long.MIN_VALUE && lastReadBeganAt - nanoTime >= 0;
+  }
+
   /** Returns the number of calls made. */
   public long calls() {
     return calls;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.platform.standin.EndpointStandIn;
+import io.samphiredyke.platform.standin.Link;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -16,9 +18,12 @@
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Streams of a service whose endpoints run two versions of their software. */
 @Timeout(90)
@@ -35,6 +40,7 @@
   private static final Duration AT_ONCE = Duration.ofSeconds(1);
 
   private int nextEndpoint = 3;
+  private @Nullable Link cutLink;
 
   /** What a caller received: the events that it has and the versions that they name. */
   private record Received(String requestId, int status, int lastEvent, Set<String> versions) {}
@@ -221,4 +227,47 @@
     Received rest = takeUp(host, new Received("unknown", 200, 2, Set.of()));
     assertThat(rest.lastEvent()).isEqualTo(EVENTS);
   }
+
+  @Override
+  String storeAddress() {
+    Link link = cutLink;
+    return link == null ? super.storeAddress() : "127.0.0.1:" + link.port();
+  }
+
+  /**
+   * Guards against a host that is cut off while endpoints of a new version join, and continues
+   * their streams at the version that it knows.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void hostOutOfStepDoesNotContinueStreamsOfNewEndpoints(boolean isStoreCut) {
+    long longAgo = System.currentTimeMillis() - Duration.ofMinutes(10).toMillis();
+    modelEndpoints.forEach(endpoint -> endpoint.setStartedAt(longAgo));
+    register("ready", modelEndpoints);
+    RunningGateway first = startConfiguredGateway();
+    Link link =
+        new Link(
+            eventLoops(),
+            SocketAddresses.parse("127.0.0.1:0"),
+            SocketAddresses.parse(store.address()));
+    cutLink = link;
+    RunningGateway cut = startGateway("host-2", List.of(first.peerAddress()));
+    await(cut.gateway()::isReady);
+    await(() -> cut.gateway().readyAddresses().size() == 2);
+    Received known = new Received("unknown", 200, 2, Set.of());
+    assertThat(takeUp(cut, known).lastEvent()).as("one version").isEqualTo(EVENTS);
+    cut.gateway().peers().closeSocket();
+    if (isStoreCut) {
+      link.mode(Link.Mode.DROP_ALL);
+    }
+    start("v2", 2);
+    await(() -> first.gateway().directory().ofService("model").size() == 4);
+    List<Received> begun =
+        beginAll(first).stream().filter(each -> each.versions().contains("v2")).toList();
+    assertThat(begun).isNotEmpty();
+    for (Received each : begun) {
+      Received rest = takeUp(cut, each);
+      assertThat(rest.versions()).as("versions that go on").isSubsetOf("v2");
+    }
+  }
 }
