The versions of streams outlive the loss of all hosts

Cause: origins were kept in the memory of four hosts, and all were killed.

While versions are mixed, hosts also write origins to a topic of the store that expires, the first at once and in batches then; a host that finds no record at the hosts reads it.

Before: MixedVersionsTest.versionOutlivesAllHosts failed.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import io.samphiredyke.gateway.store.PeerBootstrap;
 import io.samphiredyke.gateway.store.QuarantineArchive;
 import io.samphiredyke.gateway.store.StoreEraTracker;
+import io.samphiredyke.gateway.store.StreamOriginArchive;
 import io.samphiredyke.gateway.store.TopicFollower;
 import io.samphiredyke.gateway.upstream.EndpointConnectionPool;
 import io.samphiredyke.net.control.ControlEventLoop;
@@ -197,6 +198,11 @@
             loop, store, settings.hostName(), settings.peerAddress(), this::onHosts, log);
     this.quarantine =
         new QuarantineArchive(loop, store, peers, settings.peerAddress(), this::updateReady, log);
+    peers
+        .streams()
+        .setArchive(
+            new StreamOriginArchive(
+                loop, store, settings.hostName(), () -> peers.liveMembers().size(), log));
     this.storeEra =
         new StoreEraTracker(configurationFollower, endpointFollower, this::onStoreRestored, log);
     new GatewayGauges(metrics)
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OriginLookup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OriginLookup.java
@@ -23,9 +23,10 @@
   private OriginLookup() {}
 
   /**
-   * Looks up a stream; the listener is called during this call or later.
+   * Looks up a stream, first at the hosts, then in the archive; the listener is called during this
+   * call or later.
    *
-   * <p>If no host knows the stream, its version follows from the endpoints if there is only one. A
+   * <p>If nobody knows the stream, its version follows from the endpoints if there is only one. A
    * host that others don't respond to may be cut off and know outdated endpoints only, so it reads
    * the present ones first, and does not guess if that fails.
    */
@@ -38,6 +39,26 @@
             (known, isComplete) -> {
               if (known != null) {
                 listener.found(serves(route, known.service()) ? known : null, true);
+              } else {
+                findArchived(context, requestId, route, isComplete, listener);
+              }
+            });
+  }
+
+  private static void findArchived(
+      RequestService.Context context,
+      String requestId,
+      Route route,
+      boolean isComplete,
+      Listener listener) {
+    context
+        .streams()
+        .findArchived(
+            requestId,
+            route.targets().get(0).service(),
+            archived -> {
+              if (archived != null) {
+                listener.found(serves(route, archived.service()) ? archived : null, true);
               } else if (isComplete) {
                 listener.found(onlyPossible(context, route), false);
               } else {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
@@ -49,6 +49,35 @@
   /** Bound of the streams that are kept, a few megabytes; the oldest are dropped. */
   private static final int MAX_STREAMS = 32_768;
 
+  /** Keeps the origins of streams beyond the life of the hosts. */
+  public interface Archive {
+
+    /** Receives the origin of a stream. */
+    @FunctionalInterface
+    interface Listener {
+
+      /** Called with the origin, or null if the archive does not know the stream. */
+      void found(@Nullable StreamOrigin origin);
+    }
+
+    /** Adds a stream. */
+    void add(String requestId, StreamOrigin origin);
+
+    /** Looks up a stream; the listener is called during this call or later. */
+    void find(String requestId, Listener listener);
+  }
+
+  private static final Archive NO_ARCHIVE =
+      new Archive() {
+        @Override
+        public void add(String requestId, StreamOrigin origin) {}
+
+        @Override
+        public void find(String requestId, Listener listener) {
+          listener.found(null);
+        }
+      };
+
   private record Stream(StreamOrigin origin, long beganAt, boolean isOwn) {}
 
   /** Receives the result of a lookup. */
@@ -74,6 +103,7 @@
   private final Supplier<List<String>> otherHosts;
   private final BiConsumer<String, SchedulingMessage> transport;
   private final VersionHistory history;
+  private Archive archive = NO_ARCHIVE;
   private final Set<String> mixedServices = new HashSet<>();
   private final Map<String, Query> queries = new HashMap<>();
   private final Map<String, Stream> streams =
@@ -103,6 +133,11 @@
     this.history = new VersionHistory(loop.nanoTime());
   }
 
+  /** Sets the archive of the streams that begin while a service may have several versions. */
+  public void setArchive(Archive value) {
+    archive = value;
+  }
+
   /** Records the present endpoints. */
   public void observe(List<EndpointRecord> endpoints) {
     long now = loop.nanoTime();
@@ -147,6 +182,7 @@
   private void sendToKeepers(String requestId, StreamOrigin origin) {
     SchedulingMessage message = new SchedulingMessage.StreamBegan(requestId, origin);
     selectHosts(requestId, KEEPERS).forEach(host -> transport.accept(host, message));
+    archive.add(requestId, origin);
   }
 
   /** Returns the first hosts in the ranking of an id, which changes little when hosts change. */
@@ -203,6 +239,20 @@
     }
   }
 
+  /**
+   * Looks up a stream of a service in the archive, if the service may have had several versions.
+   *
+   * @param listener is called during this call or later
+   */
+  public void findArchived(String requestId, String service, Archive.Listener listener) {
+    boolean isIdValid = !requestId.isEmpty() && requestId.length() <= MAX_ID_CHARS;
+    if (isIdValid && !history.isCertain(service, horizonNanos, loop.nanoTime())) {
+      archive.find(requestId, listener);
+    } else {
+      listener.found(null);
+    }
+  }
+
   /**
    * Returns the origin that a stream of a service must have although no host knows the stream, or
    * null if that is not certain.
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
@@ -180,6 +180,32 @@
     assertResumedAtTheirVersion(group.get(1), begun);
   }
 
+  /** Guards against versions that are lost if all hosts are, so that no stream is continued. */
+  @Test
+  void versionOutlivesAllHosts() {
+    start("v1.1", 2);
+    List<RunningGateway> group = startGroup(2);
+    List<Received> begun = beginAll(group.get(0));
+    await(() -> begun.stream().allMatch(each -> store.contains("streams", each.requestId())));
+    group.forEach(each -> each.gateway().peers().closeSocket());
+    RunningGateway later = startGateway("host-9", List.of());
+    await(later.gateway()::isReady);
+    assertResumedAtTheirVersion(later, begun);
+  }
+
+  /** Guards against an odd record among the archived streams. */
+  @Test
+  void oddRecordsOfStreamsAreSkipped() {
+    start("v1.1", 2);
+    for (String odd : List.of("", "null", "{}", "[[1]]", "[".repeat(5_000), "[\"a\",\"b\"]")) {
+      store.put("streams", "odd", odd);
+    }
+    store.put("streams", "host-1", "[[\"begun\",\"model\",\"v1.1\"]]");
+    RunningGateway host = startConfiguredGateway();
+    Received rest = takeUp(host, new Received("begun", 200, 2, Set.of("v1.1")));
+    assertThat(rest.versions()).containsExactly("v1.1");
+  }
+
   /** The second version appears after the streams have begun. */
   @Test
   void versionOfEarlierStreamsIsKnownWhenAnotherOneAppears() {
