A failure of an endpoint never completes a resumed stream

Callers would have seen: a stream that ends as complete before its last event, where the endpoint that was to continue it answers 4xx without a body (suspected by the review, shown by GatewayTest: 200 with three of five events).

Cause: only statuses from 500 on counted as failure once a stream had begun; the head of the 4xx was left out, as the stream has one, and its end ended the stream.

Any failure that follows the begin of a response is a failed attempt.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -228,8 +228,9 @@
       return "status " + head.status() + " without a statement that it did not run";
     }
     boolean isFailure = head.status() >= ErrorResponses.INTERNAL_SERVER_ERROR;
-    boolean isReplaceable = request.mayRetry() || request.relay().hasStarted();
-    return isFailure && isReplaceable ? "status " + head.status() : null;
+    boolean isReplaceable = isFailure && request.mayRetry();
+    // No failure of any kind is part of a stream that has begun.
+    return isReplaceable || request.relay().hasStarted() ? "status " + head.status() : null;
   }
 
   @Override
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayTest.java
@@ -132,6 +132,25 @@
     }
   }
 
+  /** Guards against a failure without body that ends a resumed stream as if it were complete. */
+  @Test
+  void failureOfAnEndpointDoesNotCompleteAResumedStream() {
+    RunningGateway running = startConfiguredGateway();
+    modelEndpoints.get(0).setBehaviour(Behaviour.BREAK_OFF);
+    modelEndpoints.get(1).setBehaviour(Behaviour.REJECT);
+    for (int i = 0; i < 8; i++) {
+      HttpRequest request =
+          request(running, "/resumable/x").POST(HttpRequest.BodyPublishers.ofString("p")).build();
+      int status =
+          client
+              .sendAsync(request, HttpResponse.BodyHandlers.ofString())
+              .handle((response, failure) -> failure == null ? response.statusCode() : -1)
+              .join();
+      assertThat(status).as("complete response").isNotEqualTo(200);
+    }
+    assertThat(modelEndpoints.get(0).runs()).isNotEmpty();
+  }
+
   @Test
   void abortsABrokenStreamThatIsNotResumable() {
     RunningGateway running = startConfiguredGateway();
