Test of the stop: holds too if one host schedules alone for a moment

requestsThatWaitAtAnotherHostAreRefused failed in some runs beside other load. The log shows why: the first messages to the scheduler took over 50 ms, so the host scheduled alone (scheduler_silent), as designed, and all 12 requests ran. It now sends more than two schedulers grant, and each request has to be answered as run or not run.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
@@ -67,6 +67,10 @@
         .join();
   }
 
+  private static boolean isScheduler(RunningGateway host) {
+    return host.gateway().peers().isSchedulerOf("plain");
+  }
+
   private void hang() {
     plainEndpoints.forEach(endpoint -> endpoint.setBehaviour(Behaviour.HANG));
   }
@@ -92,15 +96,19 @@
     RunningGateway second = startGateway("host-2", List.of(first.peerAddress()));
     await(() -> first.gateway().readyAddresses().size() == 2);
     await(() -> second.gateway().readyAddresses().size() == 2);
-    boolean isFirstScheduler = first.gateway().peers().isSchedulerOf("plain");
-    RunningGateway stopped = isFirstScheduler ? second : first;
+    await(() -> isScheduler(first) != isScheduler(second));
+    RunningGateway stopped = isScheduler(first) ? second : first;
     hang();
-    List<CompletableFuture<HttpResponse<String>>> responses = sendAsync(stopped, SLOTS + WAITING);
-    await(() -> runs(plainEndpoints) == SLOTS);
+    // More than both hosts grant if one schedules alone because the other is silent for a moment.
+    int sent = 3 * SLOTS;
+    List<CompletableFuture<HttpResponse<String>>> responses = sendAsync(stopped, sent);
+    await(() -> runs(plainEndpoints) >= SLOTS);
     stop(stopped).join();
     awaitDelivery(responses);
-    assertThat(count(responses, 503)).as("refused").isEqualTo(WAITING);
-    assertThat(count(responses, 502)).as("unknown").isEqualTo(SLOTS);
+    int run = runs(plainEndpoints);
+    assertThat(run).isLessThan(sent);
+    assertThat(count(responses, 503)).as("refused").isEqualTo(sent - run);
+    assertThat(count(responses, 502)).as("unknown").isEqualTo(run);
   }
 
   /** Guards against work that is begun although the process ends before it. */
