--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointRefresh.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointRefresh.java
@@ -12,7 +12,7 @@
  */
 public final class EndpointRefresh {
 
-  /** Time for a confirmation; callers that take up a stream wait for it. */
+  /** Time for a read; callers that take up a stream wait for it. */
   private static final Duration TIMEOUT = Duration.ofMillis(300);
 
   private record Waiting(long since, Consumer<Boolean> listener) {}
