Grants to waiting requests are delivered one after the other

Cause: a returned slot was granted to the next request within the call that returned it, nested once for each waiting request, until the stack of 256 KiB overflowed and slots were never freed. A stopping host that returns slots would have met the same.

Decisions for requests of the own host wait until the one that causes them has been delivered.

Before: SchedulerServiceTest failed with StackOverflowError.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulerService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulerService.java
@@ -6,6 +6,8 @@
 import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.core.pool.SlotRequest;
 import io.samphiredyke.core.pool.WorkEstimate;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -32,6 +34,8 @@
   private final BiConsumer<String, SchedulingMessage> transport;
   private final Runnable onWaiting;
   private final PoolScheduler scheduler;
+  private final Deque<Runnable> undelivered = new ArrayDeque<>();
+  private boolean isDelivering;
 
   /**
    * Creates the scheduler.
@@ -155,7 +159,26 @@
       transport.accept(
           request.requester(), new SchedulingMessage.Granted(request.id(), endpointId));
     } else {
-      localListener.granted(request, endpointId);
+      deliver(() -> localListener.granted(request, endpointId));
+    }
+  }
+
+  /**
+   * Delivers a decision after those that are being delivered. A listener may return a slot, which
+   * grants it to the next request; nested, such grants to many waiting requests overflow the stack.
+   */
+  private void deliver(Runnable decision) {
+    undelivered.add(decision);
+    if (isDelivering) {
+      return;
+    }
+    isDelivering = true;
+    try {
+      while (!undelivered.isEmpty()) {
+        undelivered.remove().run();
+      }
+    } finally {
+      isDelivering = false;
     }
   }
 
@@ -167,7 +190,7 @@
           new SchedulingMessage.Refused(
               request.id(), refusal.reason(), refusal.retryAfterMillis()));
     } else {
-      localListener.refused(request.id(), refusal);
+      deliver(() -> localListener.refused(request.id(), refusal));
     }
   }
 }
