Tests: one raw server in place of two

Cause: RepeatedRefusalTest and EndpointExchangeTest had the same server of their own. Change: RawServer among the stand-ins serves both.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
@@ -12,11 +12,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.samphiredyke.platform.EndpointResponseHead;
+import io.samphiredyke.platform.standin.RawServer;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -41,67 +38,20 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final EndpointConnectionPool pool = new EndpointConnectionPool(loop);
-  private final AtomicInteger acceptedConnections = new AtomicInteger();
+  private RawServer server;
 
   @AfterEach
   void stop() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Response of an endpoint to each request on a connection. */
-  private interface ResponseScript {
-    void respond(Socket socket) throws IOException;
+  private String serve(RawServer.Script script) throws IOException {
+    server = RawServer.start(script);
+    return server.address();
   }
 
-  private String serve(ResponseScript script) throws IOException {
-    ServerSocket server = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
-    Thread acceptor =
-        new Thread(
-            () -> {
-              while (true) {
-                try {
-                  Socket socket = server.accept();
-                  acceptedConnections.incrementAndGet();
-                  Thread connection = new Thread(() -> serve(socket, script));
-                  connection.setDaemon(true);
-                  connection.start();
-                } catch (IOException e) {
-                  return;
-                }
-              }
-            });
-    acceptor.setDaemon(true);
-    acceptor.start();
-    return "127.0.0.1:" + server.getLocalPort();
-  }
-
-  private static void serve(Socket socket, ResponseScript script) {
-    try {
-      while (readHead(socket.getInputStream())) {
-        script.respond(socket);
-      }
-    } catch (IOException e) {
-      // The other end closed the connection.
-    }
-  }
-
-  private static boolean readHead(InputStream in) throws IOException {
-    int matched = 0;
-    while (matched < 4) {
-      int next = in.read();
-      if (next < 0) {
-        return false;
-      }
-      matched = next == "\r\n\r\n".charAt(matched) ? matched + 1 : next == '\r' ? 1 : 0;
-    }
-    return true;
-  }
-
-  private static ResponseScript send(String text) {
-    return socket -> {
-      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-      socket.getOutputStream().flush();
-    };
+  private static RawServer.Script send(String text) {
+    return (id, socket) -> RawServer.write(socket, text);
   }
 
   /**
@@ -150,7 +100,7 @@
     for (int i = 0; i < 5; i++) {
       assertThat(exchange(address)).isEqualTo("own");
     }
-    assertThat(acceptedConnections).hasValue(1);
+    assertThat(server.connections()).isEqualTo(1);
   }
 
   @Test
@@ -164,13 +114,15 @@
     String address = serve(send(OWN_RESPONSE + OTHER_RESPONSE));
     assertThat(exchange(address)).isEqualTo("own");
     assertThat(exchange(address)).isEqualTo("own");
-    assertThat(acceptedConnections).as("connections with surplus bytes are not reused").hasValue(2);
+    assertThat(server.connections())
+        .as("connections with surplus bytes are not reused")
+        .isEqualTo(2);
   }
 
   /** Sends the texts one after the other, each in response to one request of all connections. */
-  private static ResponseScript sendInTurn(String... texts) {
+  private static RawServer.Script sendInTurn(String... texts) {
     AtomicInteger requests = new AtomicInteger();
-    return socket -> send(texts[requests.getAndIncrement()]).respond(socket);
+    return (id, socket) -> RawServer.write(socket, texts[requests.getAndIncrement()]);
   }
 
   /** Guards against the begin of a surplus head that becomes the status of the next response. */
@@ -188,7 +140,7 @@
     String address = serve(sendInTurn(OWN_RESPONSE + surplus, FAILED_RESPONSE));
     assertThat(exchange(address)).isEqualTo("own");
     assertThat(exchange(address)).isEqualTo("500 failed");
-    assertThat(acceptedConnections).hasValue(2);
+    assertThat(server.connections()).isEqualTo(2);
   }
 
   /** Guards against surplus bytes that wait in the decoder of an idle connection. */
@@ -199,12 +151,12 @@
     CompletableFuture<Void> firstEnded = new CompletableFuture<>();
     String address =
         serve(
-            socket -> {
-              send(requests.getAndIncrement() == 0 ? OWN_RESPONSE : FAILED_RESPONSE)
-                  .respond(socket);
+            (id, socket) -> {
+              RawServer.write(
+                  socket, requests.getAndIncrement() == 0 ? OWN_RESPONSE : FAILED_RESPONSE);
               if (requests.get() == 1) {
                 firstEnded.join();
-                send("HTTP/1.1 200 OK").respond(socket);
+                RawServer.write(socket, "HTTP/1.1 200 OK");
                 socket.setSoTimeout(5_000);
                 end.complete(socket.getInputStream().read());
               }
@@ -236,7 +188,7 @@
     String address = serve(send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"));
     assertThat(exchange(address, HttpMethod.HEAD)).isEmpty();
     assertThat(exchange(address, HttpMethod.HEAD)).isEmpty();
-    assertThat(acceptedConnections).hasValue(1);
+    assertThat(server.connections()).isEqualTo(1);
   }
 
   @Test
@@ -254,8 +206,8 @@
   void endsAResponseWithoutLengthAtConnectionClose() throws IOException {
     String address =
         serve(
-            socket -> {
-              send("HTTP/1.1 200 OK\r\n\r\nall").respond(socket);
+            (id, socket) -> {
+              RawServer.write(socket, "HTTP/1.1 200 OK\r\n\r\nall");
               socket.close();
             });
     assertThat(exchange(address)).isEqualTo("all");
@@ -265,8 +217,8 @@
   void failsAResponseWithoutLengthOnConnectionReset() throws IOException {
     String address =
         serve(
-            socket -> {
-              send("HTTP/1.1 200 OK\r\n\r\npart").respond(socket);
+            (id, socket) -> {
+              RawServer.write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
               socket.setSoLinger(true, 0);
               socket.close();
             });
@@ -282,8 +234,8 @@
   void failsATruncatedResponse() throws IOException {
     String address =
         serve(
-            socket -> {
-              send("HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nshort").respond(socket);
+            (id, socket) -> {
+              RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nshort");
               socket.close();
             });
     assertThat(exchange(address)).startsWith("!");
