Metrics and log lines of what the review changed; the lookup of a stream's origin in steps

Cause: reading the change as a newcomer. The lookup was nested callbacks, its reader of endpoints a consumer of a consumer with a word of the users' pages, and surplus bytes, unwritten streams, unanswered requests and a failed read of the endpoints could not be seen by an operator.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -41,7 +41,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /** Creates and connects the components of the gateway process, which share one event loop. */
@@ -130,22 +129,6 @@
             Duration.ofMillis(settings.quotaWindowMillis()),
             random,
             log);
-    this.service =
-        new RequestService(
-            loop,
-            state,
-            peers.slotClient(),
-            peers.statements(),
-            peers.crashes(),
-            peers.streams(),
-            connections,
-            log,
-            metrics,
-            random,
-            this::confirmEndpoints);
-    peers.statements().setLeavingListener(directory::markLeaving);
-    this.startupQueue = new StartupQueue(loop, service);
-    this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
     HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
     this.store = new StoreClient(http, SocketAddresses.parse(settings.storeAddress()));
     this.rollouts = new RolloutService(loop, peers, store, settings.rolloutExposure(), log);
@@ -186,7 +169,23 @@
     this.endpointUpdates =
         new EndpointUpdateBroadcaster(
             loop, peers, settings.peerAddress(), endpoints, endpointFollower);
-    this.endpointRefresh = new EndpointRefresh(loop, endpointFollower);
+    this.endpointRefresh = new EndpointRefresh(loop, endpointFollower, log);
+    this.service =
+        new RequestService(
+            loop,
+            state,
+            peers.slotClient(),
+            peers.statements(),
+            peers.crashes(),
+            peers.streams(),
+            connections,
+            log,
+            metrics,
+            random,
+            endpointRefresh::read);
+    peers.statements().setLeavingListener(directory::markLeaving);
+    this.startupQueue = new StartupQueue(loop, service);
+    this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
     endpointFollower.setReadCondition(endpointUpdates::mustReadStore);
     this.peerBootstrap =
         new PeerBootstrap(
@@ -198,11 +197,10 @@
             loop, store, settings.hostName(), settings.peerAddress(), this::onHosts, log);
     this.quarantine =
         new QuarantineArchive(loop, store, peers, settings.peerAddress(), this::updateReady, log);
-    peers
-        .streams()
-        .setArchive(
-            new StreamOriginArchive(
-                loop, store, settings.hostName(), () -> peers.liveMembers().size(), log));
+    StreamOriginArchive streams =
+        new StreamOriginArchive(
+            loop, store, settings.hostName(), () -> peers.liveMembers().size(), log);
+    peers.streams().setArchive(streams);
     this.storeEra =
         new StoreEraTracker(configurationFollower, endpointFollower, this::onStoreRestored, log);
     new GatewayGauges(metrics)
@@ -211,6 +209,7 @@
         .registerStatements(
             peers.statements(), service.pauses(), scheduler().quarantine(), storeEra)
         .registerCrashes(peers.crashes())
+        .registerRequests(service.inProgress(), streams)
         .registerRollouts(rollouts);
   }
 
@@ -297,10 +296,6 @@
     endpointRefresh.onRead();
   }
 
-  private void confirmEndpoints(Consumer<Boolean> listener) {
-    endpointRefresh.confirm(listener);
-  }
-
   private boolean configure(ServingConfiguration newer, long offset) {
     ServingConfiguration previous = state.configuration();
     if (!state.updateConfiguration(newer)) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -6,11 +6,13 @@
 import io.samphiredyke.gateway.frontend.FrontendServer;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.request.RequestsInProgress;
 import io.samphiredyke.gateway.rollout.RolloutService;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.EndpointStatements;
 import io.samphiredyke.gateway.scheduling.PeerGroup;
 import io.samphiredyke.gateway.store.StoreEraTracker;
+import io.samphiredyke.gateway.store.StreamOriginArchive;
 import io.samphiredyke.gateway.store.TopicFollower;
 import io.samphiredyke.gateway.upstream.EndpointConnectionPool;
 
@@ -43,6 +45,10 @@
         "samphiredyke_endpoint_connections_opened",
         "Connections opened to endpoints.",
         connections::openedConnections);
+    metrics.gauge(
+        "samphiredyke_surplus_responses",
+        "Connections to endpoints closed because of bytes beyond a response.",
+        connections::surplusResponses);
     metrics.gauge(
         "samphiredyke_endpoints", "Endpoints that take requests.", () -> directory.all().size());
     metrics.gauge(
@@ -89,6 +95,16 @@
     return this;
   }
 
+  GatewayGauges registerRequests(RequestsInProgress requests, StreamOriginArchive streams) {
+    metrics.gauge(
+        "samphiredyke_requests_in_progress", "Requests that are not answered.", requests::size);
+    metrics.gauge(
+        "samphiredyke_unwritten_streams",
+        "Streams whose version is not in the store yet.",
+        streams::unwritten);
+    return this;
+  }
+
   void registerRollouts(RolloutService rollouts) {
     metrics.gauge(
         "samphiredyke_running_rollouts", "Roll-outs that have not ended.", rollouts::running);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -110,7 +110,7 @@
       return;
     }
     if (head.isTakeUp() && route.kind().isStream()) {
-      OriginLookup.find(context, head.resumedRequestId(), route, this::takeUp);
+      new OriginLookup(context, head.resumedRequestId(), route, this::takeUp).start();
     } else {
       acquisition.acquire(reachedEndpoint);
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OriginLookup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/OriginLookup.java
@@ -1,7 +1,9 @@
 package io.samphiredyke.gateway.request;
 
+import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.Route;
 import io.samphiredyke.core.serving.StreamOrigin;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /** Finds at which software version a stream began that a caller takes up. */
@@ -15,72 +17,75 @@
      * Called with the origin.
      *
      * @param origin where the stream began, null if that is not certain
-     * @param isKnown whether a host knows the stream, rather than that there is only one version
+     * @param isKnown whether it is recorded, rather than inferred from the endpoints
      */
     void found(@Nullable StreamOrigin origin, boolean isKnown);
   }
 
-  private OriginLookup() {}
+  private final RequestService.Context context;
+  private final String requestId;
+  private final Route route;
+  private final Listener listener;
 
-  /**
-   * Looks up a stream, first at the hosts, then in the archive; the listener is called during this
-   * call or later.
-   *
-   * <p>If nobody knows the stream, its version follows from the endpoints if there is only one. A
-   * host that others don't respond to may be cut off and know outdated endpoints only, so it reads
-   * the present ones first, and does not guess if that fails.
-   */
-  static void find(
-      RequestService.Context context, String requestId, Route route, Listener listener) {
-    context
-        .streams()
-        .find(
-            requestId,
-            (known, isComplete) -> {
-              if (known != null) {
-                listener.found(serves(route, known.service()) ? known : null, true);
-              } else {
-                findArchived(context, requestId, route, isComplete, listener);
-              }
-            });
+  OriginLookup(RequestService.Context context, String requestId, Route route, Listener listener) {
+    this.context = context;
+    this.requestId = requestId;
+    this.route = route;
+    this.listener = listener;
   }
 
-  private static void findArchived(
-      RequestService.Context context,
-      String requestId,
-      Route route,
-      boolean isComplete,
-      Listener listener) {
+  /** Asks the hosts, then the archive; the listener is called during this call or later. */
+  void start() {
+    context.streams().find(requestId, this::hostsResponded);
+  }
+
+  private void hostsResponded(@Nullable StreamOrigin origin, boolean isComplete) {
+    if (origin != null) {
+      found(origin);
+      return;
+    }
+    String service = route.targets().get(0).service();
     context
         .streams()
-        .findArchived(
-            requestId,
-            route.targets().get(0).service(),
-            archived -> {
-              if (archived != null) {
-                listener.found(serves(route, archived.service()) ? archived : null, true);
-              } else if (isComplete) {
-                listener.found(onlyPossible(context, route), false);
-              } else {
-                context
-                    .confirmEndpoints()
-                    .accept(
-                        isConfirmed ->
-                            listener.found(
-                                isConfirmed ? onlyPossible(context, route) : null, false));
-              }
-            });
+        .findArchived(requestId, service, archived -> archiveResponded(archived, isComplete));
+  }
+
+  /**
+   * Infers the version of a stream that nobody knows from the endpoints. A host that others don't
+   * respond to may be cut off and know outdated endpoints only, so it reads the present ones first.
+   */
+  private void archiveResponded(@Nullable StreamOrigin origin, boolean areHostsComplete) {
+    if (origin != null) {
+      found(origin);
+    } else if (areHostsComplete) {
+      infer();
+    } else {
+      context.endpointReader().read(this::endpointsRead);
+    }
+  }
+
+  private void endpointsRead(boolean isRead) {
+    if (isRead) {
+      infer();
+    } else {
+      listener.found(null, false);
+    }
   }
 
-  private static boolean serves(Route route, String service) {
-    return route.targets().stream().anyMatch(target -> target.service().equals(service));
+  private void found(StreamOrigin origin) {
+    boolean isServed =
+        route.targets().stream().anyMatch(target -> target.service().equals(origin.service()));
+    listener.found(isServed ? origin : null, true);
   }
 
-  private static @Nullable StreamOrigin onlyPossible(RequestService.Context context, Route route) {
+  /** Reports the only version at which the stream can have begun, if there is one. */
+  private void infer() {
     if (route.targets().size() != 1) {
-      return null;
+      listener.found(null, false);
+      return;
     }
     String service = route.targets().get(0).service();
-    return context.streams().onlyOrigin(service, context.state().endpoints().ofService(service));
+    List<EndpointRecord> endpoints = context.state().endpoints().ofService(service);
+    listener.found(context.streams().onlyOrigin(service, endpoints), false);
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
@@ -19,7 +19,6 @@
 import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.platform.CallerRequestHead;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /** Validates requests against the configuration and starts their processing. */
@@ -37,11 +36,7 @@
         public void onWritable() {}
       };
 
-  /**
-   * The components shared by all requests.
-   *
-   * @param confirmEndpoints reads the present endpoints and tells whether it succeeded
-   */
+  /** The components shared by all requests. */
   record Context(
       ControlEventLoop loop,
       ServingState state,
@@ -57,7 +52,7 @@
       CrashWatch crashes,
       StreamOrigins streams,
       RequestsInProgress inProgress,
-      Consumer<Consumer<Boolean>> confirmEndpoints) {
+      EndpointReader endpointReader) {
 
     /** Returns for how long a prompt is quarantined, 0 if it is not, in milliseconds. */
     long quarantinedMillis(WorkEstimate estimate) {
@@ -77,11 +72,7 @@
 
   private final Context context;
 
-  /**
-   * Creates the service.
-   *
-   * @param confirmEndpoints reads the present endpoints and tells whether it succeeded
-   */
+  /** Creates the service. */
   public RequestService(
       ControlEventLoop loop,
       ServingState state,
@@ -93,7 +84,7 @@
       DecisionLog log,
       GatewayMetrics metrics,
       RandomGenerator random,
-      Consumer<Consumer<Boolean>> confirmEndpoints) {
+      EndpointReader endpointReader) {
     this.context =
         new Context(
             loop,
@@ -110,7 +101,7 @@
             crashes,
             streams,
             new RequestsInProgress(),
-            confirmEndpoints);
+            endpointReader);
   }
 
   /** Returns the endpoints that want no requests from this host for a time. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointRefresh.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/EndpointRefresh.java
@@ -1,15 +1,13 @@
 package io.samphiredyke.gateway.store;
 
+import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
-/**
- * Confirms with the store that this host knows the present endpoints. One read serves all that wait
- * for it.
- */
+/** Reads the endpoint entries on demand. One read serves all that wait for it. */
 public final class EndpointRefresh {
 
   /** Time for a read; callers that take up a stream wait for it. */
@@ -19,12 +17,14 @@
 
   private final ControlEventLoop loop;
   private final TopicFollower follower;
+  private final DecisionLog log;
   private final List<Waiting> waiting = new ArrayList<>();
 
   /** Creates an instance that reads with a follower of the endpoint entries. */
-  public EndpointRefresh(ControlEventLoop loop, TopicFollower follower) {
+  public EndpointRefresh(ControlEventLoop loop, TopicFollower follower, DecisionLog log) {
     this.loop = loop;
     this.follower = follower;
+    this.log = log;
   }
 
   /**
@@ -32,7 +32,7 @@
    *
    * @param listener receives whether a read that began after this call has succeeded in time
    */
-  public void confirm(Consumer<Boolean> listener) {
+  public void read(Consumer<Boolean> listener) {
     Waiting entry = new Waiting(loop.nanoTime(), listener);
     waiting.add(entry);
     loop.schedule(() -> timedOut(entry), TIMEOUT);
@@ -41,6 +41,7 @@
 
   private void timedOut(Waiting entry) {
     if (waiting.remove(entry)) {
+      log.event("endpoints_not_read", "silent_ms", follower.silentMillis());
       entry.listener().accept(false);
     }
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/StreamOriginArchive.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/StreamOriginArchive.java
@@ -134,6 +134,11 @@
     return Json.bytes(rows);
   }
 
+  /** Returns the number of streams that wait to be written. */
+  public int unwritten() {
+    return unwritten.size();
+  }
+
   @Override
   public void find(String requestId, Listener listener) {
     StreamOrigin known = archived.get(requestId);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -51,6 +51,7 @@
   private final EventLoop loop;
   private final Map<String, Deque<Channel>> idle = new HashMap<>();
   private long openedConnections;
+  private long surplusResponses;
 
   /** Creates an empty pool whose connections run on a loop. */
   public EndpointConnectionPool(EventLoop loop) {
@@ -95,7 +96,7 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     channel.attr(IDLE_STATE).set(new IdleState(address, 0));
-                    channel.pipeline().addLast(new ResponseDecoder());
+                    channel.pipeline().addLast(new ResponseDecoder(() -> surplusResponses++));
                     channel.pipeline().addLast(new HttpRequestEncoder());
                     channel.pipeline().addLast(new IdleGuard());
                   }
@@ -171,6 +172,11 @@
     return openedConnections;
   }
 
+  /** Returns the number of connections on which data arrived beyond a response. */
+  public long surplusResponses() {
+    return surplusResponses;
+  }
+
   /** Removes an idle connection that ends. */
   private final class IdleGuard extends ChannelDuplexHandler {
 
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -173,7 +173,7 @@
       if (tls != null) {
         channel.pipeline().addLast(tls.newHandler(channel.alloc()));
       }
-      channel.pipeline().addLast(new ResponseDecoder());
+      channel.pipeline().addLast(new ResponseDecoder(() -> {}));
       channel.pipeline().addLast(new HttpRequestEncoder());
     }
   }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
@@ -25,10 +25,20 @@
 
   private static final String PROTOCOL = "HTTP/1.";
 
+  private final Runnable onSurplus;
   private boolean requestInProgress;
   private boolean hasSurplus;
   private boolean isHeadRequest;
 
+  /**
+   * Creates a decoder.
+   *
+   * @param onSurplus runs when data arrived that belongs to no request
+   */
+  public ResponseDecoder(Runnable onSurplus) {
+    this.onSurplus = onSurplus;
+  }
+
   /** Called before a request is sent on the connection. */
   public void requestStarted(HttpMethod method) {
     requestInProgress = true;
@@ -43,6 +53,9 @@
    */
   public boolean requestEnded() {
     requestInProgress = false;
+    if (hasSurplus) {
+      onSurplus.run();
+    }
     return !hasSurplus;
   }
 
@@ -50,6 +63,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
     if (!requestInProgress) {
       ReferenceCountUtil.release(message);
+      onSurplus.run();
       ctx.close();
       return;
     }
