Versions of streams that the store refuses are written again once a second

Cause, found by reading the change: a refused write was repeated after the interval of successful ones, and logged each time: 104 calls in 1.5 s by one host to a store that is busy (StreamOriginArchiveTest). Calls are limited and priced also if they are refused.

Change: after a failure the next write waits a second, and only the first failure in a row is logged.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/StreamOriginArchive.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/StreamOriginArchive.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,9 @@
   /** Interval between two writes, for each host of the group: all make 100 a second at most. */
   private static final Duration WRITE_INTERVAL_PER_HOST = Duration.ofMillis(10);
 
+  /** Interval between two writes while the store does not take them. */
+  private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
+
   /** Streams in one record, some dozens of kilobytes. */
   private static final int MAX_BATCH = 500;
 
@@ -68,6 +72,7 @@
   private long era = StoreBatch.NO_ERA;
   private long lastWriteAt;
   private boolean isWriteScheduled;
+  private boolean hasFailed;
   private boolean isReading;
 
   /**
@@ -100,7 +105,8 @@
       return;
     }
     isWriteScheduled = true;
-    Duration interval = WRITE_INTERVAL_PER_HOST.multipliedBy(hosts.getAsInt());
+    Duration interval =
+        hasFailed ? RETRY_INTERVAL : WRITE_INTERVAL_PER_HOST.multipliedBy(hosts.getAsInt());
     long delayNanos = interval.toNanos() - (loop.nanoTime() - lastWriteAt);
     loop.schedule(this::write, Duration.ofNanos(Math.max(0, delayNanos)));
   }
@@ -108,12 +114,12 @@
   private void write() {
     lastWriteAt = loop.nanoTime();
     Map<String, StreamOrigin> batch = new LinkedHashMap<>();
-    for (Map.Entry<String, StreamOrigin> entry : unwritten.entrySet()) {
-      if (batch.size() < MAX_BATCH) {
-        batch.put(entry.getKey(), entry.getValue());
-      }
+    Iterator<Map.Entry<String, StreamOrigin>> oldest = unwritten.entrySet().iterator();
+    while (oldest.hasNext() && batch.size() < MAX_BATCH) {
+      Map.Entry<String, StreamOrigin> entry = oldest.next();
+      batch.put(entry.getKey(), entry.getValue());
+      oldest.remove();
     }
-    batch.keySet().forEach(unwritten::remove);
     store
         .put(StoreClient.STREAM_TOPIC, hostName, encode(batch), WRITE_TIMEOUT)
         .whenComplete((done, failure) -> loop.execute(() -> onWritten(batch, failure)));
@@ -122,9 +128,13 @@
   private void onWritten(Map<String, StreamOrigin> batch, @Nullable Throwable failure) {
     isWriteScheduled = false;
     if (failure != null) {
-      log.event("streams_not_written", "streams", batch.size(), "reason", String.valueOf(failure));
       unwritten.putAll(batch);
+      if (!hasFailed) {
+        log.event(
+            "streams_not_written", "streams", unwritten.size(), "reason", String.valueOf(failure));
+      }
     }
+    hasFailed = failure != null;
     scheduleWrite();
   }
 
