Responses without an id end their connection

Callers were told "not run" for requests that ran, or an unsafe request was run twice: an endpoint whose refusals state no request id wrote an earlier refusal once more on a kept connection, in front of the response to the next request.

Cause: EndpointExchange took a response without an id for the response to the request in progress, and pooled its connection. Only successes and failures of the endpoints are sure to state the id; the examples of refusals in the platform's pages state none.

Now a response without id is never pooled, so that all earlier responses on a reused connection have stated ids, and a copy of one states a foreign id and is skipped. A refusal without id on such a connection can't be a copy and is taken as before, unless a response to another request was skipped just before it. Any other response without id is not passed on: the outcome of that attempt is unknown. A head with more than one id fails.

Evidence: RepeatedRefusalTest with refusals without id, 20 requests of each route: before, the sixth request that was not refused first (request 12) ran twice on the unsafe and on the safe route; after, each runs once. Of the 32 cases of EndpointExchangeTest and RepeatedRefusalTest 9 failed before, none after. Ruled out: the first attempt again on the same connection, as the copy is that of another request.

The gauge samphiredyke_responses_without_id counts the connections that this closes.

Not covered: a refusal without id that is repeated on another connection than its own.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -49,6 +49,10 @@
         "samphiredyke_surplus_responses",
         "Connections to endpoints closed because of bytes beyond a response.",
         connections::surplusResponses);
+    metrics.gauge(
+        "samphiredyke_responses_without_id",
+        "Connections to endpoints closed because of a response that states no request id.",
+        connections::responsesWithoutId);
     metrics.gauge(
         "samphiredyke_endpoints", "Endpoints that take requests.", () -> directory.all().size());
     metrics.gauge(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -52,6 +52,7 @@
   private final Map<String, Deque<Channel>> idle = new HashMap<>();
   private long openedConnections;
   private long surplusResponses;
+  private long responsesWithoutId;
 
   /** Creates an empty pool whose connections run on a loop. */
   public EndpointConnectionPool(EventLoop loop) {
@@ -177,6 +178,16 @@
     return surplusResponses;
   }
 
+  /** Counts a response without id, whose connection is closed. */
+  void receivedWithoutId() {
+    responsesWithoutId++;
+  }
+
+  /** Returns the number of responses without the id of a request. */
+  public long responsesWithoutId() {
+    return responsesWithoutId;
+  }
+
   /** Removes an idle connection that ends. */
   private final class IdleGuard extends ChannelDuplexHandler {
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -24,7 +24,8 @@
  * <p>Responses with the id of another request are skipped, because an endpoint may send an earlier
  * response once more. The connection is returned to the pool only after a complete response to a
  * completely sent request, and only when all received data has been read, so that surplus bytes
- * never reach the next request.
+ * never reach the next request. A response without id ends its connection, so that a later copy of
+ * it never reaches the next request either.
  */
 public final class EndpointExchange extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -48,6 +49,7 @@
   private boolean finished;
   private boolean returnPending;
   private boolean skippingResponse;
+  private boolean hasSkippedResponse;
   private int interimResponses;
   private int skippedBytes;
   private boolean reusable;
@@ -145,24 +147,43 @@
 
   private void readHead(HttpResponse response) {
     EndpointResponseHead head = EndpointResponseHead.decode(response);
+    if (head.hasSeveralIds()) {
+      fail("the answer states several ids");
+      return;
+    }
     boolean isOtherRequest =
         !head.requestId().isEmpty() && !head.requestId().equals(request.requestId());
     skippingResponse = isOtherRequest || head.status() < FIRST_FINAL_STATUS;
     if (skippingResponse) {
+      hasSkippedResponse |= isOtherRequest;
       interimResponses += isOtherRequest ? 0 : 1;
       if (interimResponses > MAX_INTERIM_RESPONSES) {
         fail("interim responses without end");
       }
       return;
     }
+    if (head.requestId().isEmpty() && !acceptWithoutId(head)) {
+      fail("the answer states no id");
+      return;
+    }
     hasHead = true;
     keepAliveSeconds = head.keepAliveSeconds();
     boolean endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
-    reusable = HttpUtil.isKeepAlive(response) && !endsWithConnection;
+    reusable = !head.requestId().isEmpty() && HttpUtil.isKeepAlive(response) && !endsWithConnection;
     listener.onHead(head, response);
   }
 
+  /**
+   * Returns whether a response without id is the response to the request. All earlier responses on
+   * the connection stated an id, so that it is not one of them. Only a statement that the request
+   * was not run is accepted, and none from an endpoint that has just sent another response.
+   */
+  private boolean acceptWithoutId(EndpointResponseHead head) {
+    connections.receivedWithoutId();
+    return request.requestId().isEmpty() || head.isNotRun() && !hasSkippedResponse;
+  }
+
   private void readContent(ChannelHandlerContext ctx, HttpContent content) {
     boolean isLast = content instanceof LastHttpContent;
     if (skippingResponse) {
