A log line for refusals that state no request id

The line response_without_id names request, endpoint and status. RepeatedRefusalTest requires the line.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -40,6 +40,7 @@
   private final ActiveRequest request;
   private final EndpointRecord endpoint;
   private final SlotHandle slot;
+  private String requestId = "";
   private @Nullable EndpointExchange exchange;
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
@@ -94,6 +95,7 @@
    *     the previous attempt as the response to this one.
    */
   void start(OutgoingRequest outgoing, boolean isFirst) {
+    requestId = outgoing.requestId();
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
     lastContentAt = sentAt;
@@ -208,6 +210,9 @@
     if (isDone) {
       return;
     }
+    if (head.requestId().isEmpty()) {
+      logMissingId(head);
+    }
     status = head.status();
     isNotRun = head.isNotRun();
     defect = isNotRun ? null : defectOf(head);
@@ -217,6 +222,20 @@
     request.relay().onHead(response, head.isSuccess());
   }
 
+  private void logMissingId(EndpointResponseHead head) {
+    request
+        .context()
+        .log()
+        .event(
+            "response_without_id",
+            "id",
+            requestId,
+            "endpoint",
+            endpoint.id(),
+            "status",
+            head.status());
+  }
+
   private @Nullable String defectOf(EndpointResponseHead head) {
     if (head.isEncoded()) {
       return "the answer has a content encoding";
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RepeatedRefusalTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RepeatedRefusalTest.java
@@ -67,6 +67,7 @@
   @ValueSource(strings = {"/unsafe/x", "/safe/x"})
   void copyOfRefusalWithoutIdIsNotTheAnswerToTheNextRequest(String path) throws IOException {
     eachRequestRunsOnce(path);
+    assertThat(logged("response_without_id")).isTrue();
   }
 
   private void eachRequestRunsOnce(String path) throws IOException {
