Bytes before a response and responses to other requests have a bound

A faulty endpoint that sends empty responses to another request without end keeps the request and its slot until the time limit (504 after 10.0 s in the test).

Cause: only interim responses and the bodies of skipped responses were counted. Likewise the decoder discards blank lines before a status line without counting them over several reads.

Now 16 skipped responses of any kind, and 16 KB without a decoded part of a response, end the exchange; the reason of the failure or retry says which. It never meets a valid head, as the decoder's own limits are 4 KB for a line and 8 KB for the headers.

Blank lines in large reads, a chunk extension and a trailer without end were bounded before and are checked now. Memory was not measured here.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -31,8 +31,11 @@
 
   private static final int FIRST_FINAL_STATUS = 200;
 
-  /** Interim responses to one request after which the endpoint counts as faulty. */
-  private static final int MAX_INTERIM_RESPONSES = 16;
+  /**
+   * Interim responses and responses to other requests, during one request, after which the endpoint
+   * counts as faulty.
+   */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
 
   /**
    * Size of a response to another request after which the endpoint counts as faulty; a complete one
@@ -50,7 +53,7 @@
   private boolean returnPending;
   private boolean skippingResponse;
   private boolean hasSkippedResponse;
-  private int interimResponses;
+  private int skippedResponses;
   private int skippedBytes;
   private boolean reusable;
   private boolean hasHead;
@@ -156,9 +159,9 @@
     skippingResponse = isOtherRequest || head.status() < FIRST_FINAL_STATUS;
     if (skippingResponse) {
       hasSkippedResponse |= isOtherRequest;
-      interimResponses += isOtherRequest ? 0 : 1;
-      if (interimResponses > MAX_INTERIM_RESPONSES) {
-        fail("interim responses without end");
+      skippedResponses++;
+      if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+        fail("interim responses or responses to other requests without end");
       }
       return;
     }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndlessResponseTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndlessResponseTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An endpoint that sends bytes without end until the connection is closed. */
 @Timeout(60)
@@ -126,6 +128,27 @@
     assertThat(answer("", "HTTP/1.1 100 Continue\r\n\r\n").statusCode()).isEqualTo(502);
   }
 
+  @Test
+  void blankLinesWithoutEndAreAnsweredAtOnce() {
+    assertThat(answer("", "\r\n").statusCode()).isEqualTo(502);
+  }
+
+  @Test
+  void emptyResponsesToAnotherRequestWithoutEndAreAnsweredAtOnce() {
+    String other =
+        "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: other\r\nContent-Length: 0\r\n\r\n";
+    assertThat(answer("", other).statusCode()).isEqualTo(502);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"1;", "0\r\nName: "})
+  void chunkOrTrailerWithoutEndIsAnsweredAtOnce(String begin) {
+    String head =
+        "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: r-1\r\n"
+            + "X-Samphiredyke-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assertThat(answer(head + begin, "abcd").statusCode()).isEqualTo(502);
+  }
+
   @Test
   void refusalWithABodyWithoutEndIsAnsweredAtOnce() {
     HttpResponse<String> response =
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -25,10 +26,17 @@
 
   private static final String PROTOCOL = "HTTP/1.";
 
+  /**
+   * Bytes, blank lines before a response included, without any part of a response after which the
+   * server counts as faulty; the longest status line and headers that are decoded have fewer.
+   */
+  private static final int MAX_UNDECODED_BYTES = 16 * 1024;
+
   private final Runnable onSurplus;
   private boolean requestInProgress;
   private boolean hasSurplus;
   private boolean isHeadRequest;
+  private int undecodedBytes;
 
   /**
    * Creates a decoder.
@@ -43,6 +51,7 @@
   public void requestStarted(HttpMethod method) {
     requestInProgress = true;
     hasSurplus = false;
+    undecodedBytes = 0;
     isHeadRequest = method.equals(HttpMethod.HEAD);
   }
 
@@ -73,7 +82,12 @@
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
+    int available = buffer.readableBytes();
     super.decode(ctx, buffer, out);
+    undecodedBytes = out.isEmpty() ? undecodedBytes + available - buffer.readableBytes() : 0;
+    if (undecodedBytes > MAX_UNDECODED_BYTES) {
+      throw new TooLongFrameException(undecodedBytes + " bytes without a response");
+    }
     for (Object decoded : out) {
       if (decoded instanceof HttpResponse response && hasSecondStatusLine(response)) {
         response.setDecoderResult(
