--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -96,15 +96,20 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel.attr(IDLE_STATE).set(new IdleState(address, 0));
-                    channel.pipeline().addLast(new ResponseDecoder(() -> surplusResponses++));
-                    channel.pipeline().addLast(new HttpRequestEncoder());
-                    channel.pipeline().addLast(new IdleGuard());
+                    initialize(channel, address);
                   }
                 });
     return TcpKeepAlive.enable(bootstrap);
   }
 
+  /** Prepares a new connection for exchanges. */
+  void initialize(Channel channel, String address) {
+    channel.attr(IDLE_STATE).set(new IdleState(address, 0));
+    channel.pipeline().addLast(new ResponseDecoder(() -> surplusResponses++));
+    channel.pipeline().addLast(new HttpRequestEncoder());
+    channel.pipeline().addLast(new IdleGuard());
+  }
+
   private @Nullable Channel takeIdle(String address) {
     Deque<Channel> connections = idle.get(address);
     while (connections != null && !connections.isEmpty()) {
