Requests late in the grace of a stopping host are refused unless they end in time

Callers saw: requests whose last byte came more than 3 s after the SIGTERM were passed on and cut off at the end of the grace period. Streams were closed without a complete answer, requests that may not be repeated got 502 although they could have been served elsewhere.

Cause: RequestsInProgress.canServe took the run time of a route without observations as 0, and otherwise as the mean plus two mean deviations, which leaves out the slow tenth. After the callers' addresses have expired, requests still come on connections on which they were being received at that time.

From 2.8 s on a request is served only if its own timeout ends before the process, or the slowest observed run of its route would; otherwise it is refused at once as not run, with Connection: close. The margin of 200 ms covers the time until the signal is handled. Until then the estimate is the same as before.

After: GracefulShutdownTest passes.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
@@ -21,6 +21,9 @@
   /** Callers cache addresses for up to three times the TTL. */
   private static final int MAX_TTL_FACTOR = 3;
 
+  /** Longest time from the stop signal to the begin of the shutdown on a busy host. */
+  private static final int SIGNAL_DELAY_MILLIS = 200;
+
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
   private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -61,19 +64,27 @@
         gateway.frontend().busyConnections());
     gateway.drain();
     long lifeMillis = gateway.graceMillis() - KILL_MARGIN_MILLIS;
-    gateway.requestsInProgress().stopAt(startedAt + lifeMillis * NANOS_PER_MILLI);
+    gateway
+        .requestsInProgress()
+        .stopAt(
+            startedAt + (addressLifetimeMillis() - SIGNAL_DELAY_MILLIS) * NANOS_PER_MILLI,
+            startedAt + lifeMillis * NANOS_PER_MILLI);
     gateway.loop().scheduleWithFixedDelay(this::check, CHECK_INTERVAL);
   }
 
+  private long addressLifetimeMillis() {
+    return (long) (gateway.callerTtlSeconds() * MAX_TTL_FACTOR * 1_000);
+  }
+
   private void check() {
     long now = gateway.loop().nanoTime();
     gateway.requestsInProgress().refuseUnservable(now);
     long millis = (now - startedAt) / NANOS_PER_MILLI;
-    long addressLifetimeMillis = (long) (gateway.callerTtlSeconds() * MAX_TTL_FACTOR * 1_000);
-    if (millis >= addressLifetimeMillis) {
+    boolean isAddressExpired = millis >= addressLifetimeMillis();
+    if (isAddressExpired) {
       gateway.frontend().stopAccepting();
     }
-    boolean isIdle = millis >= addressLifetimeMillis && gateway.frontend().busyConnections() == 0;
+    boolean isIdle = isAddressExpired && gateway.frontend().busyConnections() == 0;
     if (isIdle && !isStateNeeded() || millis > gateway.graceMillis() - KILL_MARGIN_MILLIS) {
       terminate(millis);
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -101,7 +101,7 @@
   }
 
   void start() {
-    context.inProgress().add(this);
+    context.inProgress().add(this, deadlines);
     long remainingNanos = deadlines.deadline() - context.loop().nanoTime();
     timer = context.loop().schedule(this::timedOut, Duration.ofNanos(Math.max(0, remainingNanos)));
     long quarantinedMillis = context.quarantinedMillis(head.estimate());
@@ -158,7 +158,7 @@
       refused(SlotRefusal.ofQuarantinedRequest());
       return;
     }
-    if (!context.inProgress().canServe(route.name(), context.loop().nanoTime())) {
+    if (!context.inProgress().canServe(this, context.loop().nanoTime())) {
       slot.release(Outcome.WITHDRAWN);
       refuseBeforeStop();
       return;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestsInProgress.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestsInProgress.java
@@ -1,8 +1,8 @@
 package io.samphiredyke.gateway.request;
 
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /**
  * The requests that a host has read and not answered, and their end when the host stops.
@@ -10,20 +10,24 @@
  * <p>A request that waits, for a slot of this or another host's scheduler, for a pause of its
  * endpoints or for the origin of its stream, is refused as soon as it can no longer be served
  * before the process ends, so that its caller turns to another host in time.
+ *
+ * <p>As long as callers may use the host's address, a request is served if most requests of its
+ * route would end in time. Later requests are served only if the slowest ones would.
  */
 public final class RequestsInProgress {
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final Set<ActiveRequest> requests = new LinkedHashSet<>();
+  private final Map<ActiveRequest, RequestDeadlines> requests = new LinkedHashMap<>();
   private final RunTimeEstimator runTimes = new RunTimeEstimator();
   private boolean isStopping;
+  private long addressExpiresAt;
   private long endsAt;
 
   RequestsInProgress() {}
 
-  void add(ActiveRequest request) {
-    requests.add(request);
+  void add(ActiveRequest request, RequestDeadlines deadlines) {
+    requests.put(request, deadlines);
   }
 
   void remove(ActiveRequest request) {
@@ -35,22 +39,36 @@
     runTimes.observe(route, nanos / NANOS_PER_MILLI);
   }
 
-  /** Sets when the process ends, in nanoseconds of the control loop's clock. */
-  public void stopAt(long processEndsAt) {
+  /**
+   * Announces the end of the process. Times are in nanoseconds of the control loop's clock.
+   *
+   * @param callersLeaveAt when callers no longer use the address of this host
+   */
+  public void stopAt(long callersLeaveAt, long processEndsAt) {
     isStopping = true;
+    addressExpiresAt = callersLeaveAt;
     endsAt = processEndsAt;
   }
 
-  /** Returns whether a request that is sent now is expected to end before the process does. */
-  boolean canServe(String route, long now) {
-    double runNanos = runTimes.upperMillis(route) * NANOS_PER_MILLI;
-    return !isStopping || now + (long) runNanos - endsAt < 0;
+  /** Returns whether a request that is sent now ends before the process does. */
+  boolean canServe(ActiveRequest request, long now) {
+    if (!isStopping) {
+      return true;
+    }
+    double millisLeft = (endsAt - now) / NANOS_PER_MILLI;
+    String route = request.route().name();
+    if (now - addressExpiresAt < 0) {
+      return runTimes.upperMillis(route) < millisLeft;
+    }
+    RequestDeadlines deadlines = requests.get(request);
+    boolean timesOutBefore = deadlines != null && deadlines.deadline() - endsAt < 0;
+    return timesOutBefore || runTimes.slowestMillis(route) < millisLeft;
   }
 
   /** Refuses the waiting requests that can't be served before the process ends. */
   public void refuseUnservable(long now) {
-    for (ActiveRequest request : List.copyOf(requests)) {
-      if (!canServe(request.route().name(), now)) {
+    for (ActiveRequest request : List.copyOf(requests.keySet())) {
+      if (!canServe(request, now)) {
         request.refuseBeforeStop();
       }
     }
@@ -58,7 +76,7 @@
 
   /** Ends all requests: refuses those that wait, and reports those that run as unknown. */
   public void endAll() {
-    List.copyOf(requests).forEach(ActiveRequest::endBeforeStop);
+    List.copyOf(requests.keySet()).forEach(ActiveRequest::endBeforeStop);
   }
 
   /** Returns the number of requests. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RunTimeEstimator.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RunTimeEstimator.java
@@ -17,7 +17,15 @@
   /** Mean deviations above the mean that cover nearly all requests. */
   private static final double DEVIATIONS = 2;
 
-  private record Estimate(double meanMillis, double deviationMillis) {}
+  /** Part by which the slowest run fades with each new observation. */
+  private static final double SLOWEST_DECAY = 0.01;
+
+  private record Estimate(double meanMillis, double deviationMillis, double slowestMillis) {
+
+    double upperMillis() {
+      return meanMillis + DEVIATIONS * deviationMillis;
+    }
+  }
 
   private final Map<String, Estimate> estimates = new HashMap<>();
 
@@ -25,7 +33,7 @@
   void observe(String route, double millis) {
     Estimate known = estimates.get(route);
     if (known == null) {
-      estimates.put(route, new Estimate(millis, 0));
+      estimates.put(route, new Estimate(millis, 0, millis));
       return;
     }
     double error = millis - known.meanMillis();
@@ -33,12 +41,21 @@
         route,
         new Estimate(
             known.meanMillis() + SMOOTHING * error,
-            known.deviationMillis() + SMOOTHING * (Math.abs(error) - known.deviationMillis())));
+            known.deviationMillis() + SMOOTHING * (Math.abs(error) - known.deviationMillis()),
+            Math.max(millis, known.slowestMillis() * (1 - SLOWEST_DECAY))));
   }
 
   /** Returns the time that nearly all requests of a route take, 0 if none was observed. */
   double upperMillis(String route) {
     Estimate known = estimates.get(route);
-    return known == null ? 0 : known.meanMillis() + DEVIATIONS * known.deviationMillis();
+    return known == null ? 0 : known.upperMillis();
+  }
+
+  /** Returns the time that the slowest requests of a route take, infinite if none was observed. */
+  double slowestMillis(String route) {
+    Estimate known = estimates.get(route);
+    return known == null
+        ? Double.POSITIVE_INFINITY
+        : Math.max(known.slowestMillis(), known.upperMillis());
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
@@ -5,9 +5,14 @@
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.platform.standin.EndpointStandIn;
 import io.samphiredyke.platform.standin.EndpointStandIn.Behaviour;
+import io.samphiredyke.platform.standin.PlatformFixtures;
+import io.samphiredyke.platform.standin.RawServer;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -135,4 +140,65 @@
     awaitDelivery(responses);
     assertThat(count(responses, 503)).isEqualTo(WAITING);
   }
+
+  /** Grace period that ends after callers no longer use the address. */
+  private static final int LONG_GRACE_MILLIS = 5_000;
+
+  /** Time of a stop at which callers no longer use the address. */
+  private static final int LATE_MILLIS = 3_300;
+
+  /** Returns the response to a request of which the last byte is sent late in the grace period. */
+  private String sendLate(RunningGateway to, String path, int deadlineMillis)
+      throws IOException, InterruptedException {
+    String[] address = to.address().split(":");
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      RawServer.write(
+          socket,
+          String.format(
+              "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
+                  + "X-Samphiredyke-Request-Id: late-%d\r\nX-Samphiredyke-Deadline-Ms: %d\r\n"
+                  + "Content-Length: 1\r\n\r\n",
+              path, PlatformFixtures.HOST, PlatformFixtures.KEY, ++requestCount, deadlineMillis));
+      stop(to);
+      Thread.sleep(LATE_MILLIS);
+      RawServer.write(socket, "x");
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  /** Guards against requests late in the grace that are passed on and cut off at its end. */
+  @Test
+  void lateRequestOfUnknownRunTimeIsRefused() throws Exception {
+    graceMillis = LONG_GRACE_MILLIS;
+    RunningGateway running = startConfiguredGateway();
+    hang();
+    assertThat(sendLate(running, "/unsafe/x", 15_000))
+        .startsWith("HTTP/1.1 503")
+        .containsIgnoringCase("connection: close");
+    assertThat(runs(plainEndpoints)).isZero();
+  }
+
+  /** Guards against the same if most requests of the route are short. */
+  @Test
+  void lateRequestOfARouteThatIsSlowAtTimesIsRefused() throws Exception {
+    graceMillis = LONG_GRACE_MILLIS;
+    RunningGateway running = startConfiguredGateway();
+    plainEndpoints.forEach(endpoint -> endpoint.setBehaviour(Behaviour.SLOW));
+    post(running, "/unsafe/x", "x");
+    plainEndpoints.forEach(endpoint -> endpoint.setBehaviour(Behaviour.SERVE));
+    for (int i = 0; i < 30; i++) {
+      post(running, "/unsafe/x", "x");
+    }
+    int before = runs(plainEndpoints);
+    plainEndpoints.forEach(endpoint -> endpoint.setBehaviour(Behaviour.SLOW));
+    assertThat(sendLate(running, "/unsafe/x", 15_000)).startsWith("HTTP/1.1 503");
+    assertThat(runs(plainEndpoints)).isEqualTo(before);
+  }
+
+  @Test
+  void lateRequestThatTimesOutBeforeTheEndIsServed() throws Exception {
+    graceMillis = LONG_GRACE_MILLIS;
+    RunningGateway running = startConfiguredGateway();
+    assertThat(sendLate(running, "/unsafe/x", LATE_MILLIS + 500)).startsWith("HTTP/1.1 200");
+  }
 }
