A late copy of a response is never the response to the next call

With a server that sends a response once more after the next request arrived, HttpClient took the copy for the response to that request. A write that the store refused with 503 counted as done, the acknowledgement of an earlier call being read in its place, and the records of one topic were taken for those of another. This concerns StoreClient, the daemon's reads and appends at the log, the host list and orders to engines (EngineClient), and the command line tool.

Ruled out: the daemon's calls to engines and plain services.

HttpClientOptions.defaults() now uses a connection for one request; reuse is an option, which only load generators, the soak and tests take. The client library has options of its own and is unchanged. A connection that never carried another response can't carry a copy of one, whatever its delay and wherever it is cut.

--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/LoadCommand.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/LoadCommand.java
@@ -110,7 +110,7 @@
   private LoadReport execute() {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
     LoadRun run = new LoadRun(group, plan, addresses, LoadCommand::printProgress);
-    HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+    HttpClient http = new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
     try {
       Instant startTime = Instant.now();
       long startNanos = System.nanoTime();
--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/OverheadCommand.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/load/OverheadCommand.java
@@ -50,7 +50,7 @@
 
   private OverheadCommand(Namespace flags, EventLoopGroup group) {
     this.flags = flags;
-    this.http = new HttpClient(group, HttpClientOptions.defaults());
+    this.http = new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
     this.client =
         SamphiredykeClient.builder()
             .group(group)
--- a/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/ForwardingEntry.java
+++ b/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/ForwardingEntry.java
@@ -29,7 +29,7 @@
   ForwardingEntry(EventLoopGroup group, InetSocketAddress engine, InetSocketAddress plain) {
     this.engine = engine;
     this.plain = plain;
-    client = new HttpClient(group, HttpClientOptions.defaults());
+    client = new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
     server = HttpServer.start(group, ANY_PORT, HttpServerOptions.defaults(), this::handle).join();
   }
 
--- a/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/LoadRunTest.java
+++ b/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/LoadRunTest.java
@@ -30,7 +30,8 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
-  private final HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+  private final HttpClient http =
+      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
   private EngineStandIn engine;
   private PlainStandIn plain;
   private ForwardingEntry entry;
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -124,8 +124,7 @@
     this.host = hostIdentity(settings);
     this.invariants = new InvariantChecker(new InvariantViolationHandler(metrics));
     this.platformClient = new HttpClient(trafficGroup, HttpClientOptions.defaults());
-    this.endpointClient =
-        new HttpClient(trafficGroup, HttpClientOptions.defaults().withoutConnectionReuse());
+    this.endpointClient = new HttpClient(trafficGroup, HttpClientOptions.defaults());
     this.configuration =
         new ConfigurationService(
             loop,
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestCluster.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/testing/TestCluster.java
@@ -63,7 +63,8 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final StandInRuntime runtime = StandInRuntime.system(group.next());
-  private final HttpClient client = new HttpClient(group, HttpClientOptions.defaults());
+  private final HttpClient client =
+      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
   private final LogStandIn log;
   private final HostListStandIn hostList;
   private final EngineStandIn engine;
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -22,10 +22,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An HTTP/1.1 client with a pool of idle connections.
+ * An HTTP/1.1 client that opens a connection for each request, or keeps a pool of idle ones.
  *
- * <p>A pooled connection is reused only if it was idle for a short time, in which nothing arrived
- * on it. The client never sends a request twice.
+ * <p>HTTP/1.1 matches a response to its request by the order on the connection alone, so a second
+ * copy of an earlier response can be taken for the response to the next request. Connections are
+ * reused only if the options say so, and only if they were idle for a short time in which nothing
+ * arrived. The client never sends a request twice.
  */
 public final class HttpClient implements AutoCloseable {
 
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -31,10 +32,13 @@
 class HttpClientTest {
 
   private static final Duration TIMEOUT = Duration.ofMillis(200);
+  private static final int REPEATED_RESPONSE_LENGTH =
+      "HTTP/1.1 500 S\r\nContent-Length: 3\r\n\r\n500".length();
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final HttpClient client = new HttpClient(group, HttpClientOptions.defaults());
+  private final HttpClient client =
+      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private ServerSocket server;
 
@@ -52,7 +56,7 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Serves {@code /ok}, sends no end on {@code /endless}, and never responds otherwise. */
+  /** Serves the paths below, and never responds to others. */
   private void acceptAll() {
     try {
       while (true) {
@@ -73,10 +77,16 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
       OutputStream out = socket.getOutputStream();
+      String last = "";
       for (String line = in.readLine(); line != null; line = in.readLine()) {
         if (line.startsWith("GET /ok")) {
           out.write(
               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        } else if (line.startsWith("GET /repeated/")) {
+          String[] path = line.split("[/ ]");
+          String copy = last.substring(0, Math.min(last.length(), Integer.parseInt(path[4])));
+          last = "HTTP/1.1 " + path[3] + " S\r\nContent-Length: 3\r\n\r\n" + path[3];
+          out.write((copy + last).getBytes(StandardCharsets.UTF_8));
         } else if (line.startsWith("GET /surplus")) {
           out.write(
               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 Int"
@@ -140,6 +150,29 @@
     assertThat(accepted).hasSize(2);
   }
 
+  /** Guards against a late second copy of a response that is taken for the next response. */
+  @Test
+  void secondCopyOfResponseIsNotTakenForTheNextOne() {
+    HttpClient byDefault = new HttpClient(group, HttpClientOptions.defaults());
+    InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+    List<String> wrong = new ArrayList<>();
+    for (int copied = 1; copied <= REPEATED_RESPONSE_LENGTH; copied++) {
+      for (String status : List.of("500", "200")) {
+        HttpRequest request =
+            HttpRequest.get(address, "/repeated/" + status + "/" + copied).build();
+        String received =
+            byDefault
+                .send(request)
+                .handle((it, failed) -> failed == null ? it.text() : failed.getMessage())
+                .join();
+        if (!received.equals(status)) {
+          wrong.add(received + " in place of " + status + " after " + copied + " bytes");
+        }
+      }
+    }
+    assertThat(wrong).isEmpty();
+  }
+
   /** Guards against an interim response that is taken for the response. */
   @Test
   void interimResponseIsSkipped() {
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -29,7 +29,8 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-  private final HttpClient client = new HttpClient(group, HttpClientOptions.defaults());
+  private final HttpClient client =
+      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
 
   @AfterEach
   void stop() {
@@ -54,7 +55,8 @@
     EventLoopGroup single = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     CountDownLatch blocked = new CountDownLatch(1);
     single.execute(() -> awaitQuietly(blocked));
-    HttpClient blockedClient = new HttpClient(single, HttpClientOptions.defaults());
+    HttpClient blockedClient =
+        new HttpClient(single, HttpClientOptions.defaults().withConnectionReuse());
     HttpStream stream =
         blockedClient.open(HttpRequest.get(server.address(), "/").build(), new IgnoringListener());
     assertThat(stream.close()).isTrue();
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
@@ -52,7 +52,8 @@
   private final SoakOptions options;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-  private final HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+  private final HttpClient http =
+      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
   private final Observations observations = new Observations();
   private final List<String> findings = new ArrayList<>();
 
--- a/samphiredyke-standins/src/test/java/io/samphiredyke/standins/server/StandInFixture.java
+++ b/samphiredyke-standins/src/test/java/io/samphiredyke/standins/server/StandInFixture.java
@@ -26,7 +26,8 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-  private final HttpClient client = new HttpClient(group, HttpClientOptions.defaults());
+  private final HttpClient client =
+      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
   private final MockTicker ticker = Ticker.newMockTicker();
 
   public StandInRuntime runtime() {
@@ -60,7 +61,7 @@
 
   /** Returns a client without open connections. */
   public HttpClient newClient() {
-    return new HttpClient(group, HttpClientOptions.defaults());
+    return new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
   }
 
   @Override
