Soak: endpoints that misbehave on their connections

Callers reported successes in place of failures and streams out of order with endpoints that send a response twice. Each request's outcome is compared with what the endpoints state that they did to it.

--- /dev/null
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
@@ -0,0 +1,89 @@
+package io.samphiredyke.soak;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The result of a run with faulty endpoints. */
+final class EndpointFaultsResult {
+
+  /** Number of findings of a kind that the summary shows with their history. */
+  private static final int SHOWN = 2;
+
+  private final SoakOptions options;
+  private final List<EndpointFaultsChecker.Finding> findings;
+  private final Map<String, Integer> actions = new TreeMap<>();
+  private final Map<String, Integer> outcomes = new TreeMap<>();
+
+  EndpointFaultsResult(
+      SoakOptions options,
+      Observations observations,
+      Collection<CallerOutcome> received,
+      List<EndpointFaultsChecker.Finding> findings) {
+    this.options = options;
+    this.findings = findings;
+    observations
+        .endpointActions()
+        .values()
+        .forEach(lines -> lines.forEach(line -> actions.merge(kindOf(line), 1, Integer::sum)));
+    received.forEach(
+        outcome ->
+            outcomes.merge(
+                (outcome.kind().isStream() ? "stream " : "plain ") + outcome.summary(),
+                1,
+                Integer::sum));
+  }
+
+  private static String kindOf(String action) {
+    String[] words = action.split(" ");
+    return switch (words[0]) {
+      case "ran", "again", "spliced", "closed" -> words[0];
+      case "copy" -> String.join(" ", words[0], words[1], words[2].replaceAll("-.*", ""), words[3]);
+      default -> words[0] + " " + words[1];
+    };
+  }
+
+  List<EndpointFaultsChecker.Finding> findings() {
+    return findings;
+  }
+
+  /** Returns counts, and each kind of finding with the history of some requests. */
+  List<String> summary() {
+    return lines(SHOWN);
+  }
+
+  /** Returns counts and all findings with their history. */
+  List<String> lines() {
+    return lines(Integer.MAX_VALUE);
+  }
+
+  private List<String> lines(int shown) {
+    List<String> lines = new ArrayList<>();
+    lines.add(
+        "seed "
+            + options.seed()
+            + ", "
+            + options.hosts()
+            + " hosts, "
+            + options.endpoints()
+            + " endpoints, "
+            + options.endpointFaults()
+            + ": "
+            + (findings.isEmpty() ? "green" : findings.size() + " findings"));
+    lines.add("  endpoints: " + actions);
+    lines.add("  callers: " + outcomes);
+    Map<String, List<EndpointFaultsChecker.Finding>> byKind = new TreeMap<>();
+    findings.forEach(
+        finding -> byKind.computeIfAbsent(finding.kind(), kind -> new ArrayList<>()).add(finding));
+    byKind.forEach(
+        (kind, found) -> {
+          lines.add("  " + found.size() + " " + kind);
+          found.stream()
+              .limit(shown)
+              .forEach(finding -> finding.history().forEach(line -> lines.add("      " + line)));
+        });
+    return lines;
+  }
+}
--- /dev/null
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -0,0 +1,116 @@
+package io.samphiredyke.soak;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.net.http.HttpClient;
+import io.samphiredyke.net.http.HttpClientOptions;
+import io.samphiredyke.platform.standin.EndpointFault;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** The run of one seed in which endpoints are faulty; links and the store work. */
+final class EndpointFaultsRun {
+
+  private static final long ENDPOINT_KILL_MILLIS = 1_500;
+  private static final long HOSTS_KILL_MILLIS = 9_000;
+  private static final long POLL_MILLIS = 100;
+  private static final long END_MILLIS = 8_000;
+
+  private final SoakOptions options;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+  private final Observations observations = new Observations();
+  private final Queue<CallerOutcome> outcomes = new ConcurrentLinkedQueue<>();
+  private final List<EndpointFaultsChecker.Outage> outages = new ArrayList<>();
+  private final SplittableRandom random;
+
+  private EndpointFaultsRun(SoakOptions options) {
+    this.options = options;
+    random = new SplittableRandom(options.seed());
+  }
+
+  /** Returns the names of all faults, separated by commas. */
+  static String allFaults() {
+    return Arrays.stream(EndpointFault.values()).map(Enum::name).collect(Collectors.joining(","));
+  }
+
+  /** Runs a seed. */
+  static EndpointFaultsResult run(SoakOptions options) {
+    EndpointFaultsRun run = new EndpointFaultsRun(options);
+    Path directory = options.directory().resolve("endpoint-faults-" + options.seed());
+    try {
+      Files.createDirectories(directory);
+      run.execute(directory);
+      EndpointFaultsResult result =
+          new EndpointFaultsResult(
+              options,
+              run.observations,
+              run.outcomes,
+              EndpointFaultsChecker.check(run.observations, run.outcomes, run.outages));
+      Files.write(directory.resolve("result.txt"), result.lines());
+      return result;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } finally {
+      run.http.close();
+      run.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  private void execute(Path directory) {
+    try (Fleet fleet = new Fleet(options, directory, observations, group)) {
+      new Operator(http, fleet.storeAddress()).writeConfiguration();
+      fleet.start();
+      new HostProbe(http).awaitReady(fleet);
+      List<KeptCaller> callers = new ArrayList<>();
+      List<Thread> threads = new ArrayList<>();
+      for (int i = 0; i < options.callers(); i++) {
+        KeptCaller caller = new KeptCaller(fleet, random.split(), outcomes, observations);
+        callers.add(caller);
+        threads.add(new Thread(caller, "caller-" + i));
+      }
+      threads.forEach(Thread::start);
+      kill(fleet);
+      callers.forEach(KeptCaller::stop);
+      for (Thread thread : threads) {
+        thread.join(END_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Kills endpoints and hosts until the end of the run. */
+  private void kill(Fleet fleet) throws InterruptedException {
+    boolean killsEndpoints = options.endpointFaults().contains(EndpointFault.KILLS.name());
+    boolean killsHosts = options.endpointFaults().contains(EndpointFault.HOSTS.name());
+    long end = System.currentTimeMillis() + TimeUnit.SECONDS.toMillis(options.seconds());
+    long nextEndpoint = System.currentTimeMillis() + ENDPOINT_KILL_MILLIS;
+    long nextHosts = System.currentTimeMillis() + HOSTS_KILL_MILLIS / 2;
+    for (long now = System.currentTimeMillis(); now < end; now = System.currentTimeMillis()) {
+      if (killsEndpoints && now > nextEndpoint) {
+        fleet.endpoint(random.nextInt(options.endpoints())).replace();
+        nextEndpoint = now + ENDPOINT_KILL_MILLIS;
+      }
+      if (killsHosts && now > nextHosts) {
+        fleet.hosts().forEach(host -> host.process().signal("KILL"));
+        fleet.hosts().forEach(Fleet.Host::restart);
+        outages.add(new EndpointFaultsChecker.Outage(now, System.currentTimeMillis()));
+        nextHosts = now + HOSTS_KILL_MILLIS;
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+}
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
@@ -4,6 +4,7 @@
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.platform.SettingsFile;
 import io.samphiredyke.platform.standin.EndpointProcess;
+import io.samphiredyke.platform.standin.FaultyEndpoint;
 import io.samphiredyke.platform.standin.Link;
 import io.samphiredyke.platform.standin.PlatformFixtures;
 import io.samphiredyke.platform.standin.StoreProcess;
@@ -12,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -142,9 +144,12 @@
       this.isStream = isStream;
       String ip = addressPrefix + (FIRST_ENDPOINT_OCTET + index);
       address = ip + ":" + ENDPOINT_PORT;
-      registeredAddress = ip + ":" + (ENDPOINT_PORT + 1);
+      registeredAddress = options.hasEndpointFaults() ? address : ip + ":" + (ENDPOINT_PORT + 1);
       link =
-          new Link(group, SocketAddresses.parse(registeredAddress), SocketAddresses.parse(address));
+          new Link(
+              group,
+              SocketAddresses.parse(ip + ":" + (ENDPOINT_PORT + 1)),
+              SocketAddresses.parse(address));
       process = startEndpoint(this);
     }
 
@@ -212,20 +217,27 @@
     String service = endpoint.isStream ? "model" : "plain";
     int number = instanceCount.incrementAndGet();
     String id = service.charAt(0) + "-" + number;
-    List<String> arguments =
-        List.of(
-            id,
-            service,
-            endpoint.isStream ? "stream" : "plain",
-            endpoint.address,
-            endpoint.registeredAddress,
-            storeAddress(),
-            "v" + number % SOFTWARE_VERSIONS);
-    return start(
-        id, EndpointProcess.class, arguments, id, line -> readOutput(endpoint, service, line));
+    List<String> arguments = new ArrayList<>();
+    Collections.addAll(
+        arguments,
+        id,
+        service,
+        endpoint.isStream ? "stream" : "plain",
+        endpoint.address,
+        endpoint.registeredAddress,
+        storeAddress(),
+        "v" + number % SOFTWARE_VERSIONS);
+    Class<?> main = EndpointProcess.class;
+    if (options.hasEndpointFaults()) {
+      main = FaultyEndpoint.class;
+      arguments.add(Long.toString(options.seed()));
+      arguments.add(options.endpointFaults());
+    }
+    return start(id, main, arguments, id, line -> readOutput(endpoint, id, service, line));
   }
 
-  private void readOutput(Endpoint endpoint, String service, String line) {
+  private void readOutput(Endpoint endpoint, String id, String service, String line) {
+    observations.recordEndpointAction(id, line);
     if (observations.readEndpointOutput(service, line)) {
       group.schedule(endpoint::replace, CRASH_DOWN_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Observations.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Observations.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Requests, responses and executions recorded during a run. Thread-safe. */
 final class Observations {
@@ -25,6 +26,7 @@
   private final Queue<Exchange> exchanges = new ConcurrentLinkedQueue<>();
   private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
   private final Queue<Crash> crashes = new ConcurrentLinkedQueue<>();
+  private final Map<String, List<String>> endpointActions = new ConcurrentHashMap<>();
   private final Map<String, String> takenUp = new ConcurrentHashMap<>();
 
   /** Records that a caller is about to send a request. */
@@ -71,6 +73,26 @@
     return isCrash;
   }
 
+  /** Records what an endpoint states that it does, by the second word, a request's id. */
+  void recordEndpointAction(String endpoint, String line) {
+    String[] words = line.split(" ", 3);
+    if (words.length == 3) {
+      endpointActions
+          .computeIfAbsent(words[1], id -> new CopyOnWriteArrayList<>())
+          .add(words[0] + " " + words[2] + " at " + endpoint);
+    }
+  }
+
+  /** Returns what endpoints did to a request, in the order of their output. */
+  List<String> endpointActions(String id) {
+    return List.copyOf(endpointActions.getOrDefault(id, List.of()));
+  }
+
+  /** Returns what endpoints did to all requests, by the id of the request. */
+  Map<String, List<String>> endpointActions() {
+    return Map.copyOf(endpointActions);
+  }
+
   List<Crash> crashes() {
     return List.copyOf(crashes);
   }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakMain.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakMain.java
@@ -60,27 +60,47 @@
         .addArgument("--gateway")
         .setDefault("target/gateway.jar")
         .help("JAR file of the gateway");
+    parser
+        .addArgument("--endpoint-faults")
+        .setDefault("")
+        .help("faults of endpoints, such as COPIES,BREAKS, or ALL; no other faults are injected");
     parser.addArgument("--logs").setDefault("run/soak").help("directory for logs");
     return parser;
   }
 
   private static boolean runSeeds(Namespace flags) {
+    String faults = flags.getString("endpoint_faults");
+    if (faults.equals("ALL")) {
+      faults = EndpointFaultsRun.allFaults();
+    }
+    boolean hasFaults = !faults.isEmpty();
     boolean allPassed = true;
     for (int i = 0; i < flags.getInt("seeds"); i++) {
       SoakOptions options =
           new SoakOptions(
               flags.getLong("seed") + i,
               (int) Math.round(flags.getDouble("minutes") * SECONDS_PER_MINUTE),
-              Math.max(3, flags.getInt("hosts")),
+              hasFaults ? flags.getInt("hosts") : Math.max(3, flags.getInt("hosts")),
               Math.max(2, flags.getInt("endpoints")),
               flags.getInt("callers"),
               Path.of(flags.getString("gateway")),
               Path.of(flags.getString("logs")),
-              flags.getInt("network"));
-      List<String> lines = SoakRun.run(options).lines();
-      lines.forEach(System.out::println);
-      allPassed &= lines.size() == 1;
+              flags.getInt("network"),
+              faults);
+      allPassed &= hasFaults ? runEndpointFaults(options) : runFaults(options);
     }
     return allPassed;
   }
+
+  private static boolean runFaults(SoakOptions options) {
+    List<String> lines = SoakRun.run(options).lines();
+    lines.forEach(System.out::println);
+    return lines.size() == 1;
+  }
+
+  private static boolean runEndpointFaults(SoakOptions options) {
+    EndpointFaultsResult result = EndpointFaultsRun.run(options);
+    result.summary().forEach(System.out::println);
+    return result.findings().isEmpty();
+  }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakOptions.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakOptions.java
@@ -14,6 +14,8 @@
  * @param directory directory for logs
  * @param network number of the run among the runs of this process, from which its addresses are
  *     derived
+ * @param endpointFaults comma-separated {@link io.samphiredyke.platform.standin.EndpointFault}s,
+ *     empty for endpoints that follow the protocol
  */
 record SoakOptions(
     long seed,
@@ -23,8 +25,13 @@
     int callers,
     Path gatewayJar,
     Path directory,
-    int network) {
+    int network,
+    String endpointFaults) {
 
   /** Main class of the gateways. */
   static final String GATEWAY_CLASS = "io.samphiredyke.gateway.GatewayMain";
+
+  boolean hasEndpointFaults() {
+    return !endpointFaults.isEmpty();
+  }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
@@ -1,14 +1,11 @@
 package io.samphiredyke.soak;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.net.http.HttpClientOptions;
-import io.samphiredyke.net.http.HttpRequest;
-import io.samphiredyke.net.http.HttpResponse;
 import io.samphiredyke.platform.standin.CallerStandIn;
 import io.samphiredyke.platform.standin.PlatformFixtures;
 import java.io.IOException;
@@ -19,20 +16,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
 /** The run of one seed: starts all processes, injects faults under load and checks the result. */
 final class SoakRun {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
-  /** Time limit for startup, sufficient on a heavily loaded machine. */
-  private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
-
-  private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
-  private static final long POLL_MILLIS = 100;
-
   /**
    * Time between the last fault and the final measurement; the platform allows 12 s for recovery.
    */
@@ -53,6 +41,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+  private final HostProbe probe = new HostProbe(http);
   private final Observations observations = new Observations();
   private final List<String> findings = new ArrayList<>();
 
@@ -86,7 +75,7 @@
       Operator operator = new Operator(http, fleet.storeAddress());
       operator.writeConfiguration();
       fleet.start();
-      awaitReady(fleet);
+      probe.awaitReady(fleet);
       List<Caller> callers = startCallers(fleet);
       new FaultInjector(fleet, operator).inject(plan);
       callers.forEach(Caller::endCrashing);
@@ -104,35 +93,6 @@
         ResultChecker.check(observations, PlatformFixtures.LIMITED, PlatformFixtures.LIMITED_RATE));
   }
 
-  private void awaitReady(Fleet fleet) {
-    long deadline = System.nanoTime() + START_TIMEOUT.toNanos();
-    for (Fleet.Host host : fleet.hosts()) {
-      while (!isReady(host)) {
-        if (System.nanoTime() > deadline) {
-          throw new IllegalStateException(host.name() + " is not ready, see its log");
-        }
-        pause(Duration.ofMillis(POLL_MILLIS));
-      }
-    }
-  }
-
-  private boolean isReady(Fleet.Host host) {
-    return statusOf(
-            CallerStandIn.readinessRequest(
-                SocketAddresses.parse(host.readinessAddress()), PROBE_TIMEOUT))
-        == OK;
-  }
-
-  private int statusOf(HttpRequest request) {
-    try {
-      HttpResponse response = http.send(request).join();
-      return response.status();
-    } catch (CompletionException e) {
-      logger.atFine().log("no response: %s", e.getMessage());
-      return 0;
-    }
-  }
-
   private List<Caller> startCallers(Fleet fleet) {
     SplittableRandom random = new SplittableRandom(options.seed() + 1);
     List<Caller> callers = new ArrayList<>();
@@ -160,7 +120,7 @@
       findings.add("RECOVER " + served + " of " + sent + " served after the last fault");
     }
     for (Fleet.Host host : fleet.hosts()) {
-      if (!isReady(host)) {
+      if (!probe.isReady(host)) {
         findings.add("RECOVER " + host.name() + " is not ready after the last fault");
         continue;
       }
@@ -174,14 +134,14 @@
     String id = "end-" + host.name();
     observations.recordRequest(id, RequestKind.SAFE);
     int status =
-        statusOf(
+        probe.statusOf(
             CallerStandIn.request(
                 SocketAddresses.parse(host.address()),
                 "/" + route + "/" + id,
                 id,
                 operator.newestKey(),
                 false,
-                PROBE_TIMEOUT));
+                HostProbe.TIMEOUT));
     if (status != OK) {
       findings.add("CONFIG " + host.name() + " responds " + status + " for the newest route");
     }
--- a/samphiredyke-soak/src/test/java/io/samphiredyke/soak/SoakTest.java
+++ b/samphiredyke-soak/src/test/java/io/samphiredyke/soak/SoakTest.java
@@ -17,7 +17,7 @@
   void reportsNoFindingsUnderFaults() {
     SoakOptions options =
         new SoakOptions(
-            1, SECONDS, 3, 4, 6, Path.of(System.getProperty("soak.gateway")), directory, 1);
+            1, SECONDS, 3, 4, 6, Path.of(System.getProperty("soak.gateway")), directory, 1, "");
     SoakResult result = SoakRun.run(options);
     assertThat(result.findings()).as(String.join("\n", result.lines())).isEmpty();
   }
