--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
@@ -21,7 +21,7 @@
    * A time in which all hosts were killed.
    *
    * @param beginMillis milliseconds since the epoch
-   * @param endMillis when all of them were started again
+   * @param endMillis when all of them were ready again
    */
   record Outage(long beginMillis, long endMillis) {}
 
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
@@ -31,11 +31,18 @@
     received.forEach(
         outcome ->
             outcomes.merge(
-                (outcome.kind().isStream() ? "stream " : "plain ") + outcome.summary(),
+                typeOf(outcome) + " " + outcome.summary(),
                 1,
                 Integer::sum));
   }
 
+  private static String typeOf(CallerOutcome outcome) {
+    if (outcome.lastEventBefore() > 0) {
+      return "take-up";
+    }
+    return outcome.kind().isStream() ? "stream" : "plain";
+  }
+
   private static String kindOf(String action) {
     String[] words = action.split(" ");
     return switch (words[0]) {
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -22,8 +22,11 @@
 /** The run of one seed in which endpoints are faulty; links and the store work. */
 final class EndpointFaultsRun {
 
-  private static final long ENDPOINT_KILL_MILLIS = 1_500;
+  /** Time between two kills of the same endpoint, on average. */
+  private static final long ENDPOINT_KILL_MILLIS = 9_000;
+
   private static final long HOSTS_KILL_MILLIS = 9_000;
+  private static final int KILL_SECONDS = 10;
   private static final long POLL_MILLIS = 100;
   private static final long END_MILLIS = 8_000;
 
@@ -31,6 +34,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+  private final HostProbe probe = new HostProbe(http);
   private final Observations observations = new Observations();
   private final Queue<CallerOutcome> outcomes = new ConcurrentLinkedQueue<>();
   private final List<EndpointFaultsChecker.Outage> outages = new ArrayList<>();
@@ -73,7 +77,7 @@
     try (Fleet fleet = new Fleet(options, directory, observations, group)) {
       new Operator(http, fleet.storeAddress()).writeConfiguration();
       fleet.start();
-      new HostProbe(http).awaitReady(fleet);
+      probe.awaitReady(fleet);
       List<KeptCaller> callers = new ArrayList<>();
       List<Thread> threads = new ArrayList<>();
       for (int i = 0; i < options.callers(); i++) {
@@ -97,20 +101,29 @@
     boolean killsEndpoints = options.endpointFaults().contains(EndpointFault.KILLS.name());
     boolean killsHosts = options.endpointFaults().contains(EndpointFault.HOSTS.name());
     long end = System.currentTimeMillis() + TimeUnit.SECONDS.toMillis(options.seconds());
-    long nextEndpoint = System.currentTimeMillis() + ENDPOINT_KILL_MILLIS;
+    long killMillis = ENDPOINT_KILL_MILLIS / options.endpoints();
+    long nextEndpoint = System.currentTimeMillis() + killMillis;
     long nextHosts = System.currentTimeMillis() + HOSTS_KILL_MILLIS / 2;
     for (long now = System.currentTimeMillis(); now < end; now = System.currentTimeMillis()) {
       if (killsEndpoints && now > nextEndpoint) {
-        fleet.endpoint(random.nextInt(options.endpoints())).replace();
-        nextEndpoint = now + ENDPOINT_KILL_MILLIS;
+        replace(fleet.endpoint(random.nextInt(options.endpoints())));
+        nextEndpoint = now + killMillis;
       }
       if (killsHosts && now > nextHosts) {
         fleet.hosts().forEach(host -> host.process().signal("KILL"));
         fleet.hosts().forEach(Fleet.Host::restart);
+        probe.awaitReady(fleet);
         outages.add(new EndpointFaultsChecker.Outage(now, System.currentTimeMillis()));
         nextHosts = now + HOSTS_KILL_MILLIS;
       }
       Thread.sleep(POLL_MILLIS);
     }
   }
+
+  /** Kills an endpoint, reads its output to the end and starts another one. */
+  private static void replace(Fleet.Endpoint endpoint) {
+    endpoint.process().signal("KILL");
+    endpoint.process().awaitExit(KILL_SECONDS);
+    endpoint.replace();
+  }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
@@ -226,7 +226,7 @@
         endpoint.address,
         endpoint.registeredAddress,
         storeAddress(),
-        "v" + number % SOFTWARE_VERSIONS);
+        "v" + (options.hasEndpointFaults() ? number / 2 : number) % SOFTWARE_VERSIONS);
     Class<?> main = EndpointProcess.class;
     if (options.hasEndpointFaults()) {
       main = FaultyEndpoint.class;
