The order of a stream's events is checked within and across attempts

What callers saw: an event that an endpoint sent again or out of order was passed on, and a continuation or take-up that left out an event, or began with one that the caller had, was joined to what came before.

Cause: only the first event of a continuation within one response was checked, against being an old one. The ids within an attempt, the id that a caller names when it takes up a stream, and ids that are no numbers were not looked at. An event without end was buffered without bound.

Change: EventSequence, a decision without I/O, says for each whole event whether it is passed on, held or ends the attempt. The events before a faulty one are passed on; the stream continues elsewhere after them, or breaks off. Events are limited to 64 KiB.

Evidence: StreamOrderTest sends such streams byte by byte.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -23,6 +23,7 @@
   private final Counter refusals;
   private final Counter failures;
   private final Counter retries;
+  private final Counter faultyStreams;
   private final Histogram latencies;
 
   /** Creates metrics with all values at zero. */
@@ -44,6 +45,12 @@
             .name("samphiredyke_repeated_total")
             .help("Requests sent to a further endpoint.")
             .register(registry);
+    faultyStreams =
+        Counter.builder()
+            .name("samphiredyke_faulty_streams_total")
+            .help("Attempts ended because their events do not continue the stream, by reason.")
+            .labelNames("reason")
+            .register(registry);
     latencies =
         Histogram.builder()
             .name("samphiredyke_answer_seconds")
@@ -87,6 +94,11 @@
     retries.inc();
   }
 
+  /** Counts an attempt that was ended because of its events. */
+  public void faultyStream(String reason) {
+    faultyStreams.labelValues(reason).inc();
+  }
+
   /** Records the latency of a complete response. */
   public void completed(String route, long millis) {
     latencies.labelValues(route).observe(millis / MILLIS_PER_SECOND);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -74,14 +74,9 @@
         new RequestDeadlines(route, head.remainingMillis(), waitedMillis, request.arrivedAt());
     this.acquisition =
         new SlotAcquisition(context, this, head, route, customer, content, deadlines);
-    this.log =
-        new RequestLog(
-            context.log(),
-            context.metrics(),
-            head.requestId(),
-            route.name(),
-            head.estimate().parts());
-    this.relay = new ResponseRelay(request.writer(), route.kind().isStream(), this::streamBegins);
+    this.log = new RequestLog(context.log(), context.metrics(), head, route.name());
+    this.relay =
+        new ResponseRelay(request.writer(), route.kind(), head.lastEventId(), this::streamBegins);
   }
 
   RequestService.Context context() {
@@ -100,6 +95,10 @@
     return relay;
   }
 
+  RequestLog log() {
+    return log;
+  }
+
   void start() {
     context.inProgress().add(this);
     long remainingNanos = deadlines.deadline() - context.loop().nanoTime();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.stream.EventDecision;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.SlotHandle;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
@@ -44,9 +45,10 @@
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
   private long sentAt;
-  private long lastContentAt;
+  private long lastProgressAt;
   private boolean isNotRun;
   private boolean isDone;
+  private boolean hasContent;
   private boolean hasStarted;
   private boolean wasBrokenOff;
   private long lastEventIdBefore;
@@ -96,7 +98,7 @@
   void start(OutgoingRequest outgoing, boolean isFirst) {
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
-    lastContentAt = sentAt;
+    lastProgressAt = sentAt;
     exchange = request.context().connections().open(endpoint.address(), outgoing, isFirst, this);
     if (!isDone && request.mayRetry()) {
       scheduleInactivityCheck(
@@ -117,7 +119,7 @@
         hasStarted
             ? InactivityTimeout.betweenChunks(request.route())
             : InactivityTimeout.beforeFirstEvent(request.route(), request.estimate());
-    long inactiveMillis = (request.context().loop().nanoTime() - lastContentAt) / NANOS_PER_MILLI;
+    long inactiveMillis = (request.context().loop().nanoTime() - lastProgressAt) / NANOS_PER_MILLI;
     if (inactiveMillis < limitMillis || !request.relay().isWritable()) {
       scheduleInactivityCheck(Math.max(MIN_CHECK_MILLIS, limitMillis - inactiveMillis));
       return;
@@ -242,13 +244,20 @@
       discard(content);
       return;
     }
-    lastContentAt = request.context().loop().nanoTime();
-    if (!hasStarted) {
-      hasStarted = true;
+    if (!hasContent) {
+      hasContent = true;
       slot.firstEventReceived();
     }
-    if (!request.relay().onContent(content)) {
-      fail("the answer does not continue the stream");
+    ResponseRelay relay = request.relay();
+    long before = relay.progress();
+    EventDecision decision = relay.onContent(content);
+    if (relay.progress() > before) {
+      lastProgressAt = request.context().loop().nanoTime();
+      hasStarted = true;
+    }
+    if (decision.isFaulty()) {
+      cancel();
+      endFaulty(decision, relay.lastReceivedId());
       return;
     }
     EndpointExchange open = exchange;
@@ -257,6 +266,13 @@
     }
   }
 
+  /** Ends an attempt whose events can't be used; those before the faulty one were passed on. */
+  private void endFaulty(EventDecision decision, long receivedId) {
+    long lowestNextId = request.relay().lowestNextId();
+    request.log().faultyStream(endpoint.id(), decision, lowestNextId, receivedId);
+    request.failed(this, decision.reason());
+  }
+
   /** Reads on only to reuse the connection, which a body without end does not allow. */
   private void discard(ByteBuf content) {
     discardedBytes += content.readableBytes();
@@ -285,7 +301,7 @@
       endUnusable();
     } else if (request.relay().endsMidEvent()) {
       wasBrokenOff = true;
-      request.failed(this, "the stream ended within an event");
+      endFaulty(EventDecision.TRUNCATED, -1);
     } else {
       request.relay().end();
       request.completed(this, status);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -4,8 +4,10 @@
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.StreamOrigin;
+import io.samphiredyke.core.stream.EventDecision;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.platform.CallerRequestHead;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -19,17 +21,12 @@
   private final String route;
   private final List<PromptPart> parts;
 
-  RequestLog(
-      DecisionLog log,
-      GatewayMetrics metrics,
-      String requestId,
-      String route,
-      List<PromptPart> parts) {
+  RequestLog(DecisionLog log, GatewayMetrics metrics, CallerRequestHead head, String route) {
     this.log = log;
     this.metrics = metrics;
-    this.requestId = requestId;
+    this.requestId = head.requestId();
     this.route = route;
-    this.parts = parts;
+    this.parts = head.estimate().parts();
   }
 
   /**
@@ -90,6 +87,28 @@
         isRecorded);
   }
 
+  /**
+   * Logs that an attempt is ended, because what it delivered does not continue the stream.
+   *
+   * @param lowestNextId lowest id that was acceptable
+   * @param receivedId id of the event, or -1 if it has no usable one
+   */
+  void faultyStream(String endpointId, EventDecision decision, long lowestNextId, long receivedId) {
+    log.event(
+        "stream_faulty",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "reason",
+        decision.reason(),
+        "expected_event",
+        lowestNextId,
+        "event_id",
+        receivedId);
+    metrics.faultyStream(decision.reason());
+  }
+
   /** Logs that the request is retried; its content relates the failures of several attempts. */
   void retried(String reason, String endpointId, RequestFingerprint content) {
     log.event(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -6,6 +6,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.samphiredyke.core.serving.RouteKind;
+import io.samphiredyke.core.stream.EventDecision;
+import io.samphiredyke.core.stream.EventSequence;
+import io.samphiredyke.core.stream.StreamEvent;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
 import org.jspecify.annotations.Nullable;
 
@@ -27,20 +31,24 @@
   private @Nullable HttpHeaders headers;
   private int status;
   private boolean started;
+  private boolean hasEvents;
   private SseFramer framer = new SseFramer();
-  private long lastEventId = -1;
-  private boolean isResumed;
-  private boolean hasPassedEvent;
+  private final EventSequence sequence;
+  private long progress;
+  private long lastReceivedId = -1;
   private final Runnable onFirstEvent;
 
   /**
    * Creates a relay.
    *
+   * @param afterId id of the last event that the caller has, or -1
    * @param onFirstEvent runs before the first event of a stream is passed on
    */
-  ResponseRelay(ResponseWriter writer, boolean isStream, Runnable onFirstEvent) {
+  ResponseRelay(ResponseWriter writer, RouteKind kind, long afterId, Runnable onFirstEvent) {
     this.writer = writer;
-    this.isStream = isStream;
+    this.isStream = kind.isStream();
+    // Only a resumable stream is promised to continue after the event that the caller names.
+    this.sequence = new EventSequence(kind == RouteKind.RESUMABLE_STREAM ? afterId : -1);
     this.onFirstEvent = onFirstEvent;
   }
 
@@ -51,7 +59,8 @@
     }
     status = response.status().code();
     headers = responseHeaders(response.headers());
-    if (isStream && isSuccess) {
+    hasEvents = isStream && isSuccess;
+    if (hasEvents) {
       started = true;
       writer.start(status, headers);
     }
@@ -76,40 +85,49 @@
   }
 
   /**
-   * Handles a chunk of the body.
+   * Handles a chunk of the body. Of a stream, the events before a faulty one are passed on.
    *
-   * @return false if a resumed stream does not continue after the last event that was relayed
+   * @return why the attempt is faulty; {@link EventDecision#PASS} if it is not
    */
-  boolean onContent(ByteBuf chunk) {
-    if (!started) {
-      buffered.writeBytes(chunk);
-      if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-        flushBuffered();
-      }
-      return true;
+  EventDecision onContent(ByteBuf chunk) {
+    if (hasEvents) {
+      return relayEvents(chunk);
     }
-    if (!isStream) {
+    progress++;
+    if (started) {
       writer.write(Unpooled.copiedBuffer(chunk));
-      return true;
+      return EventDecision.PASS;
     }
-    ByteBuf completeEvents = framer.add(chunk);
-    if (!completeEvents.isReadable()) {
-      return true;
+    buffered.writeBytes(chunk);
+    if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+      flushBuffered();
     }
-    if (isResumed && framer.firstEventId() >= 0 && framer.firstEventId() <= lastEventId) {
-      completeEvents.release();
-      return false;
+    return EventDecision.PASS;
+  }
+
+  private EventDecision relayEvents(ByteBuf chunk) {
+    boolean hadPassed = sequence.hasPassed();
+    framer.add(chunk);
+    EventDecision decision = EventDecision.PASS;
+    for (StreamEvent event = framer.next(); event != null; event = framer.next()) {
+      decision = sequence.accept(event);
+      if (decision.isFaulty()) {
+        lastReceivedId = event.id();
+        break;
+      }
+      if (decision == EventDecision.PASS) {
+        framer.accept();
+        progress++;
+      }
     }
-    if (!hasPassedEvent) {
-      hasPassedEvent = true;
+    if (!hadPassed && sequence.hasPassed()) {
       onFirstEvent.run();
     }
-    if (framer.lastEventId() >= 0) {
-      lastEventId = framer.lastEventId();
-      isResumed = false;
+    ByteBuf accepted = framer.take();
+    if (accepted.isReadable()) {
+      writer.write(accepted);
     }
-    writer.write(completeEvents);
-    return true;
+    return decision.isFaulty() ? decision : EventDecision.PASS;
   }
 
   private void flushBuffered() {
@@ -124,7 +142,7 @@
 
   /** Returns whether a stream ends in the middle of an event. */
   boolean endsMidEvent() {
-    return started && isStream && framer.hasPartialEvent();
+    return hasEvents && framer.hasPartialEvent();
   }
 
   /** Completes the response to the caller. */
@@ -146,9 +164,10 @@
     if (!started) {
       buffered.clear();
       headers = null;
+      hasEvents = false;
     }
     framer = new SseFramer();
-    isResumed = started;
+    sequence.attemptBegins();
   }
 
   boolean hasStarted() {
@@ -157,12 +176,27 @@
 
   /** Returns whether another endpoint can resume a response that has started. */
   boolean canResume() {
-    return isStream && lastEventId >= 0;
+    return hasEvents && sequence.canResume();
   }
 
-  /** Returns the id of the last complete event that was relayed, or -1. */
+  /** Returns the id of the last complete event that the caller has, or -1. */
   long lastEventId() {
-    return lastEventId;
+    return sequence.lastId();
+  }
+
+  /** Returns the lowest id that the next event may have. */
+  long lowestNextId() {
+    return sequence.lowestNextId();
+  }
+
+  /** Returns the id of the event that made an attempt faulty, or -1 if it has none. */
+  long lastReceivedId() {
+    return lastReceivedId;
+  }
+
+  /** Returns a number that rises with each event or chunk of a plain response. */
+  long progress() {
+    return progress;
   }
 
   boolean isWritable() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -2,104 +2,112 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.samphiredyke.core.stream.StreamEvent;
 import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Splits a stream of server-sent events into complete events, so that a stream that breaks off in
- * the middle of an event can be resumed after the last complete one.
+ * Splits a stream of server-sent events into complete events, and keeps the bytes of those that
+ * have not been taken.
  */
 final class SseFramer {
 
+  /** Largest event with the comments before it, in bytes. */
+  static final int MAX_EVENT_BYTES = 64 * 1024;
+
   private static final byte LINE_FEED = '\n';
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
+  private static final StreamEvent OVERSIZED = StreamEvent.of(StreamEvent.Kind.OVERSIZED);
+  private static final StreamEvent COMMENT = StreamEvent.of(StreamEvent.Kind.COMMENT);
+  private static final StreamEvent UNNUMBERED = StreamEvent.of(StreamEvent.Kind.UNNUMBERED);
 
   private final ByteBuf pending = Unpooled.buffer(256);
-  private long lastEventId = -1;
-  private long firstEventId = -1;
+  private int acceptedEnd;
+  private int eventEnd;
+  private int lineStart;
+  private int scanned;
+  private StreamEvent event = COMMENT;
 
-  /** Adds bytes and returns all complete events so far; the caller owns the returned buffer. */
-  ByteBuf add(ByteBuf bytes) {
+  /** Adds received bytes. */
+  void add(ByteBuf bytes) {
     pending.writeBytes(bytes);
-    int end = endOfCompleteEvents();
-    if (end <= pending.readerIndex()) {
-      return Unpooled.EMPTY_BUFFER;
-    }
-    ByteBuf completeEvents = Unpooled.buffer(end - pending.readerIndex());
-    pending.readBytes(completeEvents);
-    pending.discardReadBytes();
-    return completeEvents;
   }
 
-  /** Scans the complete lines and returns the index after the last empty one. */
-  private int endOfCompleteEvents() {
-    int end = pending.readerIndex();
-    int lineStart = end;
-    long id = -1;
+  /** Returns the next complete event, or null if there is none yet. */
+  @Nullable StreamEvent next() {
     while (true) {
-      int feed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED);
+      int feed = pending.indexOf(scanned, pending.writerIndex(), LINE_FEED);
       if (feed < 0) {
-        return end;
+        scanned = pending.writerIndex();
+        return scanned - acceptedEnd > MAX_EVENT_BYTES ? OVERSIZED : null;
       }
       int lineEnd = feed > lineStart && pending.getByte(feed - 1) == '\r' ? feed - 1 : feed;
-      if (lineEnd == lineStart) {
-        end = feed + 1;
-        recordEventId(id);
-        id = -1;
-      } else if (isIdField(lineStart, lineEnd)) {
-        id = parseNumber(lineStart + ID_FIELD.length, lineEnd);
+      boolean isEndOfEvent = lineEnd == lineStart;
+      if (!isEndOfEvent) {
+        readField(lineEnd);
       }
       lineStart = feed + 1;
+      scanned = lineStart;
+      if (isEndOfEvent) {
+        return endEvent();
+      }
     }
   }
 
-  private void recordEventId(long id) {
-    if (id >= 0) {
-      firstEventId = firstEventId < 0 ? id : firstEventId;
-      lastEventId = id;
+  private StreamEvent endEvent() {
+    StreamEvent complete = event;
+    event = COMMENT;
+    eventEnd = lineStart;
+    return eventEnd - acceptedEnd > MAX_EVENT_BYTES ? OVERSIZED : complete;
+  }
+
+  private void readField(int lineEnd) {
+    if (startsWith(ID_FIELD, lineEnd)) {
+      int valueStart = lineStart + ID_FIELD.length;
+      event =
+          StreamEvent.withId(
+              pending.toString(valueStart, lineEnd - valueStart, StandardCharsets.US_ASCII));
+    } else if (event.kind() == StreamEvent.Kind.COMMENT && startsWith(DATA_FIELD, lineEnd)) {
+      event = UNNUMBERED;
     }
   }
 
-  private boolean isIdField(int start, int end) {
-    if (end - start < ID_FIELD.length) {
+  private boolean startsWith(byte[] name, int lineEnd) {
+    if (lineEnd - lineStart < name.length) {
       return false;
     }
-    for (int i = 0; i < ID_FIELD.length; i++) {
-      if (pending.getByte(start + i) != ID_FIELD[i]) {
+    for (int i = 0; i < name.length; i++) {
+      if (pending.getByte(lineStart + i) != name[i]) {
         return false;
       }
     }
     return true;
   }
 
-  private long parseNumber(int start, int end) {
-    long value = 0;
-    boolean hasDigits = false;
-    for (int i = start; i < end; i++) {
-      byte digit = pending.getByte(i);
-      if (digit == ' ') {
-        continue;
-      }
-      if (digit < '0' || digit > '9') {
-        return -1;
-      }
-      hasDigits = true;
-      value = value * 10 + (digit - '0');
-    }
-    return hasDigits ? value : -1;
-  }
-
-  /** Returns the id of the last complete event, or -1. */
-  long lastEventId() {
-    return lastEventId;
+  /** Marks the events that were returned so far as to be taken. */
+  void accept() {
+    acceptedEnd = eventEnd;
   }
 
-  /** Returns the id of the first complete event, or -1. */
-  long firstEventId() {
-    return firstEventId;
+  /** Removes the bytes of the accepted events and returns them; the caller owns the buffer. */
+  ByteBuf take() {
+    int length = acceptedEnd - pending.readerIndex();
+    if (length == 0) {
+      return Unpooled.EMPTY_BUFFER;
+    }
+    ByteBuf taken = Unpooled.buffer(length);
+    pending.readBytes(taken);
+    pending.discardReadBytes();
+    acceptedEnd -= length;
+    eventEnd -= length;
+    lineStart -= length;
+    scanned -= length;
+    return taken;
   }
 
   /** Returns whether the last event is still incomplete. */
   boolean hasPartialEvent() {
-    return pending.isReadable();
+    return pending.writerIndex() > eventEnd;
   }
 }
--- /dev/null
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
@@ -0,0 +1,200 @@
+package io.samphiredyke.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.samphiredyke.platform.StoreClient;
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Streams of endpoints that send their events in a wrong order or break off, byte by byte. */
+@Timeout(60)
+class StreamOrderTest extends GatewayHarness {
+
+  private static final String BROKEN = "broken off";
+
+  private final List<ServerSocket> servers = new ArrayList<>();
+  private final Queue<String> bodies = new ConcurrentLinkedQueue<>();
+  private final Queue<String> received = new ConcurrentLinkedQueue<>();
+  private RunningGateway running;
+
+  @BeforeEach
+  void startEndpoints() throws IOException {
+    register("draining", modelEndpoints);
+    for (int i = 1; i <= 2; i++) {
+      ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+      servers.add(server);
+      Thread acceptor = new Thread(() -> acceptAll(server));
+      acceptor.setDaemon(true);
+      acceptor.start();
+      String entry =
+          String.format(
+              Locale.ROOT,
+              "{\"Service\":\"model\",\"Address\":\"127.0.0.1:%d\",\"Zone\":\"a\","
+                  + "\"Version\":\"v1\",\"BatchSlots\":4,\"State\":\"ready\",\"ColdLeftMs\":0,"
+                  + "\"Sequence\":1,\"born\":1}",
+              server.getLocalPort());
+      store.put(StoreClient.ENDPOINT_TOPIC, "s-" + i, entry);
+    }
+    running = startConfiguredGateway();
+    await(() -> running.gateway().directory().ofService("model").size() == 2);
+  }
+
+  @AfterEach
+  void stopEndpoints() throws IOException {
+    for (ServerSocket server : servers) {
+      server.close();
+    }
+  }
+
+  private void acceptAll(ServerSocket server) {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        Thread serving = new Thread(() -> serve(socket));
+        serving.setDaemon(true);
+        serving.start();
+      }
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
+
+  /** Sends the next body and closes the connection; only a body that is ended is complete. */
+  private void serve(Socket socket) {
+    try (socket) {
+      BufferedReader in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+      String id = "";
+      String after = "";
+      for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+        String value = line.substring(line.indexOf(':') + 1).strip();
+        id = line.toLowerCase(Locale.ROOT).startsWith("x-samphiredyke-request-id") ? value : id;
+        after = line.toLowerCase(Locale.ROOT).startsWith("last-event-id") ? value : after;
+      }
+      received.add(after);
+      String body = bodies.remove();
+      String whole = body.replace(BROKEN, "");
+      String text =
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Samphiredyke-Request-Id: "
+              + id
+              + "\r\nX-Samphiredyke-Server-Signature: d\r\n\r\n"
+              + (whole.isEmpty() ? "" : Integer.toHexString(whole.length()) + "\r\n" + whole)
+              + (whole.isEmpty() ? "" : "\r\n")
+              + (body.endsWith(BROKEN) ? "" : "0\r\n\r\n");
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    } catch (IOException e) {
+      // The gateway has closed the connection.
+    }
+  }
+
+  private static String events(int... ids) {
+    StringBuilder text = new StringBuilder();
+    for (int id : ids) {
+      text.append("id: ").append(id).append("\ndata: x\n\n");
+    }
+    return text.toString();
+  }
+
+  /** Returns status and body, or what came before the response broke off. */
+  private String stream(HttpRequest.Builder request, String... bodiesToSend) {
+    bodies.addAll(List.of(bodiesToSend));
+    HttpResponse<InputStream> response =
+        client
+            .sendAsync(
+                request.POST(HttpRequest.BodyPublishers.noBody()).build(),
+                HttpResponse.BodyHandlers.ofInputStream())
+            .handle((done, failure) -> done)
+            .join();
+    if (response == null) {
+      return "no response";
+    }
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    String end = "";
+    try (InputStream in = response.body()) {
+      for (int next = in.read(); next >= 0; next = in.read()) {
+        out.write(next);
+      }
+    } catch (IOException e) {
+      end = BROKEN;
+    }
+    boolean isStream = response.statusCode() == 200;
+    return response.statusCode()
+        + " "
+        + (isStream ? out.toString(StandardCharsets.UTF_8) : "")
+        + end;
+  }
+
+  private String resumable(String... bodiesToSend) {
+    return stream(request(running, "/resumable/x"), bodiesToSend);
+  }
+
+  private String plain(String... bodiesToSend) {
+    return stream(request(running, "/stream/x"), bodiesToSend);
+  }
+
+  @Test
+  void eventThatIsSentTwiceReachesNoCaller() {
+    assertThat(resumable(events(1, 2, 2, 3), events(3, 4))).isEqualTo("200 " + events(1, 2, 3, 4));
+    assertThat(received).containsExactly("", "2");
+    assertThat(plain(events(1, 2, 2, 3))).isEqualTo("200 " + events(1, 2) + BROKEN);
+    assertThat(logged("\"reason\":\"a repeated event\",\"expected_event\":3,\"event_id\":2"))
+        .isTrue();
+  }
+
+  @Test
+  void earlierEventReachesNoCaller() {
+    assertThat(resumable(events(1, 2, 3, 1), events(4))).isEqualTo("200 " + events(1, 2, 3, 4));
+    assertThat(plain(events(1, 2, 3, 1))).isEqualTo("200 " + events(1, 2, 3) + BROKEN);
+  }
+
+  @Test
+  void gapAfterAResumptionReachesNoCaller() {
+    assertThat(resumable(events(1, 2) + BROKEN, events(4, 5)))
+        .isEqualTo("200 " + events(1, 2) + BROKEN);
+  }
+
+  @Test
+  void jumpWithinAnAttemptIsSound() {
+    assertThat(plain(events(0, 1, 6, 90))).isEqualTo("200 " + events(0, 1, 6, 90));
+  }
+
+  @Test
+  void idThatIsNoNumberReachesNoCaller() {
+    String odd = "id: x\ndata: x\n\n";
+    assertThat(resumable(events(1, 2) + odd, events(3))).isEqualTo("200 " + events(1, 2, 3));
+  }
+
+  @Test
+  void takeUpThatRepeatsAnEventReachesNoCaller() {
+    HttpRequest.Builder takeUp =
+        request(running, "/resumable/x").header("Last-Event-Id", "3").header("Resumes", "r-0");
+    store.put("streams", "host-0", "[[\"r-0\",\"model\",\"v1\"]]");
+    assertThat(stream(takeUp, events(3, 4), events(4, 5))).isEqualTo("200 " + events(4, 5));
+  }
+
+  @Test
+  void eventWithoutEndIsBounded() {
+    assertThat(plain(events(1) + "data: " + "x".repeat(1_000_000)))
+        .isEqualTo("200 " + events(1) + BROKEN);
+    assertThat(logged("an event above the permitted size")).isTrue();
+  }
+}
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.samphiredyke.core.serving.RouteKind;
+import io.samphiredyke.core.stream.EventDecision;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
@@ -60,7 +62,7 @@
 
   @Test
   void buffersAPlainResponseUntilItIsComplete() {
-    ResponseRelay relay = new ResponseRelay(this, false, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.IDEMPOTENT, -1, () -> {});
     relay.onHead(head("d"), true);
     relay.onContent(text("half"));
     assertThat(written).isEmpty();
@@ -73,31 +75,41 @@
 
   @Test
   void resumesAStreamAfterTheLastCompleteEvent() {
-    ResponseRelay relay = new ResponseRelay(this, true, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\nid: 3\nda"));
     assertThat(relay.canResume()).isTrue();
     assertThat(relay.lastEventId()).isEqualTo(2);
     relay.prepareRetry();
     relay.onHead(head("second"), true);
-    assertThat(relay.onContent(text("id: 3\n\n"))).isTrue();
+    assertThat(relay.onContent(text("id: 3\n\n"))).isEqualTo(EventDecision.PASS);
     relay.end();
     assertThat(written.toString()).isEqualTo("200 first id: 1\n\nid: 2\n\nid: 3\n\nend");
   }
 
   @Test
   void rejectsAResumedStreamThatRepeatsEvents() {
-    ResponseRelay relay = new ResponseRelay(this, true, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\n"));
     relay.prepareRetry();
     relay.onHead(head("second"), true);
-    assertThat(relay.onContent(text("id: 1\n\n"))).isFalse();
+    assertThat(relay.onContent(text("id: 1\n\n"))).isEqualTo(EventDecision.EARLIER);
+  }
+
+  @Test
+  void passesOnTheEventsBeforeAFaultyOne() {
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.STREAM, -1, () -> {});
+    relay.onHead(head("first"), true);
+    EventDecision decision = relay.onContent(text("id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n"));
+    assertThat(decision).isEqualTo(EventDecision.REPEATED);
+    assertThat(relay.lastReceivedId()).isEqualTo(2);
+    assertThat(written.toString()).isEqualTo("200 first id: 1\n\nid: 2\n\n");
   }
 
   @Test
   void detectsAStreamThatEndsMidEvent() {
-    ResponseRelay relay = new ResponseRelay(this, true, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2"));
     assertThat(relay.endsMidEvent()).isTrue();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
@@ -2,28 +2,42 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.samphiredyke.core.stream.StreamEvent;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Splitting of a stream into complete server-sent events. */
 class SseFramerTest {
 
   private final SseFramer framer = new SseFramer();
+  private final List<StreamEvent> events = new ArrayList<>();
 
   private String add(String text) {
-    ByteBuf completeEvents = framer.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-    return completeEvents.toString(StandardCharsets.UTF_8);
+    framer.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    for (StreamEvent event = framer.next(); event != null; event = framer.next()) {
+      events.add(event);
+      framer.accept();
+      if (event.kind() == StreamEvent.Kind.OVERSIZED) {
+        break;
+      }
+    }
+    return framer.take().toString(StandardCharsets.UTF_8);
+  }
+
+  private long lastId() {
+    return events.get(events.size() - 1).id();
   }
 
   @Test
   void returnsCompleteEventsOnly() {
     assertThat(add("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
-    assertThat(framer.lastEventId()).isEqualTo(1);
+    assertThat(lastId()).isEqualTo(1);
     assertThat(framer.hasPartialEvent()).isTrue();
     assertThat(add("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
-    assertThat(framer.lastEventId()).isEqualTo(2);
+    assertThat(lastId()).isEqualTo(2);
     assertThat(framer.hasPartialEvent()).isFalse();
   }
 
@@ -35,13 +49,35 @@
       passed.append(add(String.valueOf(c)));
     }
     assertThat(passed.toString()).isEqualTo(stream);
-    assertThat(framer.firstEventId()).isEqualTo(1);
-    assertThat(framer.lastEventId()).isEqualTo(12);
+    assertThat(events).containsExactly(StreamEvent.numbered(1), StreamEvent.numbered(12));
   }
 
   @Test
   void ignoresTheIdOfAnIncompleteEvent() {
     add("id: 1\ndata: a\n\nid: 2\ndata: b\n");
-    assertThat(framer.lastEventId()).isEqualTo(1);
+    assertThat(lastId()).isEqualTo(1);
+  }
+
+  @Test
+  void recognizesEventsWithoutANumber() {
+    add(": comment\n\ndata: x\n\nid: y\ndata: z\n\n\n");
+    assertThat(events.stream().map(StreamEvent::kind))
+        .containsExactly(
+            StreamEvent.Kind.COMMENT,
+            StreamEvent.Kind.UNNUMBERED,
+            StreamEvent.Kind.MALFORMED_ID,
+            StreamEvent.Kind.COMMENT);
+  }
+
+  /** Guards against an event without end that fills the memory of the host. */
+  @Test
+  void eventHasABoundedSize() {
+    String line = "data: " + "x".repeat(1_000) + "\n";
+    for (int i = 0; events.isEmpty() && i < 1_000; i++) {
+      add(line);
+      assertThat(i * line.length()).isLessThanOrEqualTo(SseFramer.MAX_EVENT_BYTES);
+    }
+    assertThat(events.get(0).kind()).isEqualTo(StreamEvent.Kind.OVERSIZED);
+    assertThat(new SseFramerTest().add("id: 1\n" + line.repeat(60) + "\n")).isNotEmpty();
   }
 }
