A stream is committed to its caller by its first event

Cause: the head of an endpoint counted as the begin of the caller's response, although nothing was sent yet. An endpoint that broke off before its first whole event left a response that could neither be continued, for want of an event, nor replaced.

Change: head and first event are given to the caller together, in one flush. Until then the attempt counts as one that has sent nothing: it is tried again where the route permits, else the caller gets 502 with "maybe run". The line repeat says how far the response came, and a counter counts those with a head only.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -23,6 +23,7 @@
   private final Counter refusals;
   private final Counter failures;
   private final Counter retries;
+  private final Counter retriesBeforeFirstEvent;
   private final Counter faultyStreams;
   private final Histogram latencies;
 
@@ -45,6 +46,11 @@
             .name("samphiredyke_repeated_total")
             .help("Requests sent to a further endpoint.")
             .register(registry);
+    retriesBeforeFirstEvent =
+        Counter.builder()
+            .name("samphiredyke_repeated_before_first_event_total")
+            .help("Streams sent to a further endpoint after a head of success without an event.")
+            .register(registry);
     faultyStreams =
         Counter.builder()
             .name("samphiredyke_faulty_streams_total")
@@ -94,6 +100,11 @@
     retries.inc();
   }
 
+  /** Counts a stream that is retried after a head of success without an event. */
+  public void retriedBeforeFirstEvent() {
+    retriesBeforeFirstEvent.inc();
+  }
+
   /** Counts an attempt that was ended because of its events. */
   public void faultyStream(String reason) {
     faultyStreams.labelValues(reason).inc();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -263,7 +263,7 @@
   }
 
   private void retry(EndpointAttempt previous, String reason) {
-    log.retried(reason, previous.endpoint().id(), content.fingerprint());
+    log.retried(reason, previous, content.fingerprint());
     acquisition.exclude(previous.endpoint().id());
     relay.prepareRetry();
     acquisition.acquire(reachedEndpoint);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -54,6 +54,7 @@
   private long lastEventIdBefore;
   private int discardedBytes;
   private int status;
+  private boolean isSuccess;
 
   EndpointAttempt(ActiveRequest request, EndpointRecord endpoint, SlotHandle slot) {
     this.request = request;
@@ -75,6 +76,19 @@
     return wasBrokenOff;
   }
 
+  /** Returns how far the response came: {@code none}, {@code head} or {@code begun}. */
+  String responseState() {
+    if (status == 0) {
+      return "none";
+    }
+    return hasStarted ? "begun" : "head";
+  }
+
+  /** Returns whether a stream ended after a head of success and before its first event. */
+  boolean endedBeforeFirstEvent() {
+    return request.route().kind().isStream() && isSuccess && !hasStarted;
+  }
+
   /** Returns when the request was sent, in nanoseconds of the control loop's clock. */
   long sentAt() {
     return sentAt;
@@ -211,6 +225,7 @@
       return;
     }
     status = head.status();
+    isSuccess = head.isSuccess();
     isNotRun = head.isNotRun();
     defect = isNotRun ? null : defectOf(head);
     if (isNotRun || defect != null) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -110,7 +110,7 @@
   }
 
   /** Logs that the request is retried; its content relates the failures of several attempts. */
-  void retried(String reason, String endpointId, RequestFingerprint content) {
+  void retried(String reason, EndpointAttempt previous, RequestFingerprint content) {
     log.event(
         "repeat",
         "id",
@@ -118,12 +118,17 @@
         "reason",
         reason,
         "endpoint",
-        endpointId,
+        previous.endpoint().id(),
+        "response",
+        previous.responseState(),
         "request",
         content,
         "parts",
         promptParts());
     metrics.retried();
+    if (previous.endedBeforeFirstEvent()) {
+      metrics.retriedBeforeFirstEvent();
+    }
   }
 
   /** Returns the ids of the prompt's parts, by which failures of several requests are related. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -18,7 +18,8 @@
  *
  * <p>A plain response is buffered until it is complete, so that a failed one can be replaced by the
  * response of another endpoint. A stream is relayed event by event and can be resumed after the
- * last complete event.
+ * last complete event; its head is relayed with the first event, so that a stream without one can
+ * be replaced as well.
  */
 final class ResponseRelay {
 
@@ -52,7 +53,7 @@
     this.onFirstEvent = onFirstEvent;
   }
 
-  /** Handles the head of a response. A resumed stream keeps the head of the first response. */
+  /** Handles the head of a response. A stream keeps the head that its first event came with. */
   void onHead(HttpResponse response, boolean isSuccess) {
     if (started) {
       return;
@@ -60,10 +61,6 @@
     status = response.status().code();
     headers = responseHeaders(response.headers());
     hasEvents = isStream && isSuccess;
-    if (hasEvents) {
-      started = true;
-      writer.start(status, headers);
-    }
   }
 
   private static HttpHeaders responseHeaders(HttpHeaders fromEndpoint) {
@@ -106,7 +103,6 @@
   }
 
   private EventDecision relayEvents(ByteBuf chunk) {
-    boolean hadPassed = sequence.hasPassed();
     framer.add(chunk);
     EventDecision decision = EventDecision.PASS;
     for (StreamEvent event = framer.next(); event != null; event = framer.next()) {
@@ -120,16 +116,24 @@
         progress++;
       }
     }
-    if (!hadPassed && sequence.hasPassed()) {
-      onFirstEvent.run();
-    }
     ByteBuf accepted = framer.take();
     if (accepted.isReadable()) {
+      startStream();
       writer.write(accepted);
     }
     return decision.isFaulty() ? decision : EventDecision.PASS;
   }
 
+  private void startStream() {
+    HttpHeaders received = headers;
+    if (started || received == null) {
+      return;
+    }
+    started = true;
+    onFirstEvent.run();
+    writer.start(status, received);
+  }
+
   private void flushBuffered() {
     HttpHeaders received = headers;
     if (received != null) {
@@ -153,7 +157,7 @@
     }
     HttpHeaders received = headers;
     if (received != null) {
-      ByteBuf body = buffered;
+      ByteBuf body = hasEvents ? framer.takeAll() : buffered;
       buffered = Unpooled.EMPTY_BUFFER;
       writer.send(status, received, body);
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -106,6 +106,12 @@
     return taken;
   }
 
+  /** Removes all complete events, also those that were not accepted, and returns their bytes. */
+  ByteBuf takeAll() {
+    accept();
+    return take();
+  }
+
   /** Returns whether the last event is still incomplete. */
   boolean hasPartialEvent() {
     return pending.writerIndex() > eventEnd;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
@@ -29,6 +29,7 @@
 class StreamOrderTest extends GatewayHarness {
 
   private static final String BROKEN = "broken off";
+  private static final String DRIPPING = "dripping";
 
   private final List<ServerSocket> servers = new ArrayList<>();
   private final Queue<String> bodies = new ConcurrentLinkedQueue<>();
@@ -92,20 +93,32 @@
       }
       received.add(after);
       String body = bodies.remove();
-      String whole = body.replace(BROKEN, "");
+      String whole = body.replace(BROKEN, "").replace(DRIPPING, "");
       String text =
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Samphiredyke-Request-Id: "
               + id
               + "\r\nX-Samphiredyke-Server-Signature: d\r\n\r\n"
               + (whole.isEmpty() ? "" : Integer.toHexString(whole.length()) + "\r\n" + whole)
               + (whole.isEmpty() ? "" : "\r\n")
-              + (body.endsWith(BROKEN) ? "" : "0\r\n\r\n");
+              + (body.endsWith(BROKEN) || body.endsWith(DRIPPING) ? "" : "0\r\n\r\n");
       socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+      while (body.endsWith(DRIPPING)) {
+        socket.getOutputStream().write("3\r\n:\n\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        pause();
+      }
     } catch (IOException e) {
       // The gateway has closed the connection.
     }
   }
 
+  private static void pause() {
+    try {
+      Thread.sleep(20);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static String events(int... ids) {
     StringBuilder text = new StringBuilder();
     for (int id : ids) {
@@ -197,4 +210,34 @@
         .isEqualTo("200 " + events(1) + BROKEN);
     assertThat(logged("an event above the permitted size")).isTrue();
   }
+
+  /** Guards against a connection that is closed although the caller could get a response. */
+  @Test
+  void streamThatBreaksOffBeforeItsFirstEventIsTriedAgain() {
+    assertThat(resumable(BROKEN, events(1, 2))).isEqualTo("200 " + events(1, 2));
+    assertThat(resumable("id: 1\ndat" + BROKEN, events(1, 2))).isEqualTo("200 " + events(1, 2));
+    assertThat(received).containsOnly("");
+    assertThat(logged("\"response\":\"head\"")).isTrue();
+  }
+
+  @Test
+  void streamThatCannotBeTriedAgainIsAnsweredBeforeItsFirstEvent() {
+    assertThat(plain(BROKEN)).isEqualTo("502 ");
+    assertThat(plain("id: 1\ndata: x\n" + BROKEN)).isEqualTo("502 ");
+    assertThat(resumable(BROKEN, BROKEN)).isEqualTo("502 ");
+  }
+
+  @Test
+  void regularEndWithoutEventsIsComplete() {
+    assertThat(plain("")).isEqualTo("200 ");
+    assertThat(resumable(events(1, 2) + BROKEN, "")).isEqualTo("200 " + events(1, 2));
+  }
+
+  /** Guards against an endpoint that responds without end and never sends an event. */
+  @Test
+  void headWithoutEventIsBounded() {
+    String comments = ": comment\n\n".repeat(100_000);
+    assertThat(resumable(comments, events(1))).isEqualTo("200 " + events(1));
+    assertThat(resumable(DRIPPING, events(1))).isEqualTo("200 " + events(1));
+  }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
@@ -13,6 +13,8 @@
 import io.samphiredyke.core.stream.EventDecision;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Relaying of plain and streamed responses, with the test itself as the writer. */
@@ -107,6 +109,34 @@
     assertThat(written.toString()).isEqualTo("200 first id: 1\n\nid: 2\n\n");
   }
 
+  /** Guards against a caller that gets a head, and then nothing, of an endpoint that breaks off. */
+  @Test
+  void headIsThatOfTheFirstEvent() {
+    List<String> begun = new ArrayList<>();
+    ResponseRelay relay =
+        new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> begun.add("first"));
+    relay.onHead(head("first"), true);
+    relay.onContent(text(": comment\n\nid: 1\nda"));
+    assertThat(written).isEmpty();
+    assertThat(relay.hasStarted()).isFalse();
+    relay.prepareRetry();
+    relay.onHead(head("second"), true);
+    relay.onContent(text("id: 1\n\n"));
+    relay.onContent(text("id: 2\n\n"));
+    assertThat(written.toString()).isEqualTo("200 second id: 1\n\nid: 2\n\n");
+    assertThat(begun).hasSize(1);
+  }
+
+  @Test
+  void streamWithoutEventsIsCompleteAtItsRegularEnd() {
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.STREAM, -1, () -> {});
+    relay.onHead(head("first"), true);
+    relay.onContent(text(": comment\n\n"));
+    assertThat(relay.endsMidEvent()).isFalse();
+    relay.end();
+    assertThat(written.toString()).isEqualTo("200 : comment\n\n end");
+  }
+
   @Test
   void detectsAStreamThatEndsMidEvent() {
     ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
