Responses that end with their connection are logged and counted

What operators missed: whether a stream was complete by its framing or only because the connection closed. An endpoint that is killed closes its connections regularly too, so that a short stream could not be told from a whole one afterwards.

The line answered has a field end, and samphiredyke_ended_with_connection_total counts by route, which shows whether this can explain short streams.

Evidence: the new test failed before for want of the field.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -23,6 +23,7 @@
   private final Counter refusals;
   private final Counter failures;
   private final Counter retries;
+  private final Counter endedWithConnection;
   private final Counter retriesBeforeFirstEvent;
   private final Counter faultyStreams;
   private final Histogram latencies;
@@ -46,6 +47,12 @@
             .name("samphiredyke_repeated_total")
             .help("Requests sent to a further endpoint.")
             .register(registry);
+    endedWithConnection =
+        Counter.builder()
+            .name("samphiredyke_ended_with_connection_total")
+            .help("Complete responses whose only sign of the end was that of the connection.")
+            .labelNames("route")
+            .register(registry);
     retriesBeforeFirstEvent =
         Counter.builder()
             .name("samphiredyke_repeated_before_first_event_total")
@@ -100,6 +107,11 @@
     retries.inc();
   }
 
+  /** Counts a complete response that had neither a length nor chunks. */
+  public void endedWithConnection(String route) {
+    endedWithConnection.labelValues(route).inc();
+  }
+
   /** Counts a stream that is retried after a head of success without an event. */
   public void retriedBeforeFirstEvent() {
     retriesBeforeFirstEvent.inc();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -275,7 +275,7 @@
     boolean isError = status >= ErrorResponses.INTERNAL_SERVER_ERROR;
     releaseSlot(serving, isError ? Outcome.ERRORED : Outcome.SERVED);
     content.served();
-    log.completed(status, serving.endpoint().id(), millisSinceArrival());
+    log.completed(status, serving, millisSinceArrival());
     end();
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.serving.EndpointRecord;
@@ -55,6 +56,7 @@
   private int discardedBytes;
   private int status;
   private boolean isSuccess;
+  private boolean endsWithConnection;
 
   EndpointAttempt(ActiveRequest request, EndpointRecord endpoint, SlotHandle slot) {
     this.request = request;
@@ -89,6 +91,11 @@
     return request.route().kind().isStream() && isSuccess && !hasStarted;
   }
 
+  /** Returns whether the end of the connection is the only sign that the response is complete. */
+  boolean endsWithConnection() {
+    return endsWithConnection;
+  }
+
   /** Returns when the request was sent, in nanoseconds of the control loop's clock. */
   long sentAt() {
     return sentAt;
@@ -226,6 +233,8 @@
     }
     status = head.status();
     isSuccess = head.isSuccess();
+    endsWithConnection =
+        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     isNotRun = head.isNotRun();
     defect = isNotRun ? null : defectOf(head);
     if (isNotRun || defect != null) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -136,9 +136,23 @@
     return parts.stream().map(part -> Long.toHexString(part.id())).collect(Collectors.joining(","));
   }
 
-  void completed(int status, String endpointId, long millis) {
-    log.event("answered", "id", requestId, "status", status, "endpoint", endpointId, "ms", millis);
+  void completed(int status, EndpointAttempt serving, long millis) {
+    log.event(
+        "answered",
+        "id",
+        requestId,
+        "status",
+        status,
+        "endpoint",
+        serving.endpoint().id(),
+        "ms",
+        millis,
+        "end",
+        serving.endsWithConnection() ? "connection" : "framed");
     metrics.completed(route, millis);
+    if (serving.endsWithConnection()) {
+      metrics.endedWithConnection(route);
+    }
   }
 
   void refused(int status, String reason, long millis, long retryAfterMillis) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
@@ -30,6 +30,8 @@
 
   private static final String BROKEN = "broken off";
   private static final String DRIPPING = "dripping";
+  private static final String UNFRAMED = "unframed";
+  private static final String RESET = "reset";
 
   private final List<ServerSocket> servers = new ArrayList<>();
   private final Queue<String> bodies = new ConcurrentLinkedQueue<>();
@@ -93,6 +95,10 @@
       }
       received.add(after);
       String body = bodies.remove();
+      if (body.startsWith(UNFRAMED)) {
+        sendUnframed(socket, id, body.substring(UNFRAMED.length()));
+        return;
+      }
       String whole = body.replace(BROKEN, "").replace(DRIPPING, "");
       String text =
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Samphiredyke-Request-Id: "
@@ -111,6 +117,20 @@
     }
   }
 
+  /** Sends events without length and chunks, and closes or resets the connection. */
+  private static void sendUnframed(Socket socket, String id, String body) throws IOException {
+    String head =
+        "HTTP/1.1 200 OK\r\nX-Samphiredyke-Request-Id: "
+            + id
+            + "\r\nX-Samphiredyke-Server-Signature: d\r\n\r\n";
+    String text = head + body.replace(RESET, "");
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    if (body.endsWith(RESET)) {
+      socket.setSoLinger(true, 0);
+      pause();
+    }
+  }
+
   private static void pause() {
     try {
       Thread.sleep(20);
@@ -169,8 +189,7 @@
     assertThat(resumable(events(1, 2, 2, 3), events(3, 4))).isEqualTo("200 " + events(1, 2, 3, 4));
     assertThat(received).containsExactly("", "2");
     assertThat(plain(events(1, 2, 2, 3))).isEqualTo("200 " + events(1, 2) + BROKEN);
-    assertThat(logged("\"reason\":\"a repeated event\",\"expected_event\":3,\"event_id\":2"))
-        .isTrue();
+    await(() -> logged("\"reason\":\"a repeated event\",\"expected_event\":3,\"event_id\":2"));
   }
 
   @Test
@@ -208,7 +227,7 @@
   void eventWithoutEndIsBounded() {
     assertThat(plain(events(1) + "data: " + "x".repeat(1_000_000)))
         .isEqualTo("200 " + events(1) + BROKEN);
-    assertThat(logged("an event above the permitted size")).isTrue();
+    await(() -> logged("an event above the permitted size"));
   }
 
   /** Guards against a connection that is closed although the caller could get a response. */
@@ -217,7 +236,7 @@
     assertThat(resumable(BROKEN, events(1, 2))).isEqualTo("200 " + events(1, 2));
     assertThat(resumable("id: 1\ndat" + BROKEN, events(1, 2))).isEqualTo("200 " + events(1, 2));
     assertThat(received).containsOnly("");
-    assertThat(logged("\"response\":\"head\"")).isTrue();
+    await(() -> logged("\"response\":\"head\""));
   }
 
   @Test
@@ -240,4 +259,13 @@
     assertThat(resumable(comments, events(1))).isEqualTo("200 " + events(1));
     assertThat(resumable(DRIPPING, events(1))).isEqualTo("200 " + events(1));
   }
+
+  @Test
+  void streamThatEndsWithItsConnectionIsCompleteUnlessItIsReset() {
+    assertThat(plain(UNFRAMED + events(1, 2))).isEqualTo("200 " + events(1, 2));
+    await(() -> logged("\"end\":\"connection\""));
+    assertThat(plain(UNFRAMED + events(1, 2) + RESET)).endsWith(BROKEN);
+    assertThat(resumable(UNFRAMED + events(1, 2) + RESET, UNFRAMED + events(3)))
+        .isEqualTo("200 " + events(1, 2, 3));
+  }
 }
