--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -23,6 +23,9 @@
   private final Counter refusals;
   private final Counter failures;
   private final Counter retries;
+  private final Counter endedWithConnection;
+  private final Counter retriesBeforeFirstEvent;
+  private final Counter faultyStreams;
   private final Histogram latencies;
 
   /** Creates metrics with all values at zero. */
@@ -44,6 +47,23 @@
             .name("samphiredyke_repeated_total")
             .help("Requests sent to a further endpoint.")
             .register(registry);
+    endedWithConnection =
+        Counter.builder()
+            .name("samphiredyke_ended_with_connection_total")
+            .help("Complete responses whose only sign of the end was that of the connection.")
+            .labelNames("route")
+            .register(registry);
+    retriesBeforeFirstEvent =
+        Counter.builder()
+            .name("samphiredyke_repeated_before_first_event_total")
+            .help("Streams sent to a further endpoint after a head of success without an event.")
+            .register(registry);
+    faultyStreams =
+        Counter.builder()
+            .name("samphiredyke_faulty_streams_total")
+            .help("Attempts ended because their events do not continue the stream, by reason.")
+            .labelNames("reason")
+            .register(registry);
     latencies =
         Histogram.builder()
             .name("samphiredyke_answer_seconds")
@@ -87,6 +107,21 @@
     retries.inc();
   }
 
+  /** Counts a complete response that had neither a length nor chunks. */
+  public void endedWithConnection(String route) {
+    endedWithConnection.labelValues(route).inc();
+  }
+
+  /** Counts a stream that is retried after a head of success without an event. */
+  public void retriedBeforeFirstEvent() {
+    retriesBeforeFirstEvent.inc();
+  }
+
+  /** Counts an attempt that was ended because of its events. */
+  public void faultyStream(String reason) {
+    faultyStreams.labelValues(reason).inc();
+  }
+
   /** Records the latency of a complete response. */
   public void completed(String route, long millis) {
     latencies.labelValues(route).observe(millis / MILLIS_PER_SECOND);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -74,14 +74,9 @@
         new RequestDeadlines(route, head.remainingMillis(), waitedMillis, request.arrivedAt());
     this.acquisition =
         new SlotAcquisition(context, this, head, route, customer, content, deadlines);
-    this.log =
-        new RequestLog(
-            context.log(),
-            context.metrics(),
-            head.requestId(),
-            route.name(),
-            head.estimate().parts());
-    this.relay = new ResponseRelay(request.writer(), route.kind().isStream(), this::streamBegins);
+    this.log = new RequestLog(context.log(), context.metrics(), head, route.name());
+    this.relay =
+        new ResponseRelay(request.writer(), route.kind(), head.lastEventId(), this::streamBegins);
   }
 
   RequestService.Context context() {
@@ -100,6 +95,10 @@
     return relay;
   }
 
+  RequestLog log() {
+    return log;
+  }
+
   void start() {
     context.inProgress().add(this, deadlines);
     long remainingNanos = deadlines.deadline() - context.loop().nanoTime();
@@ -264,7 +263,7 @@
   }
 
   private void retry(EndpointAttempt previous, String reason) {
-    log.retried(reason, previous.endpoint().id(), content.fingerprint());
+    log.retried(reason, previous, content.fingerprint());
     acquisition.exclude(previous.endpoint().id());
     relay.prepareRetry();
     acquisition.acquire(reachedEndpoint);
@@ -276,7 +275,7 @@
     boolean isError = status >= ErrorResponses.INTERNAL_SERVER_ERROR;
     releaseSlot(serving, isError ? Outcome.ERRORED : Outcome.SERVED);
     content.served();
-    log.completed(status, serving.endpoint().id(), millisSinceArrival());
+    log.completed(status, serving, millisSinceArrival());
     end();
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.serving.EndpointRecord;
+import io.samphiredyke.core.stream.EventDecision;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.SlotHandle;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
@@ -45,14 +47,17 @@
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
   private long sentAt;
-  private long lastContentAt;
+  private long lastProgressAt;
   private boolean isNotRun;
   private boolean isDone;
+  private boolean hasContent;
   private boolean hasStarted;
   private boolean wasBrokenOff;
   private long lastEventIdBefore;
   private int discardedBytes;
   private int status;
+  private boolean isSuccess;
+  private boolean endsWithConnection;
 
   EndpointAttempt(ActiveRequest request, EndpointRecord endpoint, SlotHandle slot) {
     this.request = request;
@@ -74,6 +79,24 @@
     return wasBrokenOff;
   }
 
+  /** Returns how far the response came: {@code none}, {@code head} or {@code begun}. */
+  String responseState() {
+    if (status == 0) {
+      return "none";
+    }
+    return hasStarted ? "begun" : "head";
+  }
+
+  /** Returns whether a stream ended after a head of success and before its first event. */
+  boolean endedBeforeFirstEvent() {
+    return request.route().kind().isStream() && isSuccess && !hasStarted;
+  }
+
+  /** Returns whether the end of the connection is the only sign that the response is complete. */
+  boolean endsWithConnection() {
+    return endsWithConnection;
+  }
+
   /** Returns when the request was sent, in nanoseconds of the control loop's clock. */
   long sentAt() {
     return sentAt;
@@ -98,7 +121,7 @@
     requestId = outgoing.requestId();
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
-    lastContentAt = sentAt;
+    lastProgressAt = sentAt;
     exchange = request.context().connections().open(endpoint.address(), outgoing, isFirst, this);
     if (!isDone && request.mayRetry()) {
       scheduleInactivityCheck(
@@ -119,7 +142,7 @@
         hasStarted
             ? InactivityTimeout.betweenChunks(request.route())
             : InactivityTimeout.beforeFirstEvent(request.route(), request.estimate());
-    long inactiveMillis = (request.context().loop().nanoTime() - lastContentAt) / NANOS_PER_MILLI;
+    long inactiveMillis = (request.context().loop().nanoTime() - lastProgressAt) / NANOS_PER_MILLI;
     if (inactiveMillis < limitMillis || !request.relay().isWritable()) {
       scheduleInactivityCheck(Math.max(MIN_CHECK_MILLIS, limitMillis - inactiveMillis));
       return;
@@ -214,6 +237,9 @@
       logMissingId(head);
     }
     status = head.status();
+    isSuccess = head.isSuccess();
+    endsWithConnection =
+        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     isNotRun = head.isNotRun();
     defect = isNotRun ? null : defectOf(head);
     if (isNotRun || defect != null) {
@@ -261,13 +287,20 @@
       discard(content);
       return;
     }
-    lastContentAt = request.context().loop().nanoTime();
-    if (!hasStarted) {
-      hasStarted = true;
+    if (!hasContent) {
+      hasContent = true;
       slot.firstEventReceived();
     }
-    if (!request.relay().onContent(content)) {
-      fail("the answer does not continue the stream");
+    ResponseRelay relay = request.relay();
+    long before = relay.progress();
+    EventDecision decision = relay.onContent(content);
+    if (relay.progress() > before) {
+      lastProgressAt = request.context().loop().nanoTime();
+      hasStarted = true;
+    }
+    if (decision.isFaulty()) {
+      cancel();
+      endFaulty(decision, relay.lastReceivedId());
       return;
     }
     EndpointExchange open = exchange;
@@ -276,6 +309,13 @@
     }
   }
 
+  /** Ends an attempt whose events can't be used; those before the faulty one were passed on. */
+  private void endFaulty(EventDecision decision, long receivedId) {
+    long lowestNextId = request.relay().lowestNextId();
+    request.log().faultyStream(endpoint.id(), decision, lowestNextId, receivedId);
+    request.failed(this, decision.reason());
+  }
+
   /** Reads on only to reuse the connection, which a body without end does not allow. */
   private void discard(ByteBuf content) {
     discardedBytes += content.readableBytes();
@@ -304,7 +344,7 @@
       endUnusable();
     } else if (request.relay().endsMidEvent()) {
       wasBrokenOff = true;
-      request.failed(this, "the stream ended within an event");
+      endFaulty(EventDecision.TRUNCATED, -1);
     } else {
       request.relay().end();
       request.completed(this, status);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -6,6 +6,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.samphiredyke.core.serving.RouteKind;
+import io.samphiredyke.core.stream.EventDecision;
+import io.samphiredyke.core.stream.EventSequence;
+import io.samphiredyke.core.stream.StreamEvent;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
 import org.jspecify.annotations.Nullable;
 
@@ -14,7 +18,8 @@
  *
  * <p>A plain response is buffered until it is complete, so that a failed one can be replaced by the
  * response of another endpoint. A stream is relayed event by event and can be resumed after the
- * last complete event.
+ * last complete event; its head is relayed with the first event, so that a stream without one can
+ * be replaced as well.
  */
 final class ResponseRelay {
 
@@ -27,34 +32,35 @@
   private @Nullable HttpHeaders headers;
   private int status;
   private boolean started;
+  private boolean hasEvents;
   private SseFramer framer = new SseFramer();
-  private long lastEventId = -1;
-  private boolean isResumed;
-  private boolean hasPassedEvent;
+  private final EventSequence sequence;
+  private long progress;
+  private long lastReceivedId = -1;
   private final Runnable onFirstEvent;
 
   /**
    * Creates a relay.
    *
+   * @param afterId id of the last event that the caller has, or -1
    * @param onFirstEvent runs before the first event of a stream is passed on
    */
-  ResponseRelay(ResponseWriter writer, boolean isStream, Runnable onFirstEvent) {
+  ResponseRelay(ResponseWriter writer, RouteKind kind, long afterId, Runnable onFirstEvent) {
     this.writer = writer;
-    this.isStream = isStream;
+    this.isStream = kind.isStream();
+    // Only a resumable stream is promised to continue after the event that the caller names.
+    this.sequence = new EventSequence(kind == RouteKind.RESUMABLE_STREAM ? afterId : -1);
     this.onFirstEvent = onFirstEvent;
   }
 
-  /** Handles the head of a response. A resumed stream keeps the head of the first response. */
+  /** Handles the head of a response. A stream keeps the head that its first event came with. */
   void onHead(HttpResponse response, boolean isSuccess) {
     if (started) {
       return;
     }
     status = response.status().code();
     headers = responseHeaders(response.headers());
-    if (isStream && isSuccess) {
-      started = true;
-      writer.start(status, headers);
-    }
+    hasEvents = isStream && isSuccess;
   }
 
   private static HttpHeaders responseHeaders(HttpHeaders fromEndpoint) {
@@ -76,40 +82,56 @@
   }
 
   /**
-   * Handles a chunk of the body.
+   * Handles a chunk of the body. Of a stream, the events before a faulty one are passed on.
    *
-   * @return false if a resumed stream does not continue after the last event that was relayed
+   * @return why the attempt is faulty; {@link EventDecision#PASS} if it is not
    */
-  boolean onContent(ByteBuf chunk) {
-    if (!started) {
-      buffered.writeBytes(chunk);
-      if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-        flushBuffered();
-      }
-      return true;
+  EventDecision onContent(ByteBuf chunk) {
+    if (hasEvents) {
+      return relayEvents(chunk);
     }
-    if (!isStream) {
+    progress++;
+    if (started) {
       writer.write(Unpooled.copiedBuffer(chunk));
-      return true;
+      return EventDecision.PASS;
     }
-    ByteBuf completeEvents = framer.add(chunk);
-    if (!completeEvents.isReadable()) {
-      return true;
+    buffered.writeBytes(chunk);
+    if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+      flushBuffered();
     }
-    if (isResumed && framer.firstEventId() >= 0 && framer.firstEventId() <= lastEventId) {
-      completeEvents.release();
-      return false;
+    return EventDecision.PASS;
+  }
+
+  private EventDecision relayEvents(ByteBuf chunk) {
+    framer.add(chunk);
+    EventDecision decision = EventDecision.PASS;
+    for (StreamEvent event = framer.next(); event != null; event = framer.next()) {
+      decision = sequence.accept(event);
+      if (decision.isFaulty()) {
+        lastReceivedId = event.id();
+        break;
+      }
+      if (decision == EventDecision.PASS) {
+        framer.accept();
+        progress++;
+      }
     }
-    if (!hasPassedEvent) {
-      hasPassedEvent = true;
-      onFirstEvent.run();
+    ByteBuf accepted = framer.take();
+    if (accepted.isReadable()) {
+      startStream();
+      writer.write(accepted);
     }
-    if (framer.lastEventId() >= 0) {
-      lastEventId = framer.lastEventId();
-      isResumed = false;
+    return decision.isFaulty() ? decision : EventDecision.PASS;
+  }
+
+  private void startStream() {
+    HttpHeaders received = headers;
+    if (started || received == null) {
+      return;
     }
-    writer.write(completeEvents);
-    return true;
+    started = true;
+    onFirstEvent.run();
+    writer.start(status, received);
   }
 
   private void flushBuffered() {
@@ -124,7 +146,7 @@
 
   /** Returns whether a stream ends in the middle of an event. */
   boolean endsMidEvent() {
-    return started && isStream && framer.hasPartialEvent();
+    return hasEvents && framer.hasPartialEvent();
   }
 
   /** Completes the response to the caller. */
@@ -135,7 +157,7 @@
     }
     HttpHeaders received = headers;
     if (received != null) {
-      ByteBuf body = buffered;
+      ByteBuf body = hasEvents ? framer.takeAll() : buffered;
       buffered = Unpooled.EMPTY_BUFFER;
       writer.send(status, received, body);
     }
@@ -146,9 +168,10 @@
     if (!started) {
       buffered.clear();
       headers = null;
+      hasEvents = false;
     }
     framer = new SseFramer();
-    isResumed = started;
+    sequence.attemptBegins();
   }
 
   boolean hasStarted() {
@@ -157,12 +180,27 @@
 
   /** Returns whether another endpoint can resume a response that has started. */
   boolean canResume() {
-    return isStream && lastEventId >= 0;
+    return hasEvents && sequence.canResume();
   }
 
-  /** Returns the id of the last complete event that was relayed, or -1. */
+  /** Returns the id of the last complete event that the caller has, or -1. */
   long lastEventId() {
-    return lastEventId;
+    return sequence.lastId();
+  }
+
+  /** Returns the lowest id that the next event may have. */
+  long lowestNextId() {
+    return sequence.lowestNextId();
+  }
+
+  /** Returns the id of the event that made an attempt faulty, or -1 if it has none. */
+  long lastReceivedId() {
+    return lastReceivedId;
+  }
+
+  /** Returns a number that rises with each event or chunk of a plain response. */
+  long progress() {
+    return progress;
   }
 
   boolean isWritable() {
