Buffered responses of a host have a bound in common

Cause: a plain response is buffered up to 512 KB, so that a failed one can be replaced, and nothing bounded the sum over all requests. The buffer grew to twice that before it was passed on, and a process has a heap of 64 MB.

Now all responses together may reserve a quarter of the heap. One for which none is left is relayed as it arrives, like one of more than 512 KB, and no longer replaced if it fails. The bytes stay reserved until the request ends or is retried, as they may wait for a slow caller. The line response_not_buffered names the request, and two gauges show the bytes and the count.

ResponseRelayTest checks the bound by itself.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -210,6 +210,7 @@
             peers.statements(), service.pauses(), scheduler().quarantine(), storeEra)
         .registerCrashes(peers.crashes())
         .registerRequests(service.inProgress(), streams)
+        .registerResponses(service)
         .registerRollouts(rollouts);
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -6,6 +6,7 @@
 import io.samphiredyke.gateway.frontend.FrontendServer;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
+import io.samphiredyke.gateway.request.RequestService;
 import io.samphiredyke.gateway.request.RequestsInProgress;
 import io.samphiredyke.gateway.rollout.RolloutService;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
@@ -109,6 +110,18 @@
     return this;
   }
 
+  GatewayGauges registerResponses(RequestService service) {
+    metrics.gauge(
+        "samphiredyke_buffered_response_bytes",
+        "Bytes of responses that are buffered until they are complete.",
+        service::bufferedResponseBytes);
+    metrics.gauge(
+        "samphiredyke_unbuffered_responses",
+        "Responses that were relayed as they came because no memory was left for them.",
+        service::unbufferedResponses);
+    return this;
+  }
+
   void registerRollouts(RolloutService rollouts) {
     metrics.gauge(
         "samphiredyke_running_rollouts", "Roll-outs that have not ended.", rollouts::running);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -81,7 +81,12 @@
             head.requestId(),
             route.name(),
             head.estimate().parts());
-    this.relay = new ResponseRelay(request.writer(), route.kind().isStream(), this::streamBegins);
+    this.relay =
+        new ResponseRelay(
+            request.writer(),
+            route.kind().isStream(),
+            context.responseMemory().shareOf(head.requestId()),
+            this::streamBegins);
   }
 
   RequestService.Context context() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestService.java
@@ -27,6 +27,9 @@
   /** Retry-After of a host that has no configuration yet. */
   private static final long UNCONFIGURED_RETRY_MILLIS = 300;
 
+  /** Part of the heap that buffered responses may use. */
+  private static final int RESPONSE_MEMORY_DIVISOR = 4;
+
   private static final Observer NO_OBSERVER =
       new Observer() {
         @Override
@@ -52,7 +55,8 @@
       CrashWatch crashes,
       StreamOrigins streams,
       RequestsInProgress inProgress,
-      EndpointReader endpointReader) {
+      EndpointReader endpointReader,
+      ResponseMemory responseMemory) {
 
     /** Returns for how long a prompt is quarantined, 0 if it is not, in milliseconds. */
     long quarantinedMillis(WorkEstimate estimate) {
@@ -101,7 +105,18 @@
             crashes,
             streams,
             new RequestsInProgress(),
-            endpointReader);
+            endpointReader,
+            new ResponseMemory(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR, log));
+  }
+
+  /** Returns the bytes of responses that are buffered until they are complete. */
+  public long bufferedResponseBytes() {
+    return context.responseMemory().reserved();
+  }
+
+  /** Returns the number of responses that were not buffered because no memory was left. */
+  public long unbufferedResponses() {
+    return context.responseMemory().exhausted();
   }
 
   /** Returns the endpoints that want no requests from this host for a time. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -23,6 +23,7 @@
 
   private final ResponseWriter writer;
   private final boolean isStream;
+  private final ResponseMemory.Share memory;
   private ByteBuf buffered = Unpooled.buffer(0);
   private @Nullable HttpHeaders headers;
   private int status;
@@ -36,9 +37,12 @@
   /**
    * Creates a relay.
    *
+   * @param memory reserved for what is buffered, until the request ends or is retried
    * @param onFirstEvent runs before the first event of a stream is passed on
    */
-  ResponseRelay(ResponseWriter writer, boolean isStream, Runnable onFirstEvent) {
+  ResponseRelay(
+      ResponseWriter writer, boolean isStream, ResponseMemory.Share memory, Runnable onFirstEvent) {
+    this.memory = memory;
     this.writer = writer;
     this.isStream = isStream;
     this.onFirstEvent = onFirstEvent;
@@ -81,11 +85,11 @@
    * @return false if a resumed stream does not continue after the last event that was relayed
    */
   boolean onContent(ByteBuf chunk) {
+    if (!started && !mayBuffer(chunk.readableBytes())) {
+      flushBuffered();
+    }
     if (!started) {
       buffered.writeBytes(chunk);
-      if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-        flushBuffered();
-      }
       return true;
     }
     if (!isStream) {
@@ -112,6 +116,10 @@
     return true;
   }
 
+  private boolean mayBuffer(int bytes) {
+    return buffered.readableBytes() + bytes <= MAX_BUFFERED_BYTES && memory.reserve(bytes);
+  }
+
   private void flushBuffered() {
     HttpHeaders received = headers;
     if (received != null) {
@@ -144,7 +152,8 @@
   /** Prepares for the response of another endpoint. */
   void prepareRetry() {
     if (!started) {
-      buffered.clear();
+      release();
+      buffered = Unpooled.buffer(0);
       headers = null;
     }
     framer = new SseFramer();
@@ -172,5 +181,6 @@
   void release() {
     buffered.release();
     buffered = Unpooled.EMPTY_BUFFER;
+    memory.release();
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -91,7 +91,7 @@
   }
 
   /** Returns the first of several consecutive free ports, different ones on each call. */
-  private static int freePorts(int count) {
+  static int freePorts(int count) {
     while (true) {
       int first = NEXT_PORT.getAndAdd(count);
       if (areFree(first, count)) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
@@ -10,13 +10,23 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
+import io.samphiredyke.gateway.log.DecisionLog;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 
 /** Relaying of plain and streamed responses, with the test itself as the writer. */
 class ResponseRelayTest implements ResponseWriter {
 
+  private static final int MEMORY_BYTES = 10;
+
   private final StringBuilder written = new StringBuilder();
+  private final ResponseMemory memory =
+      new ResponseMemory(MEMORY_BYTES, new DecisionLog(OutputStream.nullOutputStream(), () -> 0));
+
+  private ResponseMemory.Share share() {
+    return memory.shareOf("r");
+  }
 
   @Override
   public void send(int status, HttpHeaders headers, ByteBuf body) {
@@ -60,7 +70,7 @@
 
   @Test
   void buffersAPlainResponseUntilItIsComplete() {
-    ResponseRelay relay = new ResponseRelay(this, false, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, false, share(), () -> {});
     relay.onHead(head("d"), true);
     relay.onContent(text("half"));
     assertThat(written).isEmpty();
@@ -71,9 +81,28 @@
     assertThat(written.toString()).isEqualTo("200 complete end");
   }
 
+  /** Guards against responses that fill the memory of the host together. */
+  @Test
+  void buffersNoMoreThanTheMemoryOfTheHost() {
+    ResponseRelay first = new ResponseRelay(this, false, share(), () -> {});
+    first.onHead(head("a"), true);
+    first.onContent(text("12345678"));
+    ResponseRelay second = new ResponseRelay(this, false, share(), () -> {});
+    second.onHead(head("b"), true);
+    second.onContent(text("ab"));
+    assertThat(written).isEmpty();
+    second.onContent(text("cd"));
+    assertThat(written.toString()).isEqualTo("200 b abcd");
+    assertThat(memory.exhausted()).isEqualTo(1);
+    first.prepareRetry();
+    assertThat(memory.reserved()).isEqualTo(2);
+    second.release();
+    assertThat(memory.reserved()).isZero();
+  }
+
   @Test
   void resumesAStreamAfterTheLastCompleteEvent() {
-    ResponseRelay relay = new ResponseRelay(this, true, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, true, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\nid: 3\nda"));
     assertThat(relay.canResume()).isTrue();
@@ -87,7 +116,7 @@
 
   @Test
   void rejectsAResumedStreamThatRepeatsEvents() {
-    ResponseRelay relay = new ResponseRelay(this, true, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, true, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\n"));
     relay.prepareRetry();
@@ -97,7 +126,7 @@
 
   @Test
   void detectsAStreamThatEndsMidEvent() {
-    ResponseRelay relay = new ResponseRelay(this, true, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, true, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2"));
     assertThat(relay.endsMidEvent()).isTrue();
