--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -76,7 +76,12 @@
         new SlotAcquisition(context, this, head, route, customer, content, deadlines);
     this.log = new RequestLog(context.log(), context.metrics(), head, route.name());
     this.relay =
-        new ResponseRelay(request.writer(), route.kind(), head.lastEventId(), this::streamBegins);
+        new ResponseRelay(
+            request.writer(),
+            route.kind(),
+            head.lastEventId(),
+            context.responseMemory().shareOf(head.requestId()),
+            this::streamBegins);
   }
 
   RequestService.Context context() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -28,6 +28,7 @@
 
   private final ResponseWriter writer;
   private final boolean isStream;
+  private final ResponseMemory.Share memory;
   private ByteBuf buffered = Unpooled.buffer(0);
   private @Nullable HttpHeaders headers;
   private int status;
@@ -43,9 +44,16 @@
    * Creates a relay.
    *
    * @param afterId id of the last event that the caller has, or -1
+   * @param memory reserved for what is buffered, until the request ends or is retried
    * @param onFirstEvent runs before the first event of a stream is passed on
    */
-  ResponseRelay(ResponseWriter writer, RouteKind kind, long afterId, Runnable onFirstEvent) {
+  ResponseRelay(
+      ResponseWriter writer,
+      RouteKind kind,
+      long afterId,
+      ResponseMemory.Share memory,
+      Runnable onFirstEvent) {
+    this.memory = memory;
     this.writer = writer;
     this.isStream = kind.isStream();
     // Only a resumable stream is promised to continue after the event that the caller names.
@@ -91,13 +99,13 @@
       return relayEvents(chunk);
     }
     progress++;
+    if (!started && !mayBuffer(chunk.readableBytes())) {
+      flushBuffered();
+    }
     if (started) {
       writer.write(Unpooled.copiedBuffer(chunk));
-      return EventDecision.PASS;
-    }
-    buffered.writeBytes(chunk);
-    if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-      flushBuffered();
+    } else {
+      buffered.writeBytes(chunk);
     }
     return EventDecision.PASS;
   }
@@ -134,6 +142,10 @@
     writer.start(status, received);
   }
 
+  private boolean mayBuffer(int bytes) {
+    return buffered.readableBytes() + bytes <= MAX_BUFFERED_BYTES && memory.reserve(bytes);
+  }
+
   private void flushBuffered() {
     HttpHeaders received = headers;
     if (received != null) {
@@ -166,7 +178,8 @@
   /** Prepares for the response of another endpoint. */
   void prepareRetry() {
     if (!started) {
-      buffered.clear();
+      release();
+      buffered = Unpooled.buffer(0);
       headers = null;
       hasEvents = false;
     }
@@ -210,5 +223,6 @@
   void release() {
     buffered.release();
     buffered = Unpooled.EMPTY_BUFFER;
+    memory.release();
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
@@ -12,6 +12,8 @@
 import io.samphiredyke.core.serving.RouteKind;
 import io.samphiredyke.core.stream.EventDecision;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
+import io.samphiredyke.gateway.log.DecisionLog;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +22,15 @@
 /** Relaying of plain and streamed responses, with the test itself as the writer. */
 class ResponseRelayTest implements ResponseWriter {
 
+  private static final int MEMORY_BYTES = 10;
+
   private final StringBuilder written = new StringBuilder();
+  private final ResponseMemory memory =
+      new ResponseMemory(MEMORY_BYTES, new DecisionLog(OutputStream.nullOutputStream(), () -> 0));
+
+  private ResponseMemory.Share share() {
+    return memory.shareOf("r");
+  }
 
   @Override
   public void send(int status, HttpHeaders headers, ByteBuf body) {
@@ -64,7 +74,7 @@
 
   @Test
   void buffersAPlainResponseUntilItIsComplete() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.IDEMPOTENT, -1, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.IDEMPOTENT, -1, share(), () -> {});
     relay.onHead(head("d"), true);
     relay.onContent(text("half"));
     assertThat(written).isEmpty();
@@ -75,9 +85,28 @@
     assertThat(written.toString()).isEqualTo("200 complete end");
   }
 
+  /** Guards against responses that fill the memory of the host together. */
+  @Test
+  void buffersNoMoreThanTheMemoryOfTheHost() {
+    ResponseRelay first = new ResponseRelay(this, RouteKind.IDEMPOTENT, -1, share(), () -> {});
+    first.onHead(head("a"), true);
+    first.onContent(text("12345678"));
+    ResponseRelay second = new ResponseRelay(this, RouteKind.IDEMPOTENT, -1, share(), () -> {});
+    second.onHead(head("b"), true);
+    second.onContent(text("ab"));
+    assertThat(written).isEmpty();
+    second.onContent(text("cd"));
+    assertThat(written.toString()).isEqualTo("200 b abcd");
+    assertThat(memory.exhausted()).isEqualTo(1);
+    first.prepareRetry();
+    assertThat(memory.reserved()).isEqualTo(2);
+    second.release();
+    assertThat(memory.reserved()).isZero();
+  }
+
   @Test
   void resumesAStreamAfterTheLastCompleteEvent() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\nid: 3\nda"));
     assertThat(relay.canResume()).isTrue();
@@ -91,7 +120,7 @@
 
   @Test
   void rejectsAResumedStreamThatRepeatsEvents() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\n"));
     relay.prepareRetry();
@@ -101,7 +130,7 @@
 
   @Test
   void passesOnTheEventsBeforeAFaultyOne() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.STREAM, -1, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     EventDecision decision = relay.onContent(text("id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n"));
     assertThat(decision).isEqualTo(EventDecision.REPEATED);
@@ -114,7 +143,7 @@
   void headIsThatOfTheFirstEvent() {
     List<String> begun = new ArrayList<>();
     ResponseRelay relay =
-        new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> begun.add("first"));
+        new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> begun.add("first"));
     relay.onHead(head("first"), true);
     relay.onContent(text(": comment\n\nid: 1\nda"));
     assertThat(written).isEmpty();
@@ -129,7 +158,7 @@
 
   @Test
   void streamWithoutEventsIsCompleteAtItsRegularEnd() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.STREAM, -1, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text(": comment\n\n"));
     assertThat(relay.endsMidEvent()).isFalse();
@@ -139,7 +168,7 @@
 
   @Test
   void detectsAStreamThatEndsMidEvent() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, () -> {});
+    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2"));
     assertThat(relay.endsMidEvent()).isTrue();
