Bodies without end from one server no longer fill the memory

Cause: HttpClient limited each collected body alone, to 64 MiB, and nothing limited how many are collected at a time or how long. A server that sends a byte now and then kept its response, and what was collected of it, for ever, because each byte restarts the inactivity timeout.

The bodies that are collected from one address at the same time now share the limit (BodyBudget), and a collected response has to be complete within the request's timeout plus a read time.

Ruled out: heads, chunk extensions, trailers, blank lines before the status line and interim responses without end. Netty or the request's timeout ends them; a test shows it for the first four, which passed before.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ConnectionPools.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ConnectionPools.java
@@ -16,6 +16,7 @@
 public record ConnectionPools(HttpClient pooled, HttpClient unpooled) {
 
   private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+  private static final Duration MAX_READ_TIME = Duration.ofSeconds(30);
   private static final int MAX_IDLE_PER_ADDRESS = 64;
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(5);
 
@@ -29,7 +30,7 @@
     return new HttpClient(
         group,
         new HttpClientOptions(
-            options.connectTimeout(), MAX_BODY_BYTES, maxIdle, MAX_IDLE_TIME, null));
+            options.connectTimeout(), MAX_BODY_BYTES, MAX_READ_TIME, maxIdle, MAX_IDLE_TIME, null));
   }
 
   /** Closes the idle connections. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -34,7 +34,6 @@
 import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.net.http.HttpClient;
-import io.samphiredyke.net.http.HttpClientOptions;
 import io.samphiredyke.platform.HostSettings;
 import io.samphiredyke.platform.StoreClient;
 import java.time.Clock;
@@ -129,7 +128,7 @@
             Duration.ofMillis(settings.quotaWindowMillis()),
             random,
             log);
-    HttpClient http = new HttpClient(group, HttpClientOptions.defaults());
+    HttpClient http = new HttpClient(group, StoreClient.httpOptions());
     this.store = new StoreClient(http, SocketAddresses.parse(settings.storeAddress()));
     this.rollouts = new RolloutService(loop, peers, store, settings.rolloutExposure(), log);
     ConfigurationReceiver configurations =
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -11,8 +11,9 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.AttributeKey;
-import java.io.ByteArrayOutputStream;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -35,6 +36,7 @@
 
   private final EventLoopGroup group;
   private final HttpClientOptions options;
+  private final BodyBudget bodyBudget;
   private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
   private volatile boolean closed;
 
@@ -42,20 +44,33 @@
   public HttpClient(EventLoopGroup group, HttpClientOptions options) {
     this.group = group;
     this.options = options;
+    this.bodyBudget = new BodyBudget(options.maxBodyBytes());
   }
 
   /**
    * Sends a request and collects the complete response. Cancelling the future closes the
-   * connection.
+   * connection. The bodies that are being collected from one address share the limit of the
+   * options, so that a server whose responses have no end can't exhaust the memory.
    *
    * @return the response with any status; fails with {@link ConnectFailedException} if nothing was
    *     sent
    */
   public CompletableFuture<HttpResponse> send(HttpRequest request) {
-    CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-    HttpStream stream = open(request, new ResponseCollector(response, options.maxBodyBytes()));
+    ResponseCollector collector = new ResponseCollector(request.address(), bodyBudget);
+    HttpStream stream = open(request, collector);
+    Duration timeLimit = request.timeout().plus(options.maxReadTime());
+    Future<?> timeLimitTask =
+        group
+            .next()
+            .schedule(
+                () -> collector.abort("no complete response within " + timeLimit),
+                timeLimit.toNanos(),
+                TimeUnit.NANOSECONDS);
+    CompletableFuture<HttpResponse> response = collector.response();
     response.whenComplete(
         (received, failure) -> {
+          timeLimitTask.cancel(false);
+          collector.releaseBody();
           if (failure != null) {
             stream.close();
           }
@@ -179,44 +194,4 @@
       channel.pipeline().addLast(new HttpRequestEncoder());
     }
   }
-
-  private static final class ResponseCollector implements StreamListener {
-
-    private final CompletableFuture<HttpResponse> response;
-    private final int maxBytes;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private int status;
-    private Map<String, String> headers = Map.of();
-
-    ResponseCollector(CompletableFuture<HttpResponse> response, int maxBytes) {
-      this.response = response;
-      this.maxBytes = maxBytes;
-    }
-
-    @Override
-    public void onHeaders(int status, Map<String, String> headers) {
-      this.status = status;
-      this.headers = headers;
-    }
-
-    @Override
-    public void onChunk(byte[] bytes) {
-      if (body.size() + bytes.length > maxBytes) {
-        response.completeExceptionally(
-            new ConnectionLostException("the response body exceeds " + maxBytes + " bytes"));
-        return;
-      }
-      body.writeBytes(bytes);
-    }
-
-    @Override
-    public void onEnd() {
-      response.complete(new HttpResponse(status, headers, body.toByteArray()));
-    }
-
-    @Override
-    public void onFailure(Throwable cause) {
-      response.completeExceptionally(cause);
-    }
-  }
 }
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
@@ -32,13 +32,20 @@
 class HttpClientTest {
 
   private static final Duration TIMEOUT = Duration.ofMillis(200);
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final Duration MAX_READ_TIME = Duration.ofMillis(500);
   private static final int REPEATED_RESPONSE_LENGTH =
       "HTTP/1.1 500 S\r\nContent-Length: 3\r\n\r\n500".length();
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final HttpClient client =
-      new HttpClient(group, HttpClientOptions.defaults().withConnectionReuse());
+      new HttpClient(
+          group,
+          HttpClientOptions.defaults()
+              .withConnectionReuse()
+              .withBodyLimits(MAX_BODY_BYTES, MAX_READ_TIME));
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private ServerSocket server;
 
@@ -99,6 +106,23 @@
           while (true) {
             out.write("HTTP/1.1 103 Early Hints\r\n\r\n".getBytes(StandardCharsets.UTF_8));
           }
+        } else if (line.startsWith("GET /endless-head")) {
+          sendEndlessly(out, "HTTP/1.1 200 OK\r\nA: b", "c");
+        } else if (line.startsWith("GET /endless-blanks")) {
+          sendEndlessly(out, "", "\r\n");
+        } else if (line.startsWith("GET /endless-chunk-extension")) {
+          sendEndlessly(out, CHUNKED + "1;a=", "b");
+        } else if (line.startsWith("GET /endless-trailers")) {
+          sendEndlessly(out, CHUNKED + "0\r\n", "a: b\r\n");
+        } else if (line.startsWith("GET /trickle")) {
+          out.write(CHUNKED.getBytes(StandardCharsets.UTF_8));
+          while (true) {
+            out.write("1\r\na\r\n".getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(TIMEOUT.toMillis() / 10);
+          }
+        } else if (line.startsWith("GET /megabyte-without-end")) {
+          out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+          out.write(new byte[1 << 20]);
         } else if (line.startsWith("GET /endless")) {
           out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.UTF_8));
           while (true) {
@@ -107,11 +131,20 @@
         }
       }
       socket.close();
-    } catch (IOException e) {
+    } catch (IOException | InterruptedException e) {
       close(socket);
     }
   }
 
+  private static void sendEndlessly(OutputStream out, String begin, String rest)
+      throws IOException {
+    out.write(begin.getBytes(StandardCharsets.UTF_8));
+    byte[] repeated = rest.repeat(1_000).getBytes(StandardCharsets.UTF_8);
+    while (true) {
+      out.write(repeated);
+    }
+  }
+
   private static void close(Socket socket) {
     try {
       socket.close();
@@ -208,4 +241,40 @@
     assertThatThrownBy(() -> get("/endless", false).join()).hasMessageContaining("exceeds");
     await(() -> accepted.get(0).isClosed());
   }
+
+  /** Guards against one server whose bodies, each within the limit, together fill the memory. */
+  @Test
+  void bodiesOfOneServerShareTheLimit() {
+    List<CompletableFuture<HttpResponse>> endless = new ArrayList<>();
+    for (int i = 0; i < 3 * MAX_BODY_BYTES >> 20; i++) {
+      endless.add(get("/megabyte-without-end", true));
+    }
+    assertThat(get("/ok", true).join().status()).isEqualTo(200);
+    List<String> failures =
+        endless.stream()
+            .map(call -> call.handle((it, failed) -> String.valueOf(failed)).join())
+            .toList();
+    assertThat(failures)
+        .filteredOn(failure -> failure.contains("exceeds"))
+        .hasSizeGreaterThanOrEqualTo(2 * MAX_BODY_BYTES >> 20);
+    assertThat(get("/ok", true).join().status()).isEqualTo(200);
+  }
+
+  /** Guards against a body that is never complete and never silent for the timeout. */
+  @Test
+  void responseThatNeverEndsIsGivenUp() {
+    CompletableFuture<HttpResponse> trickle = get("/trickle", true);
+    assertThatThrownBy(() -> trickle.get(5, TimeUnit.SECONDS))
+        .hasMessageContaining("no complete response");
+  }
+
+  @Test
+  void headsChunkExtensionsAndTrailersWithoutEndFail() {
+    for (String part : List.of("head", "blanks", "chunk-extension", "trailers")) {
+      CompletableFuture<HttpResponse> call = get("/endless-" + part, true);
+      assertThatThrownBy(() -> call.get(5, TimeUnit.SECONDS))
+          .as(part)
+          .hasCauseInstanceOf(ConnectionLostException.class);
+    }
+  }
 }
