A stopping host waits until its responses are sent to callers that read slowly

Cause: a connection counted as idle once the end of its response was in Netty's buffer. FrontendServer.stopAccepting closed it then, which discards the buffer, and GracefulShutdown counted it as idle and ended the process.

A response counts as unfinished until its last write has completed, that is until the operating system has it. Such connections are busy, so they are neither closed as idle nor left out when the end of the process is decided.

Before: FrontendServerTest failed, the connection counted as not busy. After: it passes, the caller gets all 32 MB.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -48,6 +49,7 @@
   private long headArrivedAt;
   private long idleSince;
   private long firstByteAt = -1;
+  private int unflushedResponses;
   private boolean closing;
 
   FrontendConnection(FrontendServer server) {
@@ -68,8 +70,9 @@
     };
   }
 
+  /** Returns whether a request is received or processed, or its response is not yet sent. */
   boolean isBusy() {
-    return writer != null || head != null;
+    return writer != null || head != null || unflushedResponses > 0;
   }
 
   private static long now(ChannelHandlerContext ctx) {
@@ -183,8 +186,12 @@
     return server.isDraining();
   }
 
-  /** Called when a complete response has been written to the connection. */
-  void responseCompleted(boolean keepAlive) {
+  /**
+   * Called when a complete response has been written to the connection's buffer.
+   *
+   * @param flushed completes when the operating system has the whole response
+   */
+  void responseCompleted(boolean keepAlive, ChannelFuture flushed) {
     ChannelHandlerContext ctx = context;
     writer = null;
     observer = null;
@@ -192,10 +199,16 @@
       return;
     }
     idleSince = now(ctx);
+    unflushedResponses++;
+    flushed.addListener(
+        done -> {
+          unflushedResponses--;
+          idleSince = now(ctx);
+        });
     if (!keepAlive) {
       closing = true;
       releasePipelined();
-      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      flushed.addListener(ChannelFutureListener.CLOSE);
       return;
     }
     while (writer == null && !closing && !pipelined.isEmpty()) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendResponseWriter.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendResponseWriter.java
@@ -52,8 +52,7 @@
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
     setConnectionHeader(response);
     boolean keepsOpen = mayKeepAlive();
-    ctx.writeAndFlush(response);
-    connection.responseCompleted(keepsOpen);
+    connection.responseCompleted(keepsOpen, ctx.writeAndFlush(response));
   }
 
   @Override
@@ -86,8 +85,7 @@
     }
     ended = true;
     boolean keepsOpen = mayKeepAlive();
-    ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    connection.responseCompleted(keepsOpen);
+    connection.responseCompleted(keepsOpen, ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -111,7 +111,7 @@
     return connections.size();
   }
 
-  /** Returns the number of connections with a request. */
+  /** Returns the number of connections with a request or a response that is not yet sent. */
   public int busyConnections() {
     int busy = 0;
     for (FrontendConnection connection : new ArrayList<>(connections)) {
--- /dev/null
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
@@ -0,0 +1,102 @@
+package io.samphiredyke.gateway.frontend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.samphiredyke.core.serving.CallerLimits;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections of callers of a server that is drained. */
+@Timeout(30)
+class FrontendServerTest implements RequestHandler {
+
+  private static final String REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  /** More than the operating system takes for a caller that does not read. */
+  private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final BlockingQueue<ResponseWriter> requests = new LinkedBlockingQueue<>();
+  private final FrontendServer server =
+      new FrontendServer(loop, this, () -> new CallerLimits(2_048, 4_096, 3_000, 15_000));
+  private Socket caller;
+
+  @BeforeEach
+  void connect() throws IOException {
+    InetSocketAddress address;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
+    }
+    server.start(address).join();
+    caller = new Socket(address.getAddress(), address.getPort());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    caller.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Override
+  public Observer handle(CallerRequest request) {
+    request.body().release();
+    requests.add(request.writer());
+    return new Observer() {
+      @Override
+      public void onDisconnected() {}
+
+      @Override
+      public void onWritable() {}
+    };
+  }
+
+  private void send(String text) throws IOException {
+    caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private void respond(int bodyBytes) throws Exception {
+    ResponseWriter writer = requests.take();
+    loop.submit(
+            () ->
+                writer.send(
+                    200,
+                    new DefaultHttpHeaders(false),
+                    Unpooled.wrappedBuffer(new byte[bodyBytes])))
+        .get();
+  }
+
+  /** Guards against responses that are cut off because their callers read slowly. */
+  @Test
+  void responseThatIsNotFlushedSurvivesTheDrain() throws Exception {
+    send(REQUEST);
+    respond(LONG_BODY_BYTES);
+    loop.submit(server::drain).get();
+    loop.submit(server::stopAccepting).get();
+    final int busy = loop.submit(server::busyConnections).get();
+    String head = "HTTP/1.1 200 OK\r\ncontent-length: " + LONG_BODY_BYTES + "\r\n\r\n";
+    int length = head.length() + LONG_BODY_BYTES;
+    assertThat(caller.getInputStream().readNBytes(length).length).isEqualTo(length);
+    assertThat(busy).isEqualTo(1);
+    loop.submit(server::stopAccepting).get();
+    assertThat(caller.getInputStream().read()).isEqualTo(-1);
+  }
+}
