A draining host responds to pipelined requests that it has read

Cause: while the server drains, each response ended its connection, and the pipelined requests that were queued by then were dropped. RequestsInProgress.endAll ended only the requests that it knew when it began.

The response is the last one, with Connection: close, only if no other request is queued. endAll goes on until no request is left, since the end of one starts the next. Late ones are refused as any other late request.

Before: FrontendServerTest 1 of 2 failed (the second response never came), GracefulShutdownTest 1 of 8.

A request behind one that is refused at once is still dropped if both came in one read, as the second is not decoded by then, and so are those behind a stream that is broken off at the end.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -182,8 +182,9 @@
     }
   }
 
-  boolean isDraining() {
-    return server.isDraining();
+  /** Returns whether the response is the last one, because the server drains. */
+  boolean endsAfterResponse() {
+    return server.isDraining() && pipelined.isEmpty();
   }
 
   /**
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendResponseWriter.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendResponseWriter.java
@@ -19,6 +19,7 @@
   private final FrontendConnection connection;
   private final ChannelHandlerContext ctx;
   private final boolean keepAlive;
+  private boolean announcesClose;
   private boolean started;
   private boolean ended;
 
@@ -30,11 +31,12 @@
   }
 
   private boolean mayKeepAlive() {
-    return keepAlive && !connection.isDraining();
+    return keepAlive && !announcesClose && !connection.endsAfterResponse();
   }
 
   private void setConnectionHeader(HttpResponse response) {
     if (!mayKeepAlive()) {
+      announcesClose = true;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -76,7 +76,10 @@
     }
   }
 
-  /** Starts draining: each connection is closed after its next response, which announces it. */
+  /**
+   * Starts draining: each connection is closed after its next response, which announces it. If
+   * other requests have been received by then, they are responded to first.
+   */
   public void drain() {
     draining = true;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestsInProgress.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestsInProgress.java
@@ -76,7 +76,10 @@
 
   /** Ends all requests: refuses those that wait, and reports those that run as unknown. */
   public void endAll() {
-    List.copyOf(requests.keySet()).forEach(ActiveRequest::endBeforeStop);
+    // The end of a request may start the next one of its connection.
+    while (!requests.isEmpty()) {
+      List.copyOf(requests.keySet()).forEach(ActiveRequest::endBeforeStop);
+    }
   }
 
   /** Returns the number of requests. */
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
@@ -147,18 +147,20 @@
   /** Time of a stop at which callers no longer use the address. */
   private static final int LATE_MILLIS = 3_300;
 
+  private String head(String path, int deadlineMillis) {
+    return String.format(
+        "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
+            + "X-Samphiredyke-Request-Id: raw-%d\r\nX-Samphiredyke-Deadline-Ms: %d\r\n"
+            + "Content-Length: 1\r\n\r\n",
+        path, PlatformFixtures.HOST, PlatformFixtures.KEY, ++requestCount, deadlineMillis);
+  }
+
   /** Returns the response to a request of which the last byte is sent late in the grace period. */
   private String sendLate(RunningGateway to, String path, int deadlineMillis)
       throws IOException, InterruptedException {
     String[] address = to.address().split(":");
     try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
-      RawServer.write(
-          socket,
-          String.format(
-              "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
-                  + "X-Samphiredyke-Request-Id: late-%d\r\nX-Samphiredyke-Deadline-Ms: %d\r\n"
-                  + "Content-Length: 1\r\n\r\n",
-              path, PlatformFixtures.HOST, PlatformFixtures.KEY, ++requestCount, deadlineMillis));
+      RawServer.write(socket, head(path, deadlineMillis));
       stop(to);
       Thread.sleep(LATE_MILLIS);
       RawServer.write(socket, "x");
@@ -201,4 +203,21 @@
     RunningGateway running = startConfiguredGateway();
     assertThat(sendLate(running, "/unsafe/x", LATE_MILLIS + 500)).startsWith("HTTP/1.1 200");
   }
+
+  /** Guards against pipelined requests that are closed without a response at the end. */
+  @Test
+  void pipelinedRequestIsRefusedAtTheEnd() throws Exception {
+    RunningGateway running = startConfiguredGateway();
+    hang();
+    String[] address = running.address().split(":");
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      RawServer.write(socket, head("/unsafe/x", 15_000) + "x" + head("/unsafe/x", 15_000) + "x");
+      await(() -> runs(plainEndpoints) == 1);
+      stop(running).join();
+      assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+          .startsWith("HTTP/1.1 502")
+          .contains("HTTP/1.1 503");
+    }
+    assertThat(runs(plainEndpoints)).isEqualTo(1);
+  }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
@@ -99,4 +99,18 @@
     loop.submit(server::stopAccepting).get();
     assertThat(caller.getInputStream().read()).isEqualTo(-1);
   }
+
+  /** Guards against pipelined requests that are read and closed without a response. */
+  @Test
+  void pipelinedRequestsAreRespondedToBeforeTheConnectionIsClosed() throws Exception {
+    send(REQUEST + REQUEST + REQUEST);
+    loop.submit(server::drain).get();
+    for (int i = 0; i < 3; i++) {
+      respond(1);
+    }
+    String responses =
+        new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    assertThat(responses.split("HTTP/1.1 200 OK")).hasSize(4);
+    assertThat(responses.split("connection: close")).hasSize(2);
+  }
 }
