--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -76,7 +76,10 @@
     }
   }
 
-  /** Starts draining: each connection is closed after its next response, which announces it. */
+  /**
+   * Starts draining: each connection is closed after its next response, which announces it. If
+   * other requests have been received by then, they are responded to first.
+   */
   public void drain() {
     draining = true;
   }
@@ -111,7 +114,7 @@
     return connections.size();
   }
 
-  /** Returns the number of connections with a request. */
+  /** Returns the number of connections with a request or a response that is not yet sent. */
   public int busyConnections() {
     int busy = 0;
     for (FrontendConnection connection : new ArrayList<>(connections)) {
