--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
@@ -29,11 +29,7 @@
         .values()
         .forEach(lines -> lines.forEach(line -> actions.merge(kindOf(line), 1, Integer::sum)));
     received.forEach(
-        outcome ->
-            outcomes.merge(
-                typeOf(outcome) + " " + outcome.summary(),
-                1,
-                Integer::sum));
+        outcome -> outcomes.merge(typeOf(outcome) + " " + outcome.summary(), 1, Integer::sum));
   }
 
   private static String typeOf(CallerOutcome outcome) {
