--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/ResponseRelayTest.java
@@ -106,7 +106,8 @@
 
   @Test
   void resumesAStreamAfterTheLastCompleteEvent() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
+    ResponseRelay relay =
+        new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\nid: 3\nda"));
     assertThat(relay.canResume()).isTrue();
@@ -120,7 +121,8 @@
 
   @Test
   void rejectsAResumedStreamThatRepeatsEvents() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
+    ResponseRelay relay =
+        new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2\n\n"));
     relay.prepareRetry();
@@ -168,7 +170,8 @@
 
   @Test
   void detectsAStreamThatEndsMidEvent() {
-    ResponseRelay relay = new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
+    ResponseRelay relay =
+        new ResponseRelay(this, RouteKind.RESUMABLE_STREAM, -1, share(), () -> {});
     relay.onHead(head("first"), true);
     relay.onContent(text("id: 1\n\nid: 2"));
     assertThat(relay.endsMidEvent()).isTrue();
