Tests of bytes without end against a process with the memory of the platform

EndlessResponseMemoryTest: 120 responses at once of each kind (headers, a response to another request, small chunks, a chunk extension, trailers, a body of 1 TB, a refusal) to callers that do not read; requests to other endpoints are served, the process goes on, and neither heap nor direct memory runs out.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndlessResponseMemoryTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndlessResponseMemoryTest.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A gateway process with the memory of the platform, and many responses without end at once. */
 @Timeout(90)
@@ -80,6 +82,17 @@
     process = builder.start();
   }
 
+  /** Sends the same text without end. */
+  private static RawServer.Script endless(String begin, String repeated) {
+    return (id, socket) -> {
+      RawServer.write(socket, begin.replace("ID", id));
+      String part = repeated.repeat(1_000);
+      while (true) {
+        RawServer.write(socket, part);
+      }
+    };
+  }
+
   /** Sends a body without end, which pauses until all responses have come as far. */
   private void respond(String id, Socket socket) throws IOException {
     RawServer.write(socket, HEAD + id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -96,34 +109,21 @@
     }
   }
 
-  private int status(String path) {
-    requestCount++;
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://" + address + path))
-            .header("Authorization", "Bearer key")
-            .header("X-Samphiredyke-Request-Id", "other-" + requestCount)
-            .header("X-Samphiredyke-Deadline-Ms", "15000")
-            .timeout(Duration.ofSeconds(20))
-            .build();
-    try {
-      return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
-    } catch (IOException | CompletionException e) {
-      return 0;
-    } catch (InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  /** Guards against a process that ends because it keeps what a faulty endpoint sends. */
-  @Test
-  void otherRequestsAreServedWhileResponsesDoNotEnd() throws IOException {
+  /** Starts the process and sends requests to an endpoint without reading the responses. */
+  private List<Socket> callEndpoint(RawServer.Script script) throws IOException {
+    AtomicInteger received = new AtomicInteger();
+    RawServer.Script counting =
+        (id, socket) -> {
+          received.incrementAndGet();
+          script.respond(id, socket);
+        };
     register("draining", plainEndpoints);
     String entry =
         plainEndpoints
             .get(0)
             .entry("ready")
             .replace("\"BatchSlots\":4", "\"BatchSlots\":" + RESPONSES)
-            .replaceFirst("127\\.0\\.0\\.1:\\d+", RawServer.start(this::respond).address());
+            .replaceFirst("127\\.0\\.0\\.1:\\d+", RawServer.start(counting).address());
     store.put(StoreClient.ENDPOINT_TOPIC, "p-raw", entry);
     configure(1);
     startProcess();
@@ -135,7 +135,7 @@
       caller.setReceiveBufferSize(SMALL_BUFFER_BYTES);
       caller.connect(new InetSocketAddress(hostAndPort[0], Integer.parseInt(hostAndPort[1])));
       callers.add(caller);
-      await(() -> paused.get() + MAX_CONNECTING > callers.size() || !process.isAlive());
+      await(() -> received.get() + MAX_CONNECTING > callers.size() || !process.isAlive());
       RawServer.write(
           caller,
           "GET /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer key\r\n"
@@ -143,17 +143,68 @@
               + i
               + "\r\n\r\n");
     }
-    for (int i = 0; i < OTHER_REQUESTS; i++) {
-      assertThat(status("/stream/x")).as("paused %s", paused).isEqualTo(200);
+    return callers;
+  }
+
+  private int status(String path) {
+    requestCount++;
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .header("Authorization", "Bearer key")
+            .header("X-Samphiredyke-Request-Id", "other-" + requestCount)
+            .header("X-Samphiredyke-Deadline-Ms", "15000")
+            .timeout(Duration.ofSeconds(20))
+            .build();
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+    } catch (IOException | CompletionException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
     }
+  }
+
+  /** Guards against a process that ends because it keeps what a faulty endpoint sends. */
+  @Test
+  void otherRequestsAreServedWhileResponsesDoNotEnd() throws IOException {
+    List<Socket> callers = callEndpoint(this::respond);
+    assertOthersAreServed();
     await(() -> paused.get() >= RESPONSES || !process.isAlive());
-    for (int i = 0; i < OTHER_REQUESTS; i++) {
-      assertThat(status("/stream/x")).as("paused %s", paused).isEqualTo(200);
+    assertOthersAreServed();
+    for (Socket caller : callers) {
+      caller.close();
     }
-    assertThat(process.isAlive()).isTrue();
-    assertThat(Files.readString(directory.resolve("log"))).doesNotContain("Java heap space");
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\n|Name: value\r\n",
+        HEAD + "q\r\n\r\n|body",
+        HEAD + "ID\r\nTransfer-Encoding: chunked\r\n\r\n|1;name=value\r\nx\r\n",
+        HEAD + "ID\r\nTransfer-Encoding: chunked\r\n\r\n1;|name=value",
+        HEAD + "ID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n|Name: value\r\n",
+        HEAD + "ID\r\nContent-Length: 999999999999\r\n\r\n|body",
+        "HTTP/1.1 503 Full\r\nX-Samphiredyke-Not-Executed: 1\r\n\r\n|body"
+      })
+  void otherRequestsAreServedWhileBytesDoNotEnd(String beginAndRepeated) throws IOException {
+    int border = beginAndRepeated.indexOf('|');
+    List<Socket> callers =
+        callEndpoint(
+            endless(beginAndRepeated.substring(0, border), beginAndRepeated.substring(border + 1)));
+    assertOthersAreServed();
     for (Socket caller : callers) {
       caller.close();
     }
   }
+
+  private void assertOthersAreServed() throws IOException {
+    for (int i = 0; i < OTHER_REQUESTS; i++) {
+      assertThat(status("/stream/x")).isEqualTo(200);
+    }
+    assertThat(process.isAlive()).isTrue();
+    assertThat(Files.readString(directory.resolve("log")))
+        .doesNotContain("Java heap space")
+        .doesNotContain("direct buffer memory");
+  }
 }
