A long failure of an engine is passed on whole or not at all

The daemon passed on the first 64 KiB of an engine's failure as the complete response. A failure whose body has no end was read without end, and its caller got no response.

Cause: ModelCall dropped what exceeded 64 KiB of a failure's body and waited for its end. It now collects up to 1 MiB. Of a longer body only the status counts: the connection is closed, and the request counts as not executed if the status proves that, and else as one whose response is too long.

Before: MalformedEngineResponseTest, a failure of 100,002 bytes was cut off, and an endless one had no response within 20 s. After: the first is complete, the second gets 502 and the connection to the engine is closed.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -25,7 +25,7 @@
 final class ModelCall extends AbstractEndpointCall {
 
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
-  private static final int MAX_ERROR_BODY_BYTES = 64 * 1024;
+  private static final int MAX_ERROR_BODY_BYTES = 1024 * 1024;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final Duration INACTIVITY_TIMEOUT = Duration.ofSeconds(5);
@@ -101,7 +101,7 @@
         return;
       }
       if (status != OK) {
-        errorBody.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BODY_BYTES - errorBody.size()));
+        readErrorBody(bytes);
         return;
       }
       try {
@@ -195,9 +195,35 @@
       isFinished = true;
       if (status == OK) {
         handleConnectionLoss();
-      } else if (!isResume) {
+      } else if (isResume) {
+        handleRefusedResume();
+      } else {
         handleErrorResponse();
-      } else if (status == NOT_FOUND) {
+      }
+    }
+
+    /** Collects the body of a failure; of one that is too long, only the status counts. */
+    private void readErrorBody(byte[] bytes) {
+      if (errorBody.size() + bytes.length <= MAX_ERROR_BODY_BYTES) {
+        errorBody.writeBytes(bytes);
+        return;
+      }
+      isFinished = true;
+      closeStream();
+      if (isCancelled()) {
+        return;
+      }
+      if (isResume) {
+        handleRefusedResume();
+      } else if (provesNotExecuted(status)) {
+        listener.onNotExecuted();
+      } else {
+        listener.onResponseTooLong();
+      }
+    }
+
+    private void handleRefusedResume() {
+      if (status == NOT_FOUND) {
         handleUnknownRequest();
       } else {
         scheduleResume();
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/MalformedEngineResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/MalformedEngineResponseTest.java
@@ -186,6 +186,37 @@
     assertThat(dispatches).hasValue(1);
   }
 
+  /** Guards against a failure whose body is cut off and reported as complete. */
+  @Test
+  void longErrorResponseIsComplete() {
+    String body = "\"" + "f".repeat(100_000) + "\"";
+    onDispatch =
+        exchange ->
+            exchange.respond(
+                500,
+                Map.of("content-type", "application/json"),
+                body.getBytes(StandardCharsets.UTF_8));
+    HttpResponse response = ask("long failure");
+    assertThat(response.status()).isEqualTo(500);
+    assertThat(response.text()).isEqualTo(body);
+  }
+
+  /** Guards against a failure whose body is read without end. */
+  @Test
+  void abortsEndlessErrorResponse() {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    onDispatch =
+        exchange -> {
+          exchange.disconnected().thenRun(() -> closed.complete(null));
+          ResponseStream stream =
+              exchange.startStream(500, Map.of("content-type", "application/json"));
+          sendMore(stream, Integer.MAX_VALUE, new AtomicLong(), exchange.disconnected());
+        };
+    assertThat(ask("endless failure").status()).isEqualTo(502);
+    join(closed);
+    assertThat(dispatches).hasValue(1);
+  }
+
   @Test
   void appliesBackpressureWhileCallerDoesNotRead() throws IOException {
     int events = 20_000;
