The client library ignores responses to other requests

First attempts of the client library reuse connections. A refusal "not run" that a host, or something between, sends once more after the next request was sent was taken for the response to that request: the library sent it again under a new id, although the first one ran.

Cause: hosts state the id of the request in the responses of endpoints (Idempotency-Key), but the library didn't read it, and problem documents lacked it. Problem documents state it now, and the library takes a response with another id for an interruption: it asks for the outcome with the same id on a new connection.

Before: SamphiredykeClientTest.responseToAnotherRequestIsIgnored, a second id was used. After: one id, two requests. What remains: failures of the hosts' HTTP server itself (408, 413, 500) state no id, and a response without one is accepted.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestExecution.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestExecution.java
@@ -146,7 +146,7 @@
     connectionsForId++;
     ConnectionPools pools = context.connectionPools();
     boolean firstAttempt = connectionsForId == 1;
-    ResponseReader newReader = new ResponseReader(loop, new Handler());
+    ResponseReader newReader = new ResponseReader(loop, requestId, new Handler());
     mayHaveBeenSentBefore = mayHaveBeenSent;
     mayHaveBeenSent = true;
     reader = newReader;
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -14,22 +14,25 @@
 /**
  * Reads a response and passes it to a handler on the event loop of the request.
  *
- * <p>The parts arrive on the event loop of the connection and are passed, in order, to that of the
- * request.
+ * <p>A response that states the id of another request is a late one on a reused connection and
+ * counts as an interruption. The parts arrive on the event loop of the connection and are passed,
+ * in order, to that of the request.
  */
 final class ResponseReader implements StreamListener {
 
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
   private final EventLoop loop;
+  private final String requestId;
   private final Handler handler;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable SseDecoder decoder;
   private Head head = Head.NONE;
   private boolean cancelled;
 
-  ResponseReader(EventLoop loop, Handler handler) {
+  ResponseReader(EventLoop loop, String requestId, Handler handler) {
     this.loop = loop;
+    this.requestId = requestId;
     this.handler = handler;
   }
 
@@ -69,6 +72,11 @@
   }
 
   private void begin(Head received) {
+    if (received.isForOtherRequest(requestId)) {
+      cancelled = true;
+      handler.onInterrupted();
+      return;
+    }
     head = received;
     if (received.isEventStream()) {
       decoder = new SseDecoder(MAX_EVENT_BYTES);
@@ -127,6 +135,11 @@
 
     static final Head NONE = new Head(0, Map.of());
 
+    /** Returns whether the response states the id of another request than the given one. */
+    boolean isForOtherRequest(String requestId) {
+      return !headers.getOrDefault("idempotency-key", requestId).equals(requestId);
+    }
+
     boolean isEventStream() {
       return contentType().startsWith("text/event-stream");
     }
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
@@ -92,6 +92,16 @@
     assertThat(response.attemptCounts()).isEqualTo(new AttemptCounts(1, 1));
   }
 
+  /** Guards against a repeated refusal of an earlier request, after which this one ran twice. */
+  @Test
+  void responseToAnotherRequestIsIgnored() {
+    server
+        .then(ScriptedServer.problem(503, "no", Map.of("idempotency-key", "ticket0.1")))
+        .then(ScriptedServer.events(1, 2, true, false));
+    assertThat(client.chat(CHAT, listener).join().text()).isEqualTo("t1 t2 ");
+    assertThat(server.posts()).extracting(ScriptedServer.Post::id).containsOnly("ticket1.1");
+  }
+
   @Test
   void resumesInterruptedStreamWithTheSameId() {
     server
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/response/Problem.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/response/Problem.java
@@ -27,6 +27,8 @@
     @Nullable Duration retryAfter,
     List<String> addresses) {
 
+  private static final String ID_HEADER = "idempotency-key";
+
   /** Whether a request was executed. */
   public enum ExecutionStatus {
     /** The request was not executed and never will be under this id. */
@@ -79,10 +81,14 @@
         new Document("about:blank", title, status, detail, executionStatus.text(), addresses));
   }
 
-  /** Sends the problem as the complete response. */
+  /** Sends the problem as the complete response, with the id of the request that it answers. */
   public void send(HttpExchange exchange) {
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("content-type", "application/problem+json");
+    String requestId = exchange.header(ID_HEADER);
+    if (requestId != null) {
+      headers.put(ID_HEADER, requestId);
+    }
     Duration wait = retryAfter;
     if (wait != null) {
       headers.put("retry-after", Long.toString(Math.max(1, wait.toSeconds())));
