The client library gives up bodies without end

A host whose response has no end filled the memory of the caller's process.

Cause: ResponseReader kept the body of a response that is no stream without limit.

Before: ResponseReaderTest, 70 MiB were kept and passed on. After: given up once, nothing passed on.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -21,6 +21,7 @@
 final class ResponseReader implements StreamListener {
 
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
 
   private final EventLoop loop;
   private final String requestId;
@@ -90,7 +91,7 @@
 
   private void read(byte[] bytes) {
     if (decoder == null) {
-      body.writeBytes(bytes);
+      readBody(bytes);
       return;
     }
     try {
@@ -100,6 +101,15 @@
     }
   }
 
+  private void readBody(byte[] bytes) {
+    if (body.size() + bytes.length > MAX_BODY_BYTES) {
+      cancelled = true;
+      handler.onInterrupted();
+      return;
+    }
+    body.writeBytes(bytes);
+  }
+
   private void deliver(SseEvent event) {
     if (!cancelled) {
       handler.onEvent(event, head);
