The time for which a slow caller pauses an endpoint is not the endpoint's silence

Cause: reading from the endpoint is paused while the caller's buffer is full. The check of inactivity let the endpoint off only while that lasted; if it came after the buffer had drained and before the next bytes, it counted the pause. Ruled out: the stop, as the process ended with no busy connection and no unanswered request.

The inactivity is counted from the moment at which reading goes on. There is no test of its own in the tree: the moment can't be set from outside.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -144,6 +144,10 @@
   }
 
   void setReading(boolean reading) {
+    if (reading) {
+      // While reading was paused for a slow caller, the endpoint was not silent.
+      lastContentAt = request.context().loop().nanoTime();
+    }
     EndpointExchange open = exchange;
     if (open != null) {
       open.setReading(reading);
