Late requests need headroom, and requests that came before wait as long as they did

Cause: the slowest of a few runs is no bound for the next one, and the stricter rule looked at the time of the grant instead of the time at which the request was read.

A late request needs twice the slowest run. A request that was read before is judged by most runs of its route, as it was, and refused from 2.8 s on only if no run was observed.

RunTimeEstimatorTest, GracefulShutdownTest and FrontendServerTest pass. No test of its own shows the second part.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -101,7 +101,7 @@
   }
 
   void start() {
-    context.inProgress().add(this, deadlines);
+    context.inProgress().add(this, deadlines, context.loop().nanoTime());
     long remainingNanos = deadlines.deadline() - context.loop().nanoTime();
     timer = context.loop().schedule(this::timedOut, Duration.ofNanos(Math.max(0, remainingNanos)));
     long quarantinedMillis = context.quarantinedMillis(head.estimate());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestsInProgress.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestsInProgress.java
@@ -11,14 +11,17 @@
  * endpoints or for the origin of its stream, is refused as soon as it can no longer be served
  * before the process ends, so that its caller turns to another host in time.
  *
- * <p>As long as callers may use the host's address, a request is served if most requests of its
- * route would end in time. Later requests are served only if the slowest ones would.
+ * <p>A request that is read while callers may use the host's address is served if most requests of
+ * its route would end in time. Later requests are served only if the slowest ones would.
  */
 public final class RequestsInProgress {
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final Map<ActiveRequest, RequestDeadlines> requests = new LinkedHashMap<>();
+  /** Limits and time of reading of a request. */
+  private record Entry(RequestDeadlines deadlines, long readAt) {}
+
+  private final Map<ActiveRequest, Entry> requests = new LinkedHashMap<>();
   private final RunTimeEstimator runTimes = new RunTimeEstimator();
   private boolean isStopping;
   private long addressExpiresAt;
@@ -26,8 +29,8 @@
 
   RequestsInProgress() {}
 
-  void add(ActiveRequest request, RequestDeadlines deadlines) {
-    requests.put(request, deadlines);
+  void add(ActiveRequest request, RequestDeadlines deadlines, long readAt) {
+    requests.put(request, new Entry(deadlines, readAt));
   }
 
   void remove(ActiveRequest request) {
@@ -57,12 +60,17 @@
     }
     double millisLeft = (endsAt - now) / NANOS_PER_MILLI;
     String route = request.route().name();
-    if (now - addressExpiresAt < 0) {
+    Entry entry = requests.get(request);
+    if (entry == null || now - addressExpiresAt < 0) {
       return runTimes.upperMillis(route) < millisLeft;
     }
-    RequestDeadlines deadlines = requests.get(request);
-    boolean timesOutBefore = deadlines != null && deadlines.deadline() - endsAt < 0;
-    return timesOutBefore || runTimes.slowestMillis(route) < millisLeft;
+    boolean timesOutBefore = entry.deadlines().deadline() - endsAt < 0;
+    boolean isLate = entry.readAt() - addressExpiresAt >= 0;
+    double runMillis = runTimes.slowestMillis(route);
+    if (!isLate && Double.isFinite(runMillis)) {
+      runMillis = runTimes.upperMillis(route);
+    }
+    return timesOutBefore || runMillis < millisLeft;
   }
 
   /** Refuses the waiting requests that can't be served before the process ends. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RunTimeEstimator.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RunTimeEstimator.java
@@ -17,6 +17,9 @@
   /** Mean deviations above the mean that cover nearly all requests. */
   private static final double DEVIATIONS = 2;
 
+  /** Multiple of the slowest observed run that covers the runs of a loaded host or endpoint. */
+  private static final int SLOWEST_HEADROOM = 2;
+
   /** Part by which the slowest run fades with each new observation. */
   private static final double SLOWEST_DECAY = 0.01;
 
@@ -51,11 +54,11 @@
     return known == null ? 0 : known.upperMillis();
   }
 
-  /** Returns the time that the slowest requests of a route take, infinite if none was observed. */
+  /** Returns the time in which all requests of a route end, infinite if none was observed. */
   double slowestMillis(String route) {
     Estimate known = estimates.get(route);
     return known == null
         ? Double.POSITIVE_INFINITY
-        : Math.max(known.slowestMillis(), known.upperMillis());
+        : SLOWEST_HEADROOM * Math.max(known.slowestMillis(), known.upperMillis());
   }
 }
