--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
@@ -114,8 +114,8 @@
     boolean isSigned = !signature.isEmpty();
     if (outcome.isSuccess() && !isSigned) {
       add("MIXED success without a signature", outcome);
-    } else if (!stated.isEmpty() && !stated.equals(outcome.id())
-        || isSigned && !signature.contains("." + outcome.id() + ".")) {
+    } else if ((!stated.isEmpty() && !stated.equals(outcome.id()))
+        || (isSigned && !signature.contains("." + outcome.id() + "."))) {
       add("MIXED another request's response" + cause(outcome), outcome);
     } else if (isSigned && !signature.endsWith("." + outcome.status())) {
       add("MIXED status" + cause(outcome), outcome);
@@ -130,7 +130,7 @@
     boolean isUnsized = false;
     for (String action : observations.endpointActions(outcome.id())) {
       String[] words = action.split(" ");
-      if (words[0].equals("broke")) {
+      if (words[0].equals("broke") && !cause.equals(", again")) {
         cause = ", broke " + words[1] + " " + words[2] + (words.length > 6 ? " " + words[3] : "");
       } else if (words[0].equals("spliced") || words[0].equals("again")) {
         cause = ", " + words[0];
