A stream that ends with its connection is continued where the route permits

Cause: without length and chunks, the end of the connection is the only sign of completeness, and the system of a killed process closes its connections regularly, at any place. Ruled out: a reset, which was a failure before.

On a route that permits another attempt, the stream is continued after its last event. A success without further events confirms the end, further events refute it.

Test: StreamOrderTest.streamThatEndsWithItsConnectionIsContinuedWhereTheRoutePermits.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -7,7 +7,6 @@
 import io.samphiredyke.core.serving.CustomerSpec;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.Route;
-import io.samphiredyke.core.serving.StreamOrigin;
 import io.samphiredyke.gateway.frontend.CallerRequest;
 import io.samphiredyke.gateway.frontend.RequestHandler;
 import io.samphiredyke.gateway.scheduling.AcquisitionListener;
@@ -26,11 +25,6 @@
  */
 final class ActiveRequest implements RequestHandler.Observer, AcquisitionListener {
 
-  private static final long NANOS_PER_MILLI = 1_000_000;
-
-  /** Attempts that did not run the request, after which the caller is told to retry later. */
-  private static final int MAX_NOT_RUN_ATTEMPTS = 3;
-
   /** Retry-After for a request that several endpoints refused without running it. */
   private static final long NOT_RUN_RETRY_MILLIS = 100;
 
@@ -43,18 +37,18 @@
   private final CallerRequest request;
   private final CallerRequestHead head;
   private final Route route;
-  private final @Nullable CustomerSpec customer;
   private final RequestDeadlines deadlines;
   private final SlotAcquisition acquisition;
   private final RequestContent content;
   private final ResponseRelay relay;
   private final RequestLog log;
+  private final AttemptCounter attempts;
+  private final StreamContinuity continuity;
+  private final UnconfirmedEnd unconfirmedEnd;
+  private final RequestOutcome outcome;
   private @Nullable Future<?> timer;
   private @Nullable EndpointAttempt attempt;
   private String lastEndpointId = "";
-  private int possibleExecutions;
-  private int notRunAttempts;
-  private boolean reachedEndpoint;
   private boolean ended;
 
   ActiveRequest(
@@ -67,13 +61,13 @@
     this.request = request;
     this.head = head;
     this.route = route;
-    this.customer = customer;
+    this.attempts = new AttemptCounter(route);
     long waitedMillis = context.waitEstimator().waitedMillis(route.name(), head.remainingMillis());
     this.content = new RequestContent(context.crashes(), request, customer);
     this.deadlines =
         new RequestDeadlines(route, head.remainingMillis(), waitedMillis, request.arrivedAt());
     this.acquisition =
-        new SlotAcquisition(context, this, head, route, customer, content, deadlines);
+        new SlotAcquisition(context, this, head, route, customer, content, deadlines, attempts);
     this.log = new RequestLog(context.log(), context.metrics(), head, route.name());
     this.relay =
         new ResponseRelay(
@@ -82,6 +76,9 @@
             head.lastEventId(),
             context.responseMemory().shareOf(head.requestId()),
             this::streamBegins);
+    this.continuity = new StreamContinuity(context, head, route, acquisition.eligibility(), log);
+    this.unconfirmedEnd = new UnconfirmedEnd(relay);
+    this.outcome = new RequestOutcome(context, request, content, relay, log, this::end);
   }
 
   RequestService.Context context() {
@@ -105,49 +102,34 @@
   }
 
   void start() {
-    context.inProgress().add(this, deadlines, context.loop().nanoTime());
-    long remainingNanos = deadlines.deadline() - context.loop().nanoTime();
-    timer = context.loop().schedule(this::timedOut, Duration.ofNanos(Math.max(0, remainingNanos)));
+    long now = context.loop().nanoTime();
+    context.inProgress().add(this, deadlines, now);
+    timer = context.loop().schedule(this::timedOut, deadlines.remaining(now));
     long quarantinedMillis = context.quarantinedMillis(head.estimate());
     if (quarantinedMillis > 0) {
       refused(new SlotRefusal(SlotRefusal.Reason.PROMPT_QUARANTINED, quarantinedMillis));
       return;
     }
-    if (head.isTakeUp() && route.kind().isStream()) {
-      new OriginLookup(context, head.resumedRequestId(), route, this::takeUp).start();
+    if (continuity.isTakeUp()) {
+      continuity.findOrigin(acquisition::acquire, this::originUnknown);
     } else {
-      acquisition.acquire(reachedEndpoint);
+      acquisition.acquire();
     }
   }
 
-  /** Continues a stream of the caller, at the software version that began it only. */
-  private void takeUp(@Nullable StreamOrigin origin, boolean isKnown) {
-    if (ended) {
-      return;
-    }
-    log.takenUp(head.resumedRequestId(), origin, isKnown);
-    if (origin == null) {
+  private void originUnknown() {
+    if (!ended) {
       finishNotRun(
           ErrorResponses.SERVICE_UNAVAILABLE,
           "the software version that began the stream is not known",
           UNKNOWN_ORIGIN_RETRY_MILLIS);
-      return;
     }
-    acquisition.eligibility().restrictTo(origin);
-    acquisition.acquire(reachedEndpoint);
   }
 
-  /** Called before the first event of a stream is passed on. */
   private void streamBegins() {
     EndpointAttempt serving = attempt;
-    if (serving == null) {
-      return;
-    }
-    EndpointRecord endpoint = serving.endpoint();
-    StreamOrigin origin = new StreamOrigin(endpoint.service(), endpoint.version());
-    acquisition.eligibility().restrictTo(origin);
-    if (!head.isTakeUp()) {
-      context.streams().began(head.requestId(), origin);
+    if (serving != null) {
+      continuity.begins(serving.endpoint());
     }
   }
 
@@ -171,25 +153,25 @@
     if (endpoint == null || !acquisition.eligibility().includes(endpoint)) {
       slot.release(Outcome.WITHDRAWN);
       acquisition.exclude(slot.endpointId());
-      acquisition.acquire(reachedEndpoint);
+      acquisition.acquire();
     } else if (context.pauses().isPaused(endpoint, context.loop().nanoTime())) {
       slot.release(Outcome.WITHDRAWN);
-      acquisition.acquire(reachedEndpoint);
+      acquisition.acquire();
     } else {
       send(endpoint, slot);
     }
   }
 
   private void send(EndpointRecord endpoint, SlotHandle slot) {
-    long remainingMillis = (deadlines.deadline() - context.loop().nanoTime()) / NANOS_PER_MILLI;
+    long remainingMillis = deadlines.remaining(context.loop().nanoTime()).toMillis();
     OutgoingRequest outgoing =
         content.outgoing(head.requestId(), endpoint.id(), remainingMillis, relay.lastEventId());
     log.sent(
         endpoint,
         slot.grantedBy(),
-        millisSinceArrival(),
+        outcome.millisSinceArrival(),
         remainingMillis,
-        possibleExecutions + notRunAttempts + 1,
+        attempts.next(),
         relay.lastEventId());
     lastEndpointId = endpoint.id();
     EndpointAttempt next = new EndpointAttempt(this, endpoint, slot);
@@ -197,17 +179,13 @@
     next.start(outgoing, !acquisition.eligibility().hasTried(endpoint.id()));
   }
 
-  private long millisSinceArrival() {
-    return (context.loop().nanoTime() - request.arrivedAt()) / NANOS_PER_MILLI;
-  }
-
   @Override
   public void refused(SlotRefusal refusal) {
     if (ended) {
       return;
     }
     String reason = "no place: " + refusal.reason();
-    if (possibleExecutions > 0) {
+    if (attempts.mayHaveRun()) {
       finishFailed(ErrorResponses.BAD_GATEWAY, reason);
       return;
     }
@@ -220,42 +198,44 @@
 
   /** Called when the endpoint stated that it did not run the request. */
   void notRun(EndpointAttempt refusing, int status) {
-    reachedEndpoint = true;
     releaseSlot(
         refusing, status == ErrorResponses.SERVICE_UNAVAILABLE ? Outcome.FULL : Outcome.WITHDRAWN);
-    notRunAttempts++;
-    String reason = "the endpoint answered " + status + " without running it";
-    retryNotRun(refusing, reason);
+    attempts.refused();
+    retryNotRun(refusing, "the endpoint answered " + status + " without running it");
   }
 
   /** Called when no connection to the endpoint could be established. */
   void connectFailed(EndpointAttempt failed, String reason) {
     releaseSlot(failed, Outcome.FAILED);
     context.crashes().unreachable(failed.endpoint());
-    notRunAttempts++;
+    attempts.unreachable();
     retryNotRun(failed, reason);
   }
 
   private void retryNotRun(EndpointAttempt previous, String reason) {
-    if (notRunAttempts < MAX_NOT_RUN_ATTEMPTS) {
+    if (attempts.mayTryAgain()) {
       retry(previous, reason);
-    } else if (possibleExecutions > 0) {
+    } else {
+      finishUnserved(reason, NOT_RUN_RETRY_MILLIS);
+    }
+  }
+
+  private void finishUnserved(String reason, long retryAfterMillis) {
+    if (attempts.mayHaveRun()) {
       finishFailed(ErrorResponses.BAD_GATEWAY, reason);
     } else {
-      finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, reason, NOT_RUN_RETRY_MILLIS);
+      finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
     }
   }
 
   /** Called when the endpoint may have run the request but its response can't be used. */
   void failed(EndpointAttempt failed, String reason) {
-    reachedEndpoint = true;
-    possibleExecutions++;
+    attempts.possiblyRun();
     releaseSlot(failed, failed.failureOutcome());
     if (failed.wasBrokenOff()) {
       content.brokenOff(failed, head.requestId());
     }
-    boolean canResume = !relay.hasStarted() || relay.canResume();
-    if (route.kind().isRetryable() && canResume && possibleExecutions < route.maxAttempts()) {
+    if (attempts.mayRunAgain() && (!relay.hasStarted() || relay.canResume())) {
       retry(failed, reason);
       return;
     }
@@ -264,24 +244,48 @@
 
   /** Returns whether another endpoint may run the request if the current one fails. */
   boolean mayRetry() {
-    return route.kind().isRetryable() && possibleExecutions + 1 < route.maxAttempts();
+    return attempts.mayRetryAfterCurrent();
   }
 
   private void retry(EndpointAttempt previous, String reason) {
     log.retried(reason, previous, content.fingerprint());
     acquisition.exclude(previous.endpoint().id());
     relay.prepareRetry();
-    acquisition.acquire(reachedEndpoint);
+    acquisition.acquire();
   }
 
-  /** Called when the complete response has been relayed. */
-  void completed(EndpointAttempt serving, int status) {
-    context.inProgress().ran(route.name(), context.loop().nanoTime() - serving.sentAt());
-    boolean isError = status >= ErrorResponses.INTERNAL_SERVER_ERROR;
-    releaseSlot(serving, isError ? Outcome.ERRORED : Outcome.SERVED);
-    content.served();
-    log.completed(status, serving, millisSinceArrival());
-    end();
+  /** Called at the regular end of a response. */
+  void responseEnded(EndpointAttempt serving, int status) {
+    if (!mayRetry() || !unconfirmedEnd.isNeededFor(serving)) {
+      context.inProgress().ran(route.name(), context.loop().nanoTime() - serving.sentAt());
+      releaseSlot(serving, serving.successOutcome());
+      outcome.completed(serving, status);
+      return;
+    }
+    unconfirmedEnd.begin(serving);
+    attempts.possiblyRun();
+    releaseSlot(serving, Outcome.SERVED);
+    Duration limit = Duration.ofMillis(InactivityTimeout.betweenChunks(route));
+    context.loop().schedule(this::stopConfirming, limit);
+    retry(serving, "the stream ended with its connection");
+  }
+
+  private void stopConfirming() {
+    if (ended || unconfirmedEnd.pending() == null) {
+      return;
+    }
+    withdraw();
+    completeUnconfirmed();
+  }
+
+  /** Completes a stream that ended regularly, if no attempt to continue it brought an event. */
+  private boolean completeUnconfirmed() {
+    EndpointAttempt last = unconfirmedEnd.pending();
+    if (last == null) {
+      return false;
+    }
+    outcome.completed(last, last.status());
+    return true;
   }
 
   private void releaseSlot(EndpointAttempt released, Outcome outcome) {
@@ -292,26 +296,14 @@
   }
 
   private void finishNotRun(int status, String reason, long retryAfterMillis) {
-    log.refused(status, reason, millisSinceArrival(), retryAfterMillis);
-    end();
-    ErrorResponses.send(request.writer(), status, reason, false, retryAfterMillis);
+    outcome.refused(status, reason, retryAfterMillis);
   }
 
   private void finishFailed(int status, String reason) {
-    log.failed(
-        status,
-        reason,
-        millisSinceArrival(),
-        possibleExecutions,
-        relay.lastEventId(),
-        lastEndpointId,
-        content.fingerprint());
-    end();
-    if (relay.hasStarted()) {
-      request.writer().abort();
-    } else {
-      ErrorResponses.send(request.writer(), status, reason, true, -1);
+    if (completeUnconfirmed()) {
+      return;
     }
+    outcome.failed(status, reason, attempts.possibleExecutions(), lastEndpointId);
   }
 
   /** Refuses the request if it waits, because the host stops before it could be served. */
@@ -320,11 +312,7 @@
       return;
     }
     acquisition.withdraw();
-    if (possibleExecutions > 0) {
-      finishFailed(ErrorResponses.BAD_GATEWAY, STOPPING);
-    } else {
-      finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, STOPPING, 0);
-    }
+    finishUnserved(STOPPING, 0);
   }
 
   /** Ends the request in any state, because the process ends. */
@@ -334,10 +322,14 @@
     if (ended || running == null) {
       return;
     }
+    abandon(running, ErrorResponses.BAD_GATEWAY, STOPPING);
+  }
+
+  private void abandon(EndpointAttempt running, int status, String reason) {
     running.cancel();
-    possibleExecutions++;
+    attempts.possiblyRun();
     releaseSlot(running, Outcome.WITHDRAWN);
-    finishFailed(ErrorResponses.BAD_GATEWAY, STOPPING);
+    finishFailed(status, reason);
   }
 
   private void timedOut() {
@@ -347,17 +339,14 @@
     EndpointAttempt running = attempt;
     if (running == null) {
       acquisition.withdraw();
-      if (possibleExecutions > 0) {
+      if (attempts.mayHaveRun()) {
         finishFailed(ErrorResponses.GATEWAY_TIMEOUT, "no time left for another endpoint");
       } else {
         finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, "no place before the time limit", -1);
       }
       return;
     }
-    running.cancel();
-    possibleExecutions++;
-    releaseSlot(running, Outcome.WITHDRAWN);
-    finishFailed(ErrorResponses.GATEWAY_TIMEOUT, "the endpoint did not answer in time");
+    abandon(running, ErrorResponses.GATEWAY_TIMEOUT, "the endpoint did not answer in time");
   }
 
   @Override
@@ -365,7 +354,13 @@
     if (ended) {
       return;
     }
-    log.callerDisconnected(millisSinceArrival(), attempt != null);
+    log.callerDisconnected(outcome.millisSinceArrival(), attempt != null);
+    withdraw();
+    end();
+  }
+
+  /** Cancels the current attempt, or the wait for a slot. */
+  private void withdraw() {
     EndpointAttempt running = attempt;
     if (running == null) {
       acquisition.withdraw();
@@ -373,7 +368,6 @@
       running.cancel();
       releaseSlot(running, Outcome.WITHDRAWN);
     }
-    end();
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -65,6 +65,11 @@
     this.slot = slot;
   }
 
+  /** Returns the outcome to report for an attempt whose response was relayed as a whole. */
+  Outcome successOutcome() {
+    return status >= ErrorResponses.INTERNAL_SERVER_ERROR ? Outcome.ERRORED : Outcome.SERVED;
+  }
+
   /** Returns the outcome to report for a failed attempt that may have run the request. */
   Outcome failureOutcome() {
     if (status >= ErrorResponses.INTERNAL_SERVER_ERROR) {
@@ -97,6 +102,11 @@
     return endsWithConnection;
   }
 
+  /** Returns the status of the response, 0 before its head. */
+  int status() {
+    return status;
+  }
+
   /** Returns when the request was sent, in nanoseconds of the control loop's clock. */
   long sentAt() {
     return sentAt;
@@ -171,7 +181,7 @@
   void setReading(boolean reading) {
     if (reading) {
       // While reading was paused for a slow caller, the endpoint was not silent.
-      lastContentAt = request.context().loop().nanoTime();
+      lastProgressAt = request.context().loop().nanoTime();
     }
     EndpointExchange open = exchange;
     if (open != null) {
@@ -350,8 +360,7 @@
       wasBrokenOff = true;
       endFaulty(EventDecision.TRUNCATED, -1);
     } else {
-      request.relay().end();
-      request.completed(this, status);
+      request.responseEnded(this, status);
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestDeadlines.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestDeadlines.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway.request;
 
 import io.samphiredyke.core.serving.Route;
+import java.time.Duration;
 
 /** Deadlines of a request: of its response, of its latency objective and of its start. */
 final class RequestDeadlines {
@@ -52,6 +53,11 @@
     return arrivedAt + timeoutMillis * NANOS_PER_MILLI;
   }
 
+  /** Returns the time until the response must be complete, 0 if it is over. */
+  Duration remaining(long now) {
+    return Duration.ofNanos(Math.max(0, deadline() - now));
+  }
+
   /**
    * Returns when the first event or the plain response is due to meet the objective, which counts
    * from the caller's first attempt.
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SlotAcquisition.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SlotAcquisition.java
@@ -25,11 +25,11 @@
   private final @Nullable CustomerSpec customer;
   private final RequestContent content;
   private final RequestDeadlines deadlines;
+  private final AttemptCounter attempts;
   private final double value;
   private final EndpointEligibility eligibility;
   private long slotRequestId;
   private boolean quotaCharged;
-  private boolean isRetry;
   private boolean isClosed;
 
   /**
@@ -44,7 +44,8 @@
       Route route,
       @Nullable CustomerSpec customer,
       RequestContent content,
-      RequestDeadlines deadlines) {
+      RequestDeadlines deadlines,
+      AttemptCounter attempts) {
     this.context = context;
     this.listener = listener;
     this.head = head;
@@ -52,6 +53,7 @@
     this.customer = customer;
     this.content = content;
     this.deadlines = deadlines;
+    this.attempts = attempts;
     this.eligibility =
         new EndpointEligibility(
             context.pauses(),
@@ -72,17 +74,8 @@
     eligibility.exclude(endpointId);
   }
 
-  /**
-   * Acquires a slot, or waits or gives up if no endpoint may get the request from this host.
-   *
-   * @param hasReachedEndpoint whether an endpoint has received the request before
-   */
-  void acquire(boolean hasReachedEndpoint) {
-    isRetry = hasReachedEndpoint;
-    tryAcquire();
-  }
-
-  private void tryAcquire() {
+  /** Acquires a slot, or waits or gives up if no endpoint may get the request from this host. */
+  void acquire() {
     if (isClosed) {
       return;
     }
@@ -91,7 +84,7 @@
       return;
     }
     if (content.isUndecided()) {
-      context.loop().schedule(this::tryAcquire, context.crashes().settleTime());
+      context.loop().schedule(this::acquire, context.crashes().settleTime());
       return;
     }
     long now = context.loop().nanoTime();
@@ -106,7 +99,7 @@
   private void awaitPause(long usableAt, long now) {
     if (usableAt - deadlines.startDeadline() <= 0) {
       eligibility.awaitPause();
-      context.loop().schedule(this::tryAcquire, Duration.ofNanos(usableAt - now));
+      context.loop().schedule(this::acquire, Duration.ofNanos(usableAt - now));
       return;
     }
     double spread = 1 + PAUSE_RETURN_SPREAD * context.random().nextDouble();
@@ -132,7 +125,7 @@
             head.estimate(),
             charged == null ? "" : charged.name(),
             units,
-            isRetry,
+            attempts.reachedEndpoint(),
             excluded,
             content.isolated(),
             deadlines.objectiveDeadline(),
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
@@ -268,4 +268,15 @@
     assertThat(resumable(UNFRAMED + events(1, 2) + RESET, UNFRAMED + events(3)))
         .isEqualTo("200 " + events(1, 2, 3));
   }
+
+  /** Guards against a stream of a killed endpoint that looks complete. */
+  @Test
+  void streamThatEndsWithItsConnectionIsContinuedWhereTheRoutePermits() {
+    String begun = UNFRAMED + events(1, 2);
+    assertThat(resumable(begun, events(3))).isEqualTo("200 " + events(1, 2, 3));
+    assertThat(received).containsExactly("", "2");
+    assertThat(resumable(begun, "")).isEqualTo("200 " + events(1, 2));
+    assertThat(resumable(begun, BROKEN)).isEqualTo("200 " + events(1, 2));
+    assertThat(resumable(begun, events(3) + BROKEN)).isEqualTo("200 " + events(1, 2, 3) + BROKEN);
+  }
 }
