A body that is followed by bytes of no response is not passed on

Cause: a body is complete when its length is reached, whatever follows. What follows such a body is the rest of the other response, which doesn't begin with a status line; a copy behind a whole response does.

The decoder fails a response that is followed, in the same read, by data that can't be the begin of a response. Blank lines are no such data. Where bytes that are no response follow a whole body, its caller now gets 502, or another attempt, instead of the body: the two can't be told apart.

What remains: the rest of the other response arrives in a later read, or what is missing has just its length.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/JoinedResponsesTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/JoinedResponsesTest.java
@@ -69,6 +69,17 @@
 
   /** Returns status and body of the response to request "r", empty if the exchange failed. */
   private String read(String received) {
+    List<String> parts = new ArrayList<>();
+    int position = 0;
+    while (position < received.length()) {
+      int end = Math.min(received.length(), position + 1 + random.nextInt(120));
+      parts.add(received.substring(position, end));
+      position = end;
+    }
+    return read(parts);
+  }
+
+  private String read(List<String> parts) {
     EmbeddedChannel channel = new EmbeddedChannel();
     pool.initialize(channel, "endpoint");
     Outcome outcome = new Outcome();
@@ -76,12 +87,10 @@
         new OutgoingRequest(
             "r", HttpMethod.GET, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     new EndpointExchange(pool, request, outcome, true).send(channel);
-    int position = 0;
-    while (position < received.length() && channel.isActive()) {
-      int end = Math.min(received.length(), position + 1 + random.nextInt(120));
-      channel.writeInbound(
-          Unpooled.copiedBuffer(received.substring(position, end), StandardCharsets.US_ASCII));
-      position = end;
+    for (String part : parts) {
+      if (channel.isActive()) {
+        channel.writeInbound(Unpooled.copiedBuffer(part, StandardCharsets.US_ASCII));
+      }
     }
     channel.finishAndReleaseAll();
     return outcome.complete;
@@ -139,6 +148,25 @@
     assertThat(wrong).isEmpty();
   }
 
+  /** Guards against a body that is filled with the begin of the response behind it. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void responseInPlaceOfTheEndOfTheBody(boolean otherChunked) {
+    String own = response(500, "r", BODY, false);
+    String other = response(200, "q", OTHER_BODY, otherChunked);
+    List<String> wrong = new ArrayList<>();
+    for (int to = own.length() - BODY.length(); to < own.length(); to++) {
+      String received = own.substring(0, to) + other;
+      String outcome = read(List.of(received));
+      if (!outcome.isEmpty()) {
+        wrong.add(received + " is read as " + outcome);
+      }
+    }
+    assertThat(wrong).isEmpty();
+    assertThat(read(List.of(own + other))).isEqualTo("500 " + BODY);
+    assertThat(read(List.of(own + "\r\n"))).isEqualTo("500 " + BODY);
+  }
+
   /** Guards against a head that is joined from those of two responses. */
   @ParameterizedTest
   @ValueSource(
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
@@ -4,13 +4,16 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 
@@ -18,9 +21,10 @@
  * Decoder of the responses on a client connection that carries one request at a time.
  *
  * <p>Bytes that a server sends beyond a response belong to no request. The decoder closes the
- * connection if data arrives while no request is in progress, tells whether data follows the end of
- * a response, and rejects a head that contains a second status line, which is what an unfinished
- * head and the next response look like together.
+ * connection if data arrives while no request is in progress, and tells whether data follows the
+ * end of a response. It rejects a head that contains a second status line, which is what an
+ * unfinished head and the next response look like together, and a body that is followed by data
+ * that begins no response.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -88,17 +92,40 @@
     if (undecodedBytes > MAX_UNDECODED_BYTES) {
       throw new TooLongFrameException(undecodedBytes + " bytes without a response");
     }
-    for (Object decoded : out) {
+    for (int i = 0; i < out.size(); i++) {
+      Object decoded = out.get(i);
       if (decoded instanceof HttpResponse response && hasSecondStatusLine(response)) {
-        response.setDecoderResult(
-            DecoderResult.failure(new IllegalArgumentException("two status lines in one head")));
+        response.setDecoderResult(failure("two status lines in one head"));
       }
-      if (decoded instanceof LastHttpContent) {
+      if (decoded instanceof LastHttpContent last) {
         hasSurplus = buffer.isReadable();
+        if (!beginsResponse(buffer)) {
+          // The shared empty content accepts no decoder result.
+          LastHttpContent failed = new DefaultLastHttpContent(last.content());
+          failed.setDecoderResult(failure("a body of another length than stated"));
+          out.set(i, failed);
+        }
       }
     }
   }
 
+  private static DecoderResult failure(String reason) {
+    return DecoderResult.failure(new IllegalArgumentException(reason));
+  }
+
+  /**
+   * Returns whether the data that follows a response can be the begin of another one. If not, the
+   * body may have been truncated and filled with the begin of a later response.
+   */
+  private static boolean beginsResponse(ByteBuf surplus) {
+    int start = surplus.forEachByte(ByteProcessor.FIND_NON_CRLF);
+    if (start < 0) {
+      return true;
+    }
+    int length = Math.min(surplus.writerIndex() - start, PROTOCOL.length());
+    return PROTOCOL.startsWith(surplus.toString(start, length, StandardCharsets.US_ASCII));
+  }
+
   private static boolean hasSecondStatusLine(HttpResponse response) {
     if (containsStatusLine(response.status().reasonPhrase())) {
       return true;
