An unconfirmed end is refuted by any later byte, and never leaves a request without an end

- A take-up that ended without an event and without length left its request without a response: the relay had neither begun nor a head.
Only a stream that has begun is confirmed; one that ends with its connection before its first event has brought nothing, and is tried again or answered 502.
- A confirming attempt that broke off within an event, or sent events that don't follow, counted as one that says nothing.
Any byte refutes the end now.
- Its slot was returned as served and its few milliseconds were learned as a run time, by which a stopping host decides what it can serve.
It is withdrawn and not learned; the time of the true run is.
- If it failed, others were asked.
One is enough.
- The timer of an earlier wait could end a later one.

Test: StreamOrderTest, two cases more in one test and a test of its own.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -230,6 +230,10 @@
 
   /** Called when the endpoint may have run the request but its response can't be used. */
   void failed(EndpointAttempt failed, String reason) {
+    if (completeUnconfirmed()) {
+      releaseSlot(failed, Outcome.WITHDRAWN);
+      return;
+    }
     attempts.possiblyRun();
     releaseSlot(failed, failed.failureOutcome());
     if (failed.wasBrokenOff()) {
@@ -256,26 +260,26 @@
 
   /** Called at the regular end of a response. */
   void responseEnded(EndpointAttempt serving, int status) {
-    if (!mayRetry() || !unconfirmedEnd.isNeededFor(serving)) {
+    boolean isConfirming = unconfirmedEnd.pending() != null;
+    if (!isConfirming) {
       context.inProgress().ran(route.name(), context.loop().nanoTime() - serving.sentAt());
-      releaseSlot(serving, serving.successOutcome());
+    }
+    releaseSlot(serving, isConfirming ? Outcome.WITHDRAWN : serving.successOutcome());
+    if (!mayRetry() || !unconfirmedEnd.isNeededFor(serving)) {
       outcome.completed(serving, status);
       return;
     }
-    unconfirmedEnd.begin(serving);
     attempts.possiblyRun();
-    releaseSlot(serving, Outcome.SERVED);
     Duration limit = Duration.ofMillis(InactivityTimeout.betweenChunks(route));
-    context.loop().schedule(this::stopConfirming, limit);
+    unconfirmedEnd.begin(serving, context.loop().schedule(this::stopConfirming, limit));
     retry(serving, "the stream ended with its connection");
   }
 
   private void stopConfirming() {
-    if (ended || unconfirmedEnd.pending() == null) {
-      return;
+    if (!ended && unconfirmedEnd.pending() != null) {
+      withdraw();
+      completeUnconfirmed();
     }
-    withdraw();
-    completeUnconfirmed();
   }
 
   /** Completes a stream that ended regularly, if no attempt to continue it brought an event. */
@@ -385,6 +389,7 @@
     ended = true;
     context.inProgress().remove(this);
     acquisition.close();
+    unconfirmedEnd.close();
     Future<?> pending = timer;
     if (pending != null) {
       pending.cancel(false);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -253,7 +253,9 @@
     status = head.status();
     isSuccess = head.isSuccess();
     endsWithConnection =
-        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+        status != ErrorResponses.NO_CONTENT
+            && !HttpUtil.isContentLengthSet(response)
+            && !HttpUtil.isTransferEncodingChunked(response);
     isNotRun = head.isNotRun();
     defect = isNotRun ? null : defectOf(head);
     if (isNotRun || defect != null) {
@@ -359,6 +361,9 @@
     } else if (request.relay().endsMidEvent()) {
       wasBrokenOff = true;
       endFaulty(EventDecision.TRUNCATED, -1);
+    } else if (endsWithConnection && endedBeforeFirstEvent() && !request.relay().hasStarted()) {
+      wasBrokenOff = true;
+      request.failed(this, "the stream ended with its connection before its first event");
     } else {
       request.responseEnded(this, status);
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
@@ -12,6 +12,7 @@
 /** Error responses of this host, as problem documents. */
 final class ErrorResponses {
 
+  static final int NO_CONTENT = 204;
   static final int UNAUTHORIZED = 401;
   static final int NOT_FOUND = 404;
   static final int MISDIRECTED = 421;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -37,6 +37,7 @@
   private SseFramer framer = new SseFramer();
   private final EventSequence sequence;
   private long progress;
+  private long receivedBytes;
   private long lastReceivedId = -1;
   private final Runnable onFirstEvent;
 
@@ -95,6 +96,7 @@
    * @return why the attempt is faulty; {@link EventDecision#PASS} if it is not
    */
   EventDecision onContent(ByteBuf chunk) {
+    receivedBytes += chunk.readableBytes();
     if (hasEvents) {
       return relayEvents(chunk);
     }
@@ -216,6 +218,11 @@
     return progress;
   }
 
+  /** Returns the number of bytes received in the bodies of all attempts. */
+  long receivedBytes() {
+    return receivedBytes;
+  }
+
   boolean isWritable() {
     return writer.isWritable();
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/UnconfirmedEnd.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/UnconfirmedEnd.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.gateway.request;
 
+import io.netty.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,7 +12,8 @@
 
   private final ResponseRelay relay;
   private @Nullable EndpointAttempt endedAttempt;
-  private long progressAtEnd;
+  private @Nullable Future<?> limit;
+  private long bytesAtEnd;
 
   UnconfirmedEnd(ResponseRelay relay) {
     this.relay = relay;
@@ -19,17 +21,30 @@
 
   /** Returns whether the end of an attempt has to be confirmed, if another one is permitted. */
   boolean isNeededFor(EndpointAttempt attempt) {
-    return attempt.endsWithConnection() && relay.canResume() && pending() == null;
+    return attempt.endsWithConnection()
+        && relay.hasStarted()
+        && relay.canResume()
+        && pending() == null;
   }
 
-  /** Begins to wait for an attempt that continues the stream. */
-  void begin(EndpointAttempt attempt) {
+  /** Begins to wait for an attempt that continues the stream, until a timer ends the wait. */
+  void begin(EndpointAttempt attempt, Future<?> timer) {
+    close();
+    limit = timer;
     endedAttempt = attempt;
-    progressAtEnd = relay.progress();
+    bytesAtEnd = relay.receivedBytes();
   }
 
-  /** Returns the attempt whose end is not refuted by a later event, null if there is none. */
+  /** Returns the attempt whose end no later byte refutes, null if there is none. */
   @Nullable EndpointAttempt pending() {
-    return relay.progress() == progressAtEnd ? endedAttempt : null;
+    return relay.receivedBytes() == bytesAtEnd ? endedAttempt : null;
+  }
+
+  /** Ends the wait. */
+  void close() {
+    Future<?> running = limit;
+    if (running != null) {
+      running.cancel(false);
+    }
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
@@ -278,5 +278,18 @@
     assertThat(resumable(begun, "")).isEqualTo("200 " + events(1, 2));
     assertThat(resumable(begun, BROKEN)).isEqualTo("200 " + events(1, 2));
     assertThat(resumable(begun, events(3) + BROKEN)).isEqualTo("200 " + events(1, 2, 3) + BROKEN);
+    assertThat(resumable(begun, "id: 3\nda" + BROKEN)).isEqualTo("200 " + events(1, 2) + BROKEN);
+    assertThat(resumable(begun, events(4))).isEqualTo("200 " + events(1, 2) + BROKEN);
+  }
+
+  /** Guards against the empty stream of a killed endpoint, and against a request without end. */
+  @Test
+  void streamThatEndsWithItsConnectionBeforeItsFirstEventIsNotComplete() {
+    assertThat(resumable(UNFRAMED, events(1))).isEqualTo("200 " + events(1));
+    assertThat(plain(UNFRAMED)).isEqualTo("502 ");
+    HttpRequest.Builder takeUp =
+        request(running, "/resumable/x").header("Last-Event-Id", "3").header("Resumes", "r-0");
+    store.put("streams", "host-0", "[[\"r-0\",\"model\",\"v1\"]]");
+    assertThat(stream(takeUp, UNFRAMED, BROKEN)).isEqualTo("502 ");
   }
 }
