Test of streams after the loss of a host: each stream has a content of its own

Traced (log of a failing run): all 24 requests had the same content, three endpoints broke off within 200 ms, and the content was quarantined, as it is meant to be for a request that crashes endpoints. How many streams begin before that depends on timing.

The streams are different requests now, as those of callers are. What is required of them is unchanged.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +30,7 @@
 @Timeout(90)
 class MixedVersionsTest extends GatewayHarness {
 
+  private final AtomicInteger begunStreams = new AtomicInteger();
   private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: token of (\\S+)\n\n");
   private static final int EVENTS = 5;
   private static final int STREAMS = 24;
@@ -101,8 +103,10 @@
     return received.toString(StandardCharsets.UTF_8);
   }
 
+  /** Returns a request with a content of its own, as equal ones that break off are quarantined. */
   private HttpRequest newStream(RunningGateway to) {
-    return request(to, "/resumable/x").POST(HttpRequest.BodyPublishers.noBody()).build();
+    String content = "stream " + begunStreams.incrementAndGet();
+    return request(to, "/resumable/x").POST(HttpRequest.BodyPublishers.ofString(content)).build();
   }
 
   private Received takeUp(RunningGateway at, Received begun) {
