Responses to other requests are logged

A host that passed over a response with the id of another request wrote nothing, so that its log could not tell a copied refusal from a request that was refused. The line names the request in progress, the endpoint, the stated id and the status.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -240,6 +240,11 @@
     return !isDone && request.context().accepts(endpoint);
   }
 
+  @Override
+  public void onSkipped(EndpointResponseHead head) {
+    request.log().skippedResponse(endpoint.id(), head.requestId(), head.status());
+  }
+
   @Override
   public void onHead(EndpointResponseHead head, HttpResponse response) {
     passOnStatements(head);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -109,6 +109,24 @@
     metrics.faultyStream(decision.reason());
   }
 
+  /**
+   * Logs that the response to another request arrived instead of the expected one.
+   *
+   * @param statedId id of the request that it responds to
+   */
+  void skippedResponse(String endpointId, String statedId, int status) {
+    log.event(
+        "response_skipped",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "stated_id",
+        statedId,
+        "status",
+        status);
+  }
+
   /** Logs that the request is retried; its content relates the failures of several attempts. */
   void retried(String reason, EndpointAttempt previous, RequestFingerprint content) {
     log.event(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
@@ -15,6 +15,9 @@
     return true;
   }
 
+  /** Called when the response to another request has arrived, which is passed over. */
+  default void onSkipped(EndpointResponseHead head) {}
+
   /** Called when the head of the response has arrived. */
   void onHead(EndpointResponseHead head, HttpResponse response);
 
