A connection to an endpoint carries the id of a request once

Callers saw: a request that isn't idempotent was refused with 503 though it ran (REFUSED), or ran twice (TWICE).

Cause: an endpoint repeats a refusal late, on the connection of the refused request. Whether a connection had carried the request before was known to the request (EndpointEligibility.hasTried) and not to the connection. A caller's retry with the same id is a new request to the host and took the pooled connection; the copy came first and was taken for the response.

Change: each connection keeps the ids that it has carried, and a request never takes one that has carried its id. This replaces the rule of: a repeated attempt may use a pooled connection that has not carried it.

Evidence: RepeatedRefusalTest.copyOfRefusalIsNotTheAnswerToTheCallersRetry failed before on both routes (retried request 1: 503 though it ran, expected 200) and passes.

Ruled out: a copy on another connection than that of the refusal, as a connection is one endpoint's; a refusal without id, which ends its connection.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -176,7 +176,7 @@
     lastEndpointId = endpoint.id();
     EndpointAttempt next = new EndpointAttempt(this, endpoint, slot);
     attempt = next;
-    next.start(outgoing, !acquisition.eligibility().hasTried(endpoint.id()));
+    next.start(outgoing);
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -120,19 +120,13 @@
     return slot;
   }
 
-  /**
-   * Sends the request.
-   *
-   * @param isFirst whether it is sent to the endpoint for the first time. An endpoint may repeat a
-   *     response late, and a connection that has carried the request could deliver the refusal of
-   *     the previous attempt as the response to this one.
-   */
-  void start(OutgoingRequest outgoing, boolean isFirst) {
+  /** Sends the request. */
+  void start(OutgoingRequest outgoing) {
     requestId = outgoing.requestId();
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
     lastProgressAt = sentAt;
-    exchange = request.context().connections().open(endpoint.address(), outgoing, isFirst, this);
+    exchange = request.context().connections().open(endpoint.address(), outgoing, this);
     if (!isDone && request.mayRetry()) {
       scheduleInactivityCheck(
           InactivityTimeout.beforeFirstEvent(request.route(), request.estimate()));
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointEligibility.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointEligibility.java
@@ -56,11 +56,6 @@
     hasAwaitedPause = true;
   }
 
-  /** Returns whether the request has been sent to an endpoint before. */
-  boolean hasTried(String endpointId) {
-    return tried.contains(endpointId);
-  }
-
   /** Returns when one of the endpoints wants requests from this host, at most the present time. */
   long usableAt(long now) {
     if (pauses.isEmpty()) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -27,7 +27,8 @@
  * Pool of persistent connections to endpoints.
  *
  * <p>An idle connection is closed well before the endpoint's idle timeout. It is closed immediately
- * if data or a close arrives while it carries no request, see {@link ResponseDecoder}.
+ * if data or a close arrives while it carries no request, see {@link ResponseDecoder}. A request is
+ * never sent on a connection that has carried its id before, see {@link CarriedIds}.
  */
 public final class EndpointConnectionPool {
 
@@ -45,6 +46,8 @@
 
   private static final AttributeKey<IdleState> IDLE_STATE = AttributeKey.valueOf("kept");
 
+  private static final AttributeKey<CarriedIds> CARRIED = AttributeKey.valueOf("carried");
+
   /** The endpoint address of a connection and when the connection expires. */
   private record IdleState(String address, long expiresAt) {}
 
@@ -59,14 +62,9 @@
     this.loop = loop;
   }
 
-  /**
-   * Sends a request.
-   *
-   * @param mayReuse whether an idle connection may be used
-   */
-  public EndpointExchange open(
-      String address, OutgoingRequest request, boolean mayReuse, ExchangeListener listener) {
-    Channel reused = mayReuse ? takeIdle(address) : null;
+  /** Sends a request, on an idle connection if there is one that may carry it. */
+  public EndpointExchange open(String address, OutgoingRequest request, ExchangeListener listener) {
+    Channel reused = takeIdle(address, request.requestId());
     EndpointExchange exchange = new EndpointExchange(this, request, listener, reused != null);
     if (reused != null) {
       exchange.send(reused);
@@ -105,19 +103,32 @@
   /** Prepares a new connection for exchanges. */
   void initialize(Channel channel, String address) {
     channel.attr(IDLE_STATE).set(new IdleState(address, 0));
+    channel.attr(CARRIED).set(new CarriedIds());
     channel.pipeline().addLast(new ResponseDecoder(() -> surplusResponses++));
     channel.pipeline().addLast(new HttpRequestEncoder());
     channel.pipeline().addLast(new IdleGuard());
   }
 
-  private @Nullable Channel takeIdle(String address) {
+  /** Records that a connection carries a request. */
+  void carries(Channel channel, String requestId) {
+    channel.attr(CARRIED).get().add(requestId);
+  }
+
+  private @Nullable Channel takeIdle(String address, String requestId) {
     Deque<Channel> connections = idle.get(address);
-    while (connections != null && !connections.isEmpty()) {
-      Channel channel = connections.pollLast();
-      if (channel.isActive() && isUsable(channel)) {
+    if (connections == null) {
+      return null;
+    }
+    Iterator<Channel> newestFirst = connections.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Channel channel = newestFirst.next();
+      if (!channel.isActive() || !isUsable(channel)) {
+        newestFirst.remove();
+        channel.close();
+      } else if (channel.attr(CARRIED).get().permits(requestId)) {
+        newestFirst.remove();
         return channel;
       }
-      channel.close();
     }
     return null;
   }
@@ -130,7 +141,8 @@
   void release(Channel channel, int keepAliveSeconds) {
     IdleState state = channel.attr(IDLE_STATE).get();
     Deque<Channel> connections = idle.computeIfAbsent(state.address(), key -> new ArrayDeque<>());
-    if (!channel.isActive() || connections.size() >= MAX_IDLE) {
+    boolean isFull = channel.attr(CARRIED).get().isFull();
+    if (!channel.isActive() || isFull || connections.size() >= MAX_IDLE) {
       channel.close();
       return;
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -81,6 +81,7 @@
       return;
     }
     channel = connected;
+    connections.carries(connected, request.requestId());
     connected.pipeline().get(ResponseDecoder.class).requestStarted(request.method());
     connected.pipeline().addLast(this);
     ByteBuf body = request.body();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RepeatedRefusalTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RepeatedRefusalTest.java
@@ -6,6 +6,7 @@
 import io.samphiredyke.platform.standin.RawServer;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,6 +25,7 @@
   private final Set<String> refused = ConcurrentHashMap.newKeySet();
   private final Map<Socket, String> repeated = new ConcurrentHashMap<>();
   private volatile boolean refusalsStateId;
+  private volatile String retryAfter = "Retry-After: 0.05\r\n";
 
   /**
    * Refuses each request once, but only every other one if refusals state no id; repeats the last
@@ -41,7 +43,8 @@
   }
 
   private String refusal(String id) {
-    return "HTTP/1.1 503 Full\r\nX-Samphiredyke-Not-Executed: 1\r\nRetry-After: 0.05\r\n"
+    return "HTTP/1.1 503 Full\r\nX-Samphiredyke-Not-Executed: 1\r\n"
+        + retryAfter
         + (refusalsStateId ? ID_HEADER + id + "\r\n" : "")
         + "Content-Length: 0\r\n\r\n";
   }
@@ -70,7 +73,22 @@
     assertThat(logged("response_without_id")).isTrue();
   }
 
-  private void eachRequestRunsOnce(String path) throws IOException {
+  /** Guards against a late copy of a refusal that is taken for the answer to a caller's retry. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/unsafe/x", "/safe/x"})
+  void copyOfRefusalIsNotTheAnswerToTheCallersRetry(String path) throws IOException {
+    refusalsStateId = true;
+    retryAfter = "";
+    RunningGateway running = startWithRawEndpoint();
+    for (int i = 1; i <= REQUESTS; i++) {
+      HttpRequest request = request(running, path).build();
+      assertThat(send(request).statusCode()).as("refused request %d", i).isEqualTo(503);
+      assertThat(send(request).statusCode()).as("retried request %d", i).isEqualTo(200);
+      assertThat(runs).as("runs of %d requests", i).hasValue(i);
+    }
+  }
+
+  private RunningGateway startWithRawEndpoint() throws IOException {
     register("draining", plainEndpoints);
     store.put(
         StoreClient.ENDPOINT_TOPIC,
@@ -79,7 +97,11 @@
             .get(0)
             .entry("ready")
             .replaceFirst("127\\.0\\.0\\.1:\\d+", RawServer.start(this::respond).address()));
-    RunningGateway running = startConfiguredGateway();
+    return startConfiguredGateway();
+  }
+
+  private void eachRequestRunsOnce(String path) throws IOException {
+    RunningGateway running = startWithRawEndpoint();
     for (int i = 1; i <= REQUESTS; i++) {
       assertThat(send(request(running, path).build()).statusCode()).isEqualTo(200);
       assertThat(runs).as("runs of %d requests", i).hasValue(i);
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
@@ -9,12 +9,16 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.samphiredyke.platform.EndpointResponseHead;
 import io.samphiredyke.platform.standin.RawServer;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -39,6 +43,7 @@
   private final EventLoop loop = group.next();
   private final EndpointConnectionPool pool = new EndpointConnectionPool(loop);
   private RawServer server;
+  private int requestCount;
 
   @AfterEach
   void stop() {
@@ -51,7 +56,15 @@
   }
 
   private static RawServer.Script send(String text) {
-    return (id, socket) -> RawServer.write(socket, text);
+    return (id, socket) -> write(id, socket, text);
+  }
+
+  /** Writes a response to a request, whose id stands for "r" in the text. */
+  private static void write(String id, Socket socket, String text) throws IOException {
+    RawServer.write(
+        socket,
+        text.replaceAll("(Request-Id: +)r(?=\\s)", "$1" + id)
+            .replaceAll("(Request-Id: +)R(?=\\s)", "$1" + id.toUpperCase(Locale.ROOT)));
   }
 
   /**
@@ -63,6 +76,10 @@
   }
 
   private String exchange(String address, HttpMethod method) {
+    return exchange(address, method, "r-" + ++requestCount);
+  }
+
+  private String exchange(String address, HttpMethod method, String id) {
     CompletableFuture<String> outcome = new CompletableFuture<>();
     ExchangeListener listener =
         new ExchangeListener() {
@@ -88,9 +105,9 @@
             outcome.complete("!" + failure.reason());
           }
         };
-    OutgoingRequest request =
-        new OutgoingRequest("r", method, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-    loop.execute(() -> pool.open(address, request, true, listener));
+    HttpHeaders headers = new DefaultHttpHeaders().set("X-Samphiredyke-Request-Id", id);
+    OutgoingRequest request = new OutgoingRequest(id, method, "/x", headers, Unpooled.EMPTY_BUFFER);
+    loop.execute(() -> pool.open(address, request, listener));
     return outcome.completeOnTimeout("!no outcome", 5, TimeUnit.SECONDS).join();
   }
 
@@ -103,6 +120,25 @@
     assertThat(server.connections()).isEqualTo(1);
   }
 
+  /** Guards against a copy of an earlier response that is taken for that to the same id. */
+  @Test
+  void connectionCarriesEachIdOnce() throws IOException {
+    String address = serve(send(OWN_RESPONSE));
+    for (String id : List.of("a", "b", "a", "b", "c")) {
+      assertThat(exchange(address, HttpMethod.GET, id)).isEqualTo("own");
+    }
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
+  @Test
+  void connectionIsNotReusedWithoutEnd() throws IOException {
+    String address = serve(send(OWN_RESPONSE));
+    for (int i = 0; i <= CarriedIds.MAX_REQUESTS; i++) {
+      assertThat(exchange(address)).isEqualTo("own");
+    }
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
   @Test
   void skipsTheResponseToAnotherRequest() throws IOException {
     String address = serve(send(OTHER_RESPONSE + OWN_RESPONSE));
@@ -122,7 +158,7 @@
   /** Sends the texts one after the other, each in response to one request of all connections. */
   private static RawServer.Script sendInTurn(String... texts) {
     AtomicInteger requests = new AtomicInteger();
-    return (id, socket) -> RawServer.write(socket, texts[requests.getAndIncrement()]);
+    return (id, socket) -> write(id, socket, texts[requests.getAndIncrement()]);
   }
 
   /** Guards against the begin of a surplus head that becomes the status of the next response. */
@@ -152,8 +188,7 @@
     String address =
         serve(
             (id, socket) -> {
-              RawServer.write(
-                  socket, requests.getAndIncrement() == 0 ? OWN_RESPONSE : FAILED_RESPONSE);
+              write(id, socket, requests.getAndIncrement() == 0 ? OWN_RESPONSE : FAILED_RESPONSE);
               if (requests.get() == 1) {
                 firstEnded.join();
                 RawServer.write(socket, "HTTP/1.1 200 OK");
@@ -255,7 +290,7 @@
     String address =
         serve(
             (id, socket) -> {
-              RawServer.write(socket, OWN_RESPONSE.replace("Content-Length: 3\r\n", ""));
+              write(id, socket, OWN_RESPONSE.replace("Content-Length: 3\r\n", ""));
               socket.close();
             });
     assertThat(exchange(address)).isEqualTo("own");
@@ -266,7 +301,7 @@
     String address =
         serve(
             (id, socket) -> {
-              RawServer.write(socket, OWN_RESPONSE.replace("Content-Length: 3\r\n", ""));
+              write(id, socket, OWN_RESPONSE.replace("Content-Length: 3\r\n", ""));
               socket.setSoLinger(true, 0);
               socket.close();
             });
@@ -283,7 +318,7 @@
     String address =
         serve(
             (id, socket) -> {
-              RawServer.write(socket, OWN_RESPONSE.replace("3\r\n", "30\r\n"));
+              write(id, socket, OWN_RESPONSE.replace("3\r\n", "30\r\n"));
               socket.close();
             });
     assertThat(exchange(address)).startsWith("!");
