Gateway: a host without a path to an endpoint reaches it through another host

Callers of a host that is cut off from all endpoints, but not from callers, store and hosts, got 503 after three attempts that failed to connect. Cause: a host knew no way but its own connection, and remembered nothing of it. A direct connection that fails, or is not established after 100 ms, is now raced by a TCP tunnel through a live peer (HTTP CONNECT to the peer address, bytes only, one hop). A path counts as lost only when a peer reached the endpoint; then peers are asked at once, and the direct path is probed once a second. Failures on lost paths and tunnels are not counted against the endpoint. Handing whole requests over was ruled out: all decisions stay at the request's host this way.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/EndpointAvailability.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/EndpointAvailability.java
@@ -48,6 +48,6 @@
   public void unavailable(EndpointRecord endpoint, String reason) {
     log.event("endpoint_down", "endpoint", endpoint.id(), "reason", reason);
     scheduler.get().remove(endpoint);
-    connections.closeIdle(endpoint.address());
+    connections.forget(endpoint.address());
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -69,7 +69,7 @@
   private final EndpointDirectory directory;
   private final ServingState state;
   private final PeerGroup peers;
-  private final EndpointConnectionPool connections;
+  private final EndpointAccess access;
   private final RequestService service;
   private final StartupQueue startupQueue;
   private final FrontendServer frontend;
@@ -105,7 +105,10 @@
     this.log = log;
     this.eventLoop = group.next();
     this.loop = new ControlEventLoop(eventLoop, Clock.systemUTC());
-    this.connections = new EndpointConnectionPool(eventLoop, resolver);
+    this.access =
+        new EndpointAccess(
+            eventLoop, settings, resolver, this::directory, this::peers, random, log);
+    EndpointConnectionPool connections = access.connections();
     this.directory =
         new EndpointDirectory(
             ENTRY_EXPIRY_GRACE.toNanos(),
@@ -201,6 +204,7 @@
         .registerCrashes(peers.crashes())
         .registerRequests(service.inProgress(), streams)
         .registerResponses(service)
+        .registerPaths(access)
         .registerRollouts(rollouts);
   }
 
@@ -221,6 +225,7 @@
     return frontend
         .start(SocketAddresses.parse(settings.callerAddress()))
         .thenCompose(done -> peers.start(eventLoop, settings.seedAddresses()))
+        .thenCompose(done -> access.start())
         .thenCompose(done -> managementServer.start(eventLoop, settings));
   }
 
@@ -237,7 +242,7 @@
   /** Refreshes the state after a pause, in which connections and endpoints may have been lost. */
   private void onPause() {
     log.event("woke_up", "held", peers.slotClient().heldSlots());
-    connections.closeIdle();
+    access.connections().closeIdle();
     endpointUpdates.forgetReaders();
     endpointFollower.readNow();
   }
@@ -249,7 +254,7 @@
 
   private void sweep() {
     frontend.closeExpired();
-    connections.closeExpired();
+    access.sweep();
     directory.tick(loop.nanoTime());
     service.pauses().expire(loop.nanoTime());
     peers.streams().observe(directory.all());
@@ -367,6 +372,11 @@
     return frontend;
   }
 
+  /** Returns the number of tunnels for other hosts that are open. */
+  int openTunnels() {
+    return access.tunnels().openTunnels();
+  }
+
   PeerGroup peers() {
     return peers;
   }
@@ -380,6 +390,7 @@
     if (!stopping) {
       stopping = true;
       frontend.drain();
+      access.tunnels().drain();
       updateReady();
     }
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -122,6 +122,30 @@
     return this;
   }
 
+  GatewayGauges registerPaths(EndpointAccess access) {
+    metrics.gauge(
+        "samphiredyke_lost_paths",
+        "Endpoint addresses that this host reaches only through other hosts.",
+        access.paths().endpoints()::size);
+    metrics.gauge(
+        "samphiredyke_peer_connections_opened",
+        "Connections opened to endpoints through other hosts.",
+        access.paths()::tunnelledConnections);
+    metrics.gauge(
+        "samphiredyke_open_tunnels",
+        "Tunnels to endpoints that are open for other hosts.",
+        access.tunnels()::openTunnels);
+    metrics.gauge(
+        "samphiredyke_tunnels_opened",
+        "Tunnels to endpoints opened for other hosts.",
+        access.tunnels()::opened);
+    metrics.gauge(
+        "samphiredyke_tunnels_refused",
+        "Requests of other hosts for tunnels that were refused or failed.",
+        access.tunnels()::refused);
+    return this;
+  }
+
   void registerRollouts(RolloutService rollouts) {
     metrics.gauge(
         "samphiredyke_running_rollouts", "Roll-outs that have not ended.", rollouts::running);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
@@ -11,7 +11,8 @@
  * <p>Callers cache addresses, so requests keep arriving for some seconds, and all of them are
  * served as long as they can end in time; see {@link RequestsInProgress} for the others. After that
  * time idle connections are closed, and running requests have the rest of the grace period to
- * complete, and hosts that lack this host's configuration to load it.
+ * complete, as have the requests of other hosts that go through this one, and hosts that lack this
+ * host's configuration to load it.
  */
 final class GracefulShutdown {
 
@@ -84,7 +85,8 @@
     if (isAddressExpired) {
       gateway.frontend().stopAccepting();
     }
-    boolean isIdle = isAddressExpired && gateway.frontend().busyConnections() == 0;
+    boolean isIdle =
+        isAddressExpired && gateway.frontend().busyConnections() == 0 && gateway.openTunnels() == 0;
     if (isIdle && !isStateNeeded() || millis > gateway.graceMillis() - KILL_MARGIN_MILLIS) {
       terminate(millis);
     }
@@ -111,7 +113,9 @@
         "busy",
         gateway.frontend().busyConnections(),
         "unanswered",
-        unanswered);
+        unanswered,
+        "tunnels",
+        gateway.openTunnels());
     log.close();
     exit.run();
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -206,8 +206,7 @@
 
   /** Called when no connection to the endpoint could be established. */
   void connectFailed(EndpointAttempt failed, String reason) {
-    releaseSlot(failed, Outcome.FAILED);
-    context.crashes().unreachable(failed.endpoint());
+    releaseSlot(failed, failed.failureOutcome());
     attempts.unreachable();
     retryNotRun(failed, reason);
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -10,6 +10,7 @@
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.SlotHandle;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
+import io.samphiredyke.gateway.upstream.EndpointTarget;
 import io.samphiredyke.gateway.upstream.ExchangeFailure;
 import io.samphiredyke.gateway.upstream.ExchangeListener;
 import io.samphiredyke.gateway.upstream.OutgoingRequest;
@@ -42,7 +43,6 @@
   private final ActiveRequest request;
   private final EndpointRecord endpoint;
   private final SlotHandle slot;
-  private String requestId = "";
   private @Nullable EndpointExchange exchange;
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
@@ -53,6 +53,7 @@
   private boolean hasContent;
   private boolean hasStarted;
   private boolean wasBrokenOff;
+  private boolean hasPathFailed;
   private long lastEventIdBefore;
   private int discardedBytes;
   private int status;
@@ -70,18 +71,29 @@
     return status >= ErrorResponses.INTERNAL_SERVER_ERROR ? Outcome.ERRORED : Outcome.SERVED;
   }
 
-  /** Returns the outcome to report for a failed attempt that may have run the request. */
+  /**
+   * Returns the outcome to report for a failed attempt. A path that may be lost tells nothing about
+   * the endpoint, which other hosts may reach.
+   */
   Outcome failureOutcome() {
     if (status >= ErrorResponses.INTERNAL_SERVER_ERROR) {
       return Outcome.ERRORED;
     }
+    if (isPathSuspect()) {
+      return Outcome.WITHDRAWN;
+    }
     boolean hasBegun = request.relay().lastEventId() > lastEventIdBefore;
     return wasBrokenOff && !hasBegun ? Outcome.BROKEN_OFF : Outcome.FAILED;
   }
 
   /** Returns whether the endpoint ended the connection, as it does when it crashes. */
   boolean wasBrokenOff() {
-    return wasBrokenOff;
+    return wasBrokenOff && !isPathSuspect();
+  }
+
+  private boolean isPathSuspect() {
+    EndpointExchange open = exchange;
+    return hasPathFailed || open != null && open.isPathSuspect();
   }
 
   /** Returns how far the response came: {@code none}, {@code head} or {@code begun}. */
@@ -128,11 +140,11 @@
    *     the previous attempt as the response to this one.
    */
   void start(OutgoingRequest outgoing, boolean isFirst) {
-    requestId = outgoing.requestId();
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
     lastProgressAt = sentAt;
-    exchange = request.context().connections().open(endpoint.address(), outgoing, isFirst, this);
+    EndpointTarget target = new EndpointTarget(endpoint.id(), endpoint.address());
+    exchange = request.context().connections().open(target, outgoing, isFirst, this);
     if (!isDone && request.mayRetry()) {
       scheduleInactivityCheck(
           InactivityTimeout.beforeFirstEvent(request.route(), request.estimate()));
@@ -248,7 +260,7 @@
       return;
     }
     if (head.requestId().isEmpty()) {
-      logMissingId(head);
+      request.log().responseWithoutId(endpoint.id(), head.status());
     }
     status = head.status();
     isSuccess = head.isSuccess();
@@ -264,20 +276,6 @@
     request.relay().onHead(response, head.isSuccess());
   }
 
-  private void logMissingId(EndpointResponseHead head) {
-    request
-        .context()
-        .log()
-        .event(
-            "response_without_id",
-            "id",
-            requestId,
-            "endpoint",
-            endpoint.id(),
-            "status",
-            head.status());
-  }
-
   private @Nullable String defectOf(EndpointResponseHead head) {
     if (head.isEncoded()) {
       return "the answer has a content encoding";
@@ -380,7 +378,11 @@
       return;
     }
     finish();
+    hasPathFailed = failure.isPathSuspect();
     if (failure.isUnsent()) {
+      if (!hasPathFailed) {
+        request.context().crashes().unreachable(endpoint);
+      }
       request.connectFailed(this, failure.reason());
     } else if (isNotRun) {
       request.notRun(this, status);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -109,6 +109,11 @@
     metrics.faultyStream(decision.reason());
   }
 
+  /** Logs that an endpoint responded without stating the id of the request. */
+  void responseWithoutId(String endpointId, int status) {
+    log.event("response_without_id", "id", requestId, "endpoint", endpointId, "status", status);
+  }
+
   /** Logs that the request is retried; its content relates the failures of several attempts. */
   void retried(String reason, EndpointAttempt previous, RequestFingerprint content) {
     log.event(
--- /dev/null
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/RelayHandler.java
@@ -0,0 +1,66 @@
+package io.samphiredyke.gateway.tunnel;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+
+/**
+ * Passes the bytes of one connection to another one, which has such a handler too.
+ *
+ * <p>A connection is read only while the other one takes bytes. A regular end is passed on after
+ * the bytes before it, and a reset as a reset, since a response may end with its connection.
+ */
+final class RelayHandler extends ChannelInboundHandlerAdapter {
+
+  private final Channel other;
+
+  RelayHandler(Channel other) {
+    this.other = other;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    other.write(message);
+    if (!other.isWritable()) {
+      other.flush();
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    other.flush();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    other.config().setAutoRead(ctx.channel().isWritable());
+    ctx.fireChannelWritabilityChanged();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    if (other.isActive()) {
+      // The other end's bytes have no reader any more, but its close still has to be noticed.
+      other.config().setAutoRead(true);
+      other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+    ctx.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    reset(other);
+    reset(ctx.channel());
+  }
+
+  /** Closes a connection with a reset. */
+  static void reset(Channel channel) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
+  }
+}
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -1,25 +1,23 @@
 package io.samphiredyke.gateway.upstream;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.AttributeKey;
+import io.samphiredyke.gateway.tunnel.TunnelClient;
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.net.http.ResponseDecoder;
-import io.samphiredyke.net.http.TcpKeepAlive;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -31,9 +29,6 @@
  */
 public final class EndpointConnectionPool {
 
-  /** Connect timeout; within a region, connecting takes a few milliseconds. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 500;
-
   /** Idle timeout for endpoints that do not state one. */
   private static final long DEFAULT_IDLE_MILLIS = 2_000;
 
@@ -45,13 +40,17 @@
 
   private static final AttributeKey<IdleState> IDLE_STATE = AttributeKey.valueOf("kept");
 
+  /** The peer through which a connection goes; direct connections have none. */
+  private static final AttributeKey<String> PEER = AttributeKey.valueOf("peer");
+
   /** The endpoint address of a connection and when the connection expires. */
   private record IdleState(String address, long expiresAt) {}
 
   private final EventLoop loop;
-  private final AddressResolver resolver;
+  private final HostPaths paths;
+  private final SilenceMonitor silence;
+  private final EndpointConnector connector;
   private final Map<String, Deque<Channel>> idle = new HashMap<>();
-  private long openedConnections;
   private long surplusResponses;
   private long responsesWithoutId;
 
@@ -60,10 +59,35 @@
     this(loop, SocketAddresses::parse);
   }
 
-  /** Creates an empty pool that connects to endpoints at resolved addresses. */
-  public EndpointConnectionPool(EventLoop loop, AddressResolver resolver) {
+  private EndpointConnectionPool(EventLoop loop, AddressResolver resolver) {
+    this(
+        loop,
+        resolver,
+        new HostPaths(
+            loop,
+            new TunnelClient(loop, ""),
+            List::of,
+            new SplittableRandom(),
+            (event, fields) -> {}));
+  }
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param resolver resolves the addresses of endpoints for direct connections
+   * @param paths paths to the endpoints
+   */
+  public EndpointConnectionPool(EventLoop loop, AddressResolver resolver, HostPaths paths) {
     this.loop = loop;
-    this.resolver = resolver;
+    this.paths = paths;
+    this.silence = new SilenceMonitor(loop);
+    this.connector = new EndpointConnector(loop, resolver, paths, silence, this);
+  }
+
+  /** Sends a request to an endpoint whose id is not known, see the other method. */
+  public EndpointExchange open(
+      String address, OutgoingRequest request, boolean mayReuse, ExchangeListener listener) {
+    return open(new EndpointTarget("", address), request, mayReuse, listener);
   }
 
   /**
@@ -72,46 +96,24 @@
    * @param mayReuse whether an idle connection may be used
    */
   public EndpointExchange open(
-      String address, OutgoingRequest request, boolean mayReuse, ExchangeListener listener) {
-    Channel reused = mayReuse ? takeIdle(address) : null;
-    EndpointExchange exchange = new EndpointExchange(this, request, listener, reused != null);
+      EndpointTarget target, OutgoingRequest request, boolean mayReuse, ExchangeListener listener) {
+    Channel reused = mayReuse ? takeIdle(target.address()) : null;
+    EndpointExchange exchange =
+        new EndpointExchange(this, target, request, listener, reused != null);
     if (reused != null) {
       exchange.send(reused);
       return exchange;
     }
-    openedConnections++;
-    ChannelFuture connecting = bootstrap(address).connect(resolver.resolve(address));
-    connecting.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            exchange.send(connecting.channel());
-          } else {
-            exchange.connectFailed(String.valueOf(done.cause().getMessage()));
-          }
-        });
+    connector.connect(target, request.requestId(), exchange);
     return exchange;
   }
 
-  private Bootstrap bootstrap(String address) {
-    Bootstrap bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    initialize(channel, address);
-                  }
-                });
-    return TcpKeepAlive.enable(bootstrap);
-  }
-
   /** Prepares a new connection for exchanges. */
   void initialize(Channel channel, String address) {
     channel.attr(IDLE_STATE).set(new IdleState(address, 0));
+    if (peerOf(channel) == null) {
+      channel.pipeline().addLast(silence.handler(channel, address));
+    }
     channel.pipeline().addLast(new ResponseDecoder(() -> surplusResponses++));
     channel.pipeline().addLast(new HttpRequestEncoder());
     channel.pipeline().addLast(new IdleGuard());
@@ -137,7 +139,8 @@
   void release(Channel channel, int keepAliveSeconds) {
     IdleState state = channel.attr(IDLE_STATE).get();
     Deque<Channel> connections = idle.computeIfAbsent(state.address(), key -> new ArrayDeque<>());
-    if (!channel.isActive() || connections.size() >= MAX_IDLE) {
+    boolean isDetour = peerOf(channel) != null && !paths.isLost(state.address());
+    if (!channel.isActive() || connections.size() >= MAX_IDLE || isDetour) {
       channel.close();
       return;
     }
@@ -180,9 +183,79 @@
     }
   }
 
+  /** Closes idle connections to an endpoint, either the direct ones or those through peers. */
+  void closeIdle(String address, boolean areDirect) {
+    Deque<Channel> connections = idle.get(address);
+    if (connections != null) {
+      for (Channel channel : List.copyOf(connections)) {
+        if ((peerOf(channel) == null) == areDirect) {
+          connections.remove(channel);
+          channel.close();
+        }
+      }
+    }
+  }
+
+  /** Forgets what is known about the paths to an endpoint that has left. */
+  public void forget(String address) {
+    closeIdle(address);
+    paths.endpoints().forget(address);
+  }
+
+  /** Probes lost paths that are due and closes idle connections through peers that have left. */
+  public void checkPaths() {
+    connector.probeLostPaths();
+    Set<String> live = null;
+    for (Deque<Channel> connections : idle.values()) {
+      for (Channel channel : List.copyOf(connections)) {
+        String peer = peerOf(channel);
+        if (peer == null) {
+          continue;
+        }
+        live = live == null ? new HashSet<>(paths.livePeers()) : live;
+        if (!live.contains(peer)) {
+          connections.remove(channel);
+          channel.close();
+        }
+      }
+    }
+  }
+
+  /** Returns the peer through which a connection goes, or null. */
+  static @Nullable String peerOf(Channel channel) {
+    return channel.attr(PEER).get();
+  }
+
+  /** Prepares a new connection through a peer for exchanges. */
+  void initializeTunnel(Channel channel, String address, String peer) {
+    channel.attr(PEER).set(peer);
+    initialize(channel, address);
+  }
+
+  boolean isPathLost(String address) {
+    return paths.isLost(address);
+  }
+
+  /** Called when a request is sent on a connection. */
+  void sent(EndpointExchange exchange, EndpointTarget target, String requestId, Channel channel) {
+    String peer = peerOf(channel);
+    if (peer != null) {
+      paths.sentThrough(target, requestId, peer, exchange.isReused());
+    } else if (exchange.isReused()) {
+      connector.watch(exchange, target);
+    }
+  }
+
+  /** Called when a request on a direct connection that had been idle is given up. */
+  void givenUp(EndpointTarget target, long sentAt) {
+    if (silence.isSilentSince(target.address(), sentAt)) {
+      closeIdle(target.address(), true);
+    }
+  }
+
   /** Returns the number of connections opened so far. */
   public long openedConnections() {
-    return openedConnections;
+    return connector.openedConnections();
   }
 
   /** Returns the number of connections on which data arrived beyond a response. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -27,7 +27,8 @@
  * never reach the next request. A response without id ends its connection, so that a later copy of
  * it never reaches the next request either.
  */
-public final class EndpointExchange extends SimpleChannelInboundHandler<HttpObject> {
+public final class EndpointExchange extends SimpleChannelInboundHandler<HttpObject>
+    implements ConnectionAttempt.Listener {
 
   private static final int FIRST_FINAL_STATUS = 200;
 
@@ -44,10 +45,12 @@
   private static final int MAX_SKIPPED_BYTES = 512 * 1024;
 
   private final EndpointConnectionPool connections;
+  private final EndpointTarget target;
   private final OutgoingRequest request;
   private final ExchangeListener listener;
   private final boolean isReused;
   private @Nullable Channel channel;
+  private long sentAt;
   private boolean requestSent;
   private boolean finished;
   private boolean returnPending;
@@ -61,10 +64,12 @@
 
   EndpointExchange(
       EndpointConnectionPool connections,
+      EndpointTarget target,
       OutgoingRequest request,
       ExchangeListener listener,
       boolean isReused) {
     this.connections = connections;
+    this.target = target;
     this.request = request;
     this.listener = listener;
     this.isReused = isReused;
@@ -77,10 +82,12 @@
     }
     if (!listener.isStillWanted()) {
       connected.close();
-      connectFailed("the endpoint accepts no requests any more");
+      failed("the endpoint accepts no requests any more", false);
       return;
     }
     channel = connected;
+    sentAt = connected.eventLoop().ticker().nanoTime();
+    connections.sent(this, target, request.requestId(), connected);
     connected.pipeline().get(ResponseDecoder.class).requestStarted(request.method());
     connected.pipeline().addLast(this);
     ByteBuf body = request.body();
@@ -102,13 +109,38 @@
     fail("sending failed: " + cause.getMessage());
   }
 
-  void connectFailed(String reason) {
+  @Override
+  public boolean isWanted() {
+    return !finished;
+  }
+
+  @Override
+  public void connected(Channel connected) {
+    send(connected);
+  }
+
+  @Override
+  public void failed(String reason, boolean isPathSuspect) {
     if (!finished) {
       finished = true;
-      listener.onFailure(new ExchangeFailure(true, false, false, reason));
+      listener.onFailure(new ExchangeFailure(true, false, false, isPathSuspect, reason));
     }
   }
 
+  boolean isReused() {
+    return isReused;
+  }
+
+  /**
+   * Returns whether the path to the endpoint may fail rather than the endpoint: the request goes
+   * through a peer, or this host's own path is lost.
+   */
+  public boolean isPathSuspect() {
+    Channel open = channel;
+    boolean isTunnelled = open != null && EndpointConnectionPool.peerOf(open) != null;
+    return isTunnelled || connections.isPathLost(target.address());
+  }
+
   /** Cancels the exchange by closing the connection, which the endpoint detects. */
   public void cancel() {
     if (finished) {
@@ -118,6 +150,9 @@
     Channel open = channel;
     if (open != null) {
       open.close();
+      if (isReused && EndpointConnectionPool.peerOf(open) == null) {
+        connections.givenUp(target, sentAt);
+      }
     }
   }
 
@@ -250,6 +285,7 @@
     if (open != null) {
       open.close();
     }
-    listener.onFailure(new ExchangeFailure(false, isReused, isConnectionEnd, reason));
+    listener.onFailure(
+        new ExchangeFailure(false, isReused, isConnectionEnd, isPathSuspect(), reason));
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/JoinedResponsesTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/JoinedResponsesTest.java
@@ -86,7 +86,8 @@
     OutgoingRequest request =
         new OutgoingRequest(
             "r", HttpMethod.GET, "/x", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
-    new EndpointExchange(pool, request, outcome, true).send(channel);
+    new EndpointExchange(pool, new EndpointTarget("", "endpoint"), request, outcome, true)
+        .send(channel);
     for (String part : parts) {
       if (channel.isActive()) {
         channel.writeInbound(Unpooled.copiedBuffer(part, StandardCharsets.US_ASCII));
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/TcpKeepAlive.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/TcpKeepAlive.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.net.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import jdk.net.ExtendedSocketOptions;
@@ -24,4 +25,13 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MAX_PROBES);
   }
+
+  /** Enables keep-alive on the connections that a server bootstrap accepts. */
+  public static ServerBootstrap enable(ServerBootstrap bootstrap) {
+    return bootstrap
+        .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), INTERVAL_SECONDS)
+        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS)
+        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MAX_PROBES);
+  }
 }
