Scheduler: a host without a path does not pause endpoints for the others

Cause: a failed attempt counted against the endpoint, whichever host failed, and paused it for all. The attempts that hang were overdue as well, which made the endpoint seem slow, and they held slots that others could use.

Failures are now kept for each pair of host and endpoint, and pause the endpoint for that host. They pause it for all if a second host fails too with no success of any in between, or if nobody else uses it. A host that fails at several endpoints in a row while others are served is in doubt, and after four failures counts as cut off until something arrives: its failures count no more against endpoints nor their version, its waiting requests go behind those of the others, and one probe runs at an endpoint at a time. The requester is known from the slot request and from the sender; no message changes. Hosts that are gone are forgotten, and the others after 30 s.

Ruled out: an index for each host (300 x 69 entries moved with each change); pauses are checked while the cheapest endpoints are compared, and a host for which none was free is skipped for the rest of the pass over the queue.

The one slot of an endpoint went to the host without a path first; now it goes to the other.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -1,12 +1,12 @@
 package io.samphiredyke.core.pool;
 
 import io.samphiredyke.core.rollout.VersionFilter;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -22,59 +22,33 @@
 
   private static final double MILLIS_PER_SECOND = 1e3;
 
-  /** Endpoints that are compared exactly for a request, beside those that hold its prompt. */
-  private static final int COMPARED_ENDPOINTS = 6;
-
-  private static final class Entry {
-    final EndpointLoad load;
-    final long number;
-    double cost;
-    int slots;
-    boolean isFree;
-    boolean isFreeIgnoringPause;
-    boolean isPaused;
-    boolean isThrottled;
-    boolean isWithheld;
-    String version = "";
-
-    Entry(EndpointLoad load, long number) {
-      this.load = load;
-      this.number = number;
-    }
-  }
-
-  private static final Comparator<Entry> BY_COST =
-      Comparator.<Entry>comparingDouble(entry -> entry.cost).thenComparingLong(e -> e.number);
-
-  private static final Comparator<Entry> BY_PAUSE_END =
-      Comparator.<Entry>comparingLong(entry -> entry.load.pausedUntil())
-          .thenComparingLong(e -> e.number);
+  private final RandomGenerator random;
+  private final RequesterPaths paths;
 
-  private static final Comparator<Entry> BY_NEXT_GRANT =
-      Comparator.<Entry>comparingLong(entry -> entry.load.rateLimit().nextGrantAt())
-          .thenComparingLong(e -> e.number);
+  /** Requesters for which no endpoint was free, since slots were last freed. */
+  private final Set<String> withoutSlot = new HashSet<>();
 
-  private final RandomGenerator random;
-  private final Map<String, Entry> entries = new HashMap<>();
-  private final TreeSet<Entry> free = new TreeSet<>(BY_COST);
-  private final TreeSet<Entry> freeIgnoringPause = new TreeSet<>(BY_COST);
+  private final Map<String, IndexedEndpoint> entries = new HashMap<>();
+  private final TreeSet<IndexedEndpoint> free = new TreeSet<>(IndexedEndpoint.BY_COST);
+  private final TreeSet<IndexedEndpoint> freeIgnoringPause = new TreeSet<>(IndexedEndpoint.BY_COST);
   private final VersionCounts versions = new VersionCounts();
-  private final TreeSet<Entry> withheld = new TreeSet<>(BY_COST);
-  private final TreeSet<Entry> paused = new TreeSet<>(BY_PAUSE_END);
-  private final Set<Entry> limited = new LinkedHashSet<>();
-  private final TreeSet<Entry> throttled = new TreeSet<>(BY_NEXT_GRANT);
+  private final TreeSet<IndexedEndpoint> withheld = new TreeSet<>(IndexedEndpoint.BY_COST);
+  private final TreeSet<IndexedEndpoint> paused = new TreeSet<>(IndexedEndpoint.BY_PAUSE_END);
+  private final Set<IndexedEndpoint> limited = new LinkedHashSet<>();
+  private final TreeSet<IndexedEndpoint> throttled = new TreeSet<>(IndexedEndpoint.BY_NEXT_GRANT);
   private final PromptHolders holders = new PromptHolders();
   private WorkEstimate averageWork = WorkEstimate.PLAIN;
   private double capacityShare = 1;
   private VersionFilter filter = VersionFilter.ADMIT_ALL;
-  private @Nullable Entry guaranteed;
+  private @Nullable IndexedEndpoint guaranteed;
   private int slots;
   private int pausedSlots;
   private long added;
   private long pausesEndedUntil = Long.MIN_VALUE;
 
-  EndpointIndex(RandomGenerator random) {
+  EndpointIndex(RandomGenerator random, RequesterPaths paths) {
     this.random = random;
+    this.paths = paths;
   }
 
   int size() {
@@ -89,7 +63,7 @@
    */
   double slots(double meanHoldMillis) {
     double usable = ignoresPauses() ? slots : slots - pausedSlots;
-    for (Entry entry : limited) {
+    for (IndexedEndpoint entry : limited) {
       if (!entry.isPaused || ignoresPauses()) {
         usable += limitedSlots(entry, meanHoldMillis);
       }
@@ -97,7 +71,7 @@
     return usable;
   }
 
-  private static double limitedSlots(Entry entry, double meanHoldMillis) {
+  private static double limitedSlots(IndexedEndpoint entry, double meanHoldMillis) {
     if (meanHoldMillis <= 0) {
       return entry.slots;
     }
@@ -112,12 +86,12 @@
   }
 
   @Nullable EndpointLoad find(String id) {
-    Entry entry = entries.get(id);
+    IndexedEndpoint entry = entries.get(id);
     return entry == null ? null : entry.load;
   }
 
   void add(EndpointLoad load) {
-    Entry entry = new Entry(load, added++);
+    IndexedEndpoint entry = new IndexedEndpoint(load, added++);
     load.rateLimit().setShare(capacityShare);
     entries.put(load.endpoint().id(), entry);
     entry.version = load.endpoint().version();
@@ -127,7 +101,7 @@
   }
 
   @Nullable EndpointLoad remove(String id) {
-    Entry entry = entries.remove(id);
+    IndexedEndpoint entry = entries.remove(id);
     if (entry == null) {
       return null;
     }
@@ -151,7 +125,7 @@
   /** Returns the number of requests that run at endpoints of other versions than the given one. */
   int runningExcept(String version) {
     int running = 0;
-    for (Entry entry : entries.values()) {
+    for (IndexedEndpoint entry : entries.values()) {
       running += entry.version.equals(version) ? 0 : entry.load.runningCount();
     }
     return running;
@@ -164,7 +138,8 @@
     }
     VersionFilter previous = filter;
     filter = updated;
-    for (Entry entry : entries.values()) {
+    withoutSlot.clear();
+    for (IndexedEndpoint entry : entries.values()) {
       if (previous.admits(entry.version) != updated.admits(entry.version)) {
         reindex(entry);
       }
@@ -183,7 +158,7 @@
 
   /** Applies a change to an endpoint and moves it to its new position. */
   void change(EndpointLoad load, Runnable change) {
-    Entry entry = entries.get(load.endpoint().id());
+    IndexedEndpoint entry = entries.get(load.endpoint().id());
     if (entry == null || entry.load != load) {
       change.run();
       return;
@@ -195,7 +170,7 @@
   }
 
   /** An endpoint may restart with the same id and another version. */
-  private void updateVersion(Entry entry) {
+  private void updateVersion(IndexedEndpoint entry) {
     String version = entry.load.endpoint().version();
     if (!version.equals(entry.version)) {
       versions.remove(entry.version);
@@ -204,12 +179,12 @@
     }
   }
 
-  private void reindex(Entry entry) {
+  private void reindex(IndexedEndpoint entry) {
     detach(entry);
     insert(entry);
   }
 
-  private void detach(Entry entry) {
+  private void detach(IndexedEndpoint entry) {
     if (!limited.remove(entry)) {
       slots -= entry.slots;
       pausedSlots -= entry.isPaused ? entry.slots : 0;
@@ -237,7 +212,7 @@
     entry.isThrottled = false;
   }
 
-  private void insert(Entry entry) {
+  private void insert(IndexedEndpoint entry) {
     // The random part spreads requests over endpoints of equal cost.
     entry.cost = entry.load.expectedCostMillis(averageWork) + random.nextDouble();
     entry.isWithheld = !filter.admits(entry.version);
@@ -275,6 +250,7 @@
    */
   void endPauses(long now) {
     pausesEndedUntil = now;
+    withoutSlot.clear();
     while (!paused.isEmpty() && paused.first().load.pausedUntil() <= now) {
       reindex(paused.first());
     }
@@ -284,7 +260,7 @@
   }
 
   /** Returns the free slots within the capacity share, which is at least one slot per service. */
-  private int freeSlots(Entry entry, boolean ignorePause) {
+  private int freeSlots(IndexedEndpoint entry, boolean ignorePause) {
     int freeSlots = entry.load.freeSlots(ignorePause, capacityShare);
     boolean isGuaranteed =
         capacityShare < 1 && entry.load.runningCount() == 0 && entry == guaranteed;
@@ -292,9 +268,9 @@
   }
 
   private void chooseGuaranteed() {
-    Entry old = guaranteed;
-    Entry best = null;
-    for (Entry entry : entries.values()) {
+    IndexedEndpoint old = guaranteed;
+    IndexedEndpoint best = null;
+    for (IndexedEndpoint entry : entries.values()) {
       if (best == null || entry.load.roundingOffset() > best.load.roundingOffset()) {
         best = entry;
       }
@@ -306,7 +282,7 @@
     }
   }
 
-  private void reindexIfPresent(@Nullable Entry entry) {
+  private void reindexIfPresent(@Nullable IndexedEndpoint entry) {
     if (entry != null && entries.get(entry.load.endpoint().id()) == entry) {
       reindex(entry);
     }
@@ -321,7 +297,7 @@
   }
 
   /** Returns the endpoints with a free slot. */
-  private TreeSet<Entry> usable() {
+  private SortedSet<IndexedEndpoint> usable() {
     return ignoresPauses() ? freeIgnoringPause : free;
   }
 
@@ -331,66 +307,81 @@
 
   /** Returns the endpoint with a free slot that is expected to serve a request soonest, or null. */
   @Nullable EndpointLoad cheapest(SlotRequest request) {
-    TreeSet<Entry> usable = usable();
-    Entry best = null;
-    double bestMillis = Double.MAX_VALUE;
-    int compared = 0;
-    for (Iterator<Entry> i = usable.iterator(); i.hasNext() && compared < COMPARED_ENDPOINTS; ) {
-      Entry entry = i.next();
-      if (isBarred(entry, request)) {
-        continue;
-      }
-      compared++;
-      double millis = cost(entry, request);
-      if (millis < bestMillis) {
-        bestMillis = millis;
-        best = entry;
-      }
+    EndpointLoad best =
+        withoutSlot.contains(request.requester()) ? null : cheapestAdmitted(request);
+    if (best == null && !withheld.isEmpty() && filter.admitsResumptions()) {
+      return withheldFor(request);
     }
+    return best;
+  }
+
+  private @Nullable EndpointLoad cheapestAdmitted(SlotRequest request) {
+    String requester = request.requester();
+    boolean isLost = paths.isLost(requester);
+    EndpointLoad best = choose(request, isLost, ignoresPauses());
+    if (best == null && (isLost || isPausedEverywhere(requester))) {
+      best = choose(request, isLost, true);
+    }
+    if (best == null && request.excluded().isEmpty() && !request.isIsolated()) {
+      withoutSlot.add(requester);
+    }
+    return best;
+  }
+
+  private @Nullable EndpointLoad choose(
+      SlotRequest request, boolean isLost, boolean ignoresPauses) {
+    SortedSet<IndexedEndpoint> usable = usable();
+    EndpointChoice choice = new EndpointChoice(request, isLost, ignoresPauses, pausesEndedUntil);
+    choice.compareCheapest(usable);
     for (PromptPart part : request.estimate().parts()) {
       for (String id : holders.of(part)) {
-        Entry holder = entries.get(id);
-        if (holder == null || !usable.contains(holder) || isBarred(holder, request)) {
-          continue;
-        }
-        double millis = cost(holder, request);
-        if (millis < bestMillis) {
-          bestMillis = millis;
-          best = holder;
+        IndexedEndpoint holder = entries.get(id);
+        if (holder != null && usable.contains(holder) && !choice.bars(holder)) {
+          choice.compare(holder);
         }
       }
     }
-    if (best == null && !withheld.isEmpty() && filter.admitsResumptions()) {
-      return withheldFor(request);
+    return choice.best();
+  }
+
+  /** Returns whether all endpoints are paused for a requester because of its own failures. */
+  private boolean isPausedEverywhere(String requester) {
+    for (IndexedEndpoint entry : entries.values()) {
+      if (!entry.isWithheld && !entry.load.failures().isPausedFor(requester, pausesEndedUntil)) {
+        return false;
+      }
     }
-    return best == null ? null : best.load;
+    return true;
   }
 
   /** Returns a withheld endpoint with a free slot for a request that no other one may get. */
   private @Nullable EndpointLoad withheldFor(SlotRequest request) {
-    for (Entry entry : entries.values()) {
+    for (IndexedEndpoint entry : entries.values()) {
       if (!entry.isWithheld && !request.excluded().contains(entry.load.endpoint().id())) {
         return null;
       }
     }
-    for (Entry entry : withheld) {
+    boolean isLost = paths.isLost(request.requester());
+    EndpointChoice choice = new EndpointChoice(request, isLost, isLost, pausesEndedUntil);
+    for (IndexedEndpoint entry : withheld) {
       boolean mayGrant =
           entry.load.pausedUntil() <= pausesEndedUntil
               && entry.load.rateLimit().nextGrantAt() <= pausesEndedUntil;
-      if (mayGrant && !isBarred(entry, request) && freeSlots(entry, false) > 0) {
+      if (mayGrant && !choice.bars(entry) && freeSlots(entry, false) > 0) {
         return entry.load;
       }
     }
     return null;
   }
 
-  private static boolean isBarred(Entry entry, SlotRequest request) {
-    return request.excluded().contains(entry.load.endpoint().id())
-        || (request.isIsolated() && entry.load.runsIsolated());
+  /** Returns whether a grant to a requester tests an endpoint that it may not reach. */
+  boolean isProbe(EndpointLoad load, String requester) {
+    return paths.isLost(requester) || load.failures().isFailingFor(requester);
   }
 
-  private double cost(Entry entry, SlotRequest request) {
-    return entry.load.expectedCostMillis(request.estimate());
+  /** Forgets a requester that is gone. */
+  void forget(String requester) {
+    entries.values().forEach(entry -> entry.load.failures().forget(requester));
   }
 
   /** Records that an endpoint has read a prompt. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -27,14 +27,6 @@
    */
   private static final double ERROR_WEIGHT = 0.9;
 
-  /** Consecutive failures after which an endpoint is paused and then gets one request at a time. */
-  private static final int FAILURES_TO_PAUSE = 2;
-
-  /** First and longest pause after consecutive failures, milliseconds; doubles at each failure. */
-  private static final long MIN_PAUSE_MILLIS = 250;
-
-  private static final long MAX_PAUSE_MILLIS = 2_000;
-
   private EndpointRecord endpoint;
   private long warmUntil;
   private final double roundingOffset;
@@ -46,8 +38,8 @@
   private double pendingPrefillMillis;
   private double latencyFactor = 1;
   private double errorRate;
-  private int failures;
-  private long pausedUntil = Long.MIN_VALUE;
+  private final EndpointFailures failures = new EndpointFailures();
+  private int probes;
   private int grantLimit = Integer.MAX_VALUE;
   private final RateLimit rateLimit = new RateLimit();
 
@@ -118,7 +110,7 @@
     if (ignorePause) {
       return Math.max(0, slots - running.size());
     }
-    int limit = failures >= FAILURES_TO_PAUSE ? 1 : Math.min(slots, grantLimit);
+    int limit = failures.isFailingForAll() ? 1 : Math.min(slots, grantLimit);
     return Math.max(0, Math.min(slots, limit) - running.size());
   }
 
@@ -138,7 +130,16 @@
 
   /** Returns until when it gets no requests because of consecutive failures. */
   long pausedUntil() {
-    return pausedUntil;
+    return failures.pausedUntil();
+  }
+
+  EndpointFailures failures() {
+    return failures;
+  }
+
+  /** Returns whether it runs a request of a requester that may not reach it. */
+  boolean runsProbe() {
+    return probes > 0;
   }
 
   /** Returns the modelled time to the first event, or the response, if granted now. */
@@ -178,7 +179,12 @@
     return latencyFactor * total / (1 - errorRate * ERROR_WEIGHT);
   }
 
-  RunningRequest grant(SlotRequest request, long now) {
+  /**
+   * Grants a slot.
+   *
+   * @param isProbe whether it tests if the requester reaches this endpoint
+   */
+  RunningRequest grant(SlotRequest request, boolean isProbe, long now) {
     WorkEstimate work = request.estimate();
     double prefill = modelledPrefillMillis(work);
     double firstEvent = modelledFirstEventMillis(work, prefill);
@@ -194,7 +200,9 @@
             decode,
             expectedFirstEvent,
             expectedFirstEvent + expectedDecode);
+    entry.isProbe = isProbe;
     running.put(request.id(), entry);
+    probes += isProbe ? 1 : 0;
     isolatedCount += request.isIsolated() ? 1 : 0;
     rateLimit.granted(now);
     pendingPrefillMillis += prefill;
@@ -229,33 +237,50 @@
     pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.modelledPrefillMillis);
   }
 
-  /** Frees the slot of a request and learns from its outcome. */
-  void release(long requestId, Outcome outcome, double observedMillis, long now) {
+  /**
+   * Frees the slot of a request and learns from its outcome.
+   *
+   * @param path whether the requester reaches the endpoints of the service
+   */
+  void release(
+      long requestId, Outcome outcome, RequesterPath path, double observedMillis, long now) {
     RunningRequest entry = running.remove(requestId);
     if (entry != null) {
       removed(entry);
     }
-    if (outcome != Outcome.WITHDRAWN) {
+    if (outcome != Outcome.WITHDRAWN && path != RequesterPath.LOST) {
       double error = outcome == Outcome.SERVED ? 0 : 1;
       errorRate += ERROR_SMOOTHING * (error - errorRate);
     }
+    String requester = entry == null ? "" : entry.request.requester();
     switch (outcome) {
-      case ERRORED -> failures = 0;
+      case ERRORED -> failures.served(requester, now);
       case SERVED -> {
-        failures = 0;
+        failures.served(requester, now);
         grantLimit = Integer.MAX_VALUE;
         if (entry != null) {
           learnTotal(observedMillis, entry);
         }
       }
-      case FAILED, BROKEN_OFF -> recordFailure(now);
+      case FAILED, BROKEN_OFF ->
+          failures.failed(requester, path == RequesterPath.SOUND, runsForOthers(requester), now);
       case FULL -> grantLimit = Math.max(1, running.size());
       default -> {}
     }
   }
 
+  private boolean runsForOthers(String requester) {
+    for (RunningRequest entry : running.values()) {
+      if (!entry.request.requester().equals(requester)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void removed(RunningRequest entry) {
     entry.isReleased = true;
+    probes -= entry.isProbe ? 1 : 0;
     isolatedCount -= entry.request.isIsolated() ? 1 : 0;
     if (!entry.hasStarted()) {
       pendingPrefillMillis = Math.max(0, pendingPrefillMillis - entry.modelledPrefillMillis);
@@ -274,15 +299,6 @@
     }
   }
 
-  private void recordFailure(long now) {
-    failures++;
-    if (failures >= FAILURES_TO_PAUSE) {
-      int doublings = Math.min(failures - FAILURES_TO_PAUSE, 4);
-      long pause = Math.min(MAX_PAUSE_MILLIS, MIN_PAUSE_MILLIS << doublings);
-      pausedUntil = now + (long) (pause * NANOS_PER_MILLI);
-    }
-  }
-
   private void learnFirstEvent(double observed, RunningRequest entry) {
     if (entry.modelledFirstEventMillis > 0) {
       double sample = bounded(observed / averageFirstEventMillis(entry));
@@ -298,7 +314,10 @@
    * @return whether the request is still overdue
    */
   boolean learnOverdue(RunningRequest entry, double elapsedMillis) {
-    if (entry.isReleased || entry.hasStarted() || entry.modelledFirstEventMillis <= 0) {
+    if (entry.isReleased
+        || entry.isProbe
+        || entry.hasStarted()
+        || entry.modelledFirstEventMillis <= 0) {
       return false;
     }
     double atLeast = bounded(elapsedMillis / averageFirstEventMillis(entry));
@@ -323,6 +342,7 @@
     released.forEach(entry -> entry.isReleased = true);
     running.clear();
     isolatedCount = 0;
+    probes = 0;
     return released;
   }
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -303,6 +303,12 @@
     pools.values().forEach(pool -> pool.reconcile(requester, held, grantedBefore, now));
   }
 
+  /** Frees the slots of a host that is gone, and forgets how its requests ended. */
+  public void hostGone(String requester, long now) {
+    reconcile(requester, Set.of(), now);
+    pools.values().forEach(pool -> pool.forget(requester));
+  }
+
   /**
    * Checks for overdue requests, grants slots of endpoints whose pause has ended, and refuses
    * requests that can't start in time.
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/RunningRequest.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/RunningRequest.java
@@ -24,6 +24,9 @@
   /** Observed time to the first event, milliseconds; negative before it. */
   double startedAfterMillis = -1;
 
+  /** Whether it tests if its requester reaches the endpoint. */
+  boolean isProbe;
+
   /** Whether its end was reported. */
   boolean isReleased;
 
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -30,9 +30,11 @@
   private final RetryBudget retryBudget;
   private final CrashGuard crashGuard;
   private final ServiceLatency latency = new ServiceLatency();
+  private final RequesterPaths paths;
   private final EndpointIndex endpoints;
   private final WaitingQueue waiting = new WaitingQueue();
   private final SlotTurnover turnover = new SlotTurnover();
+  private final StartForecast forecast;
   private final RankStatistics ranks = new RankStatistics();
   private final CustomerShares shares = new CustomerShares();
   private final HeldSlots held = new HeldSlots();
@@ -50,7 +52,9 @@
     this.random = random;
     this.retryTimes = new RetryTimes(random);
     this.retryBudget = budget;
-    this.endpoints = new EndpointIndex(random);
+    this.paths = new RequesterPaths(waiting::setWithoutPath);
+    this.endpoints = new EndpointIndex(random, paths);
+    this.forecast = new StartForecast(turnover, endpoints);
     this.versions = new VersionTraffic(endpoints, latency);
   }
 
@@ -168,9 +172,12 @@
     double density = request.value() * ranks.meanHoldMillis(request.rank()) / holdMillis;
     double bounded = Math.max(1 / MAX_DENSITY_RATIO, Math.min(MAX_DENSITY_RATIO, density));
     double burstShare = ranks.fractionNotAbove(request.rank());
-    long charged = shares.charge(request.customer(), holdMillis, slots(), burstShare, now);
-    return new WaitingRequest(
-        request, latestOnTimeStart, holdMillis, bounded, latestOnTimeStart < now, charged);
+    long charged = shares.charge(request.customer(), holdMillis, forecast.slots(), burstShare, now);
+    WaitingRequest arrived =
+        new WaitingRequest(
+            request, latestOnTimeStart, holdMillis, bounded, latestOnTimeStart < now, charged);
+    arrived.isWithoutPath = paths.isLost(request.requester());
+    return arrived;
   }
 
   /** Removes a waiting request; returns it, or null if it is not waiting. */
@@ -216,10 +223,11 @@
   }
 
   private void grant(SlotRequest request, EndpointLoad target, long now) {
+    boolean isProbe = endpoints.isProbe(target, request.requester());
     endpoints.change(
         target,
         () -> {
-          RunningRequest entry = target.grant(request, now);
+          RunningRequest entry = target.grant(request, isProbe, now);
           turnover.granted(entry.totalMillis);
           overdueChecks.granted(target, entry);
         });
@@ -230,16 +238,25 @@
   }
 
   void firstEvent(EndpointLoad endpoint, long requestId, double observedMillis) {
+    RunningRequest started = endpoint.running(requestId);
+    if (started != null) {
+      paths.worked(
+          started.request.requester(),
+          started.grantedAt + (long) (observedMillis * NANOS_PER_MILLI));
+    }
     endpoints.change(endpoint, () -> endpoint.firstEvent(requestId, observedMillis));
   }
 
   void release(
       EndpointLoad endpoint, long requestId, Outcome outcome, double observedMillis, long now) {
     RunningRequest released = endpoint.running(requestId);
-    if (released != null) {
+    String id = endpoint.endpoint().id();
+    RequesterPath path = paths.ended(released, id, outcome, endpoints.size(), now);
+    if (released != null && path != RequesterPath.LOST) {
       versions.ended(endpoint, released, outcome, observedMillis, now);
     }
-    endpoints.change(endpoint, () -> endpoint.release(requestId, outcome, observedMillis, now));
+    endpoints.change(
+        endpoint, () -> endpoint.release(requestId, outcome, path, observedMillis, now));
     if (released != null) {
       held.remove(released.request);
       if (crashGuard.ended(released.request, endpoint.endpoint(), outcome, now)) {
@@ -248,6 +265,12 @@
     }
   }
 
+  /** Forgets how the requests of a host that is gone ended. */
+  void forget(String requester) {
+    paths.forget(requester);
+    endpoints.forget(requester);
+  }
+
   /** Refuses the waiting requests whose prompt is quarantined. */
   void refuseQuarantined(long now) {
     refuseWaiting(request -> crashGuard.refusalOfWaiting(request, now));
@@ -301,11 +324,11 @@
     while (!waiting.isEmpty()) {
       WaitingRequest last = waiting.last();
       int position = waiting.size() - 1;
-      if (!last.isLate && isExpectedLate(last, position, now)) {
+      if (!last.isLate && forecast.isExpectedLate(last, position, now)) {
         waiting.markLate(last, ranks);
         continue;
       }
-      if (canStart(last, position, now)) {
+      if (forecast.canStart(last, position, now)) {
         return;
       }
       refuseOverloaded(last, now);
@@ -323,11 +346,11 @@
     }
     int position = 0;
     for (WaitingRequest each : waiting.snapshot()) {
-      boolean isNowLate = !each.isLate && isExpectedLate(each, position, now);
+      boolean isNowLate = !each.isLate && forecast.isExpectedLate(each, position, now);
       if (isNowLate) {
         waiting.markLate(each, ranks);
       }
-      if (!canStart(each, position, now)) {
+      if (!forecast.canStart(each, position, now)) {
         refuseOverloaded(each, now);
       } else if (!isNowLate) {
         position++;
@@ -335,30 +358,6 @@
     }
   }
 
-  /** Returns how many slots the service can keep in use, which may be less than one. */
-  private double slots() {
-    return endpoints.slots(turnover.meanHoldMillis());
-  }
-
-  private boolean isExpectedLate(WaitingRequest request, int position, long now) {
-    double slots = slots();
-    return slots <= 0 || now + turnover.expectedWait(position, slots) > request.latestOnTimeStart;
-  }
-
-  /**
-   * Returns whether a request is expected to start before its start deadline. One that became late
-   * while it waited is refused if arriving ones would overtake it, because its caller may return at
-   * a better time. One that arrived late has probably returned already and waits on.
-   */
-  private boolean canStart(WaitingRequest each, int position, long now) {
-    double slots = slots();
-    long wait =
-        each.isLate && !each.hasArrivedLate
-            ? turnover.expectedLateWait(position, slots, now)
-            : turnover.expectedWait(position, slots);
-    return slots > 0 && now + wait <= each.request.startDeadline();
-  }
-
   /**
    * Refuses the requests whose start deadline has passed. Used while the group is incomplete, when
    * no host knows all grants and the times at which slots become free can't be estimated.
@@ -377,7 +376,7 @@
 
   private void refuseOverloaded(WaitingRequest refused, long now) {
     drop(refused.request.id());
-    double slots = Math.max(MIN_SLOTS, slots());
+    double slots = Math.max(MIN_SLOTS, forecast.slots());
     long returnAt = turnover.nextReturn(refused.holdMillis, waiting.size(), slots, now);
     turnover.limitReturns(now + (long) (RetryTimes.MAX_MILLIS * NANOS_PER_MILLI));
     listener.refused(refused.request, retryTimes.refusal(refused.overloadReason(), returnAt - now));
--- /dev/null
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/StartForecast.java
@@ -0,0 +1,37 @@
+package io.samphiredyke.core.pool;
+
+/** Tells whether waiting requests are expected to start in time. */
+final class StartForecast {
+
+  private final SlotTurnover turnover;
+  private final EndpointIndex endpoints;
+
+  StartForecast(SlotTurnover turnover, EndpointIndex endpoints) {
+    this.turnover = turnover;
+    this.endpoints = endpoints;
+  }
+
+  /** Returns how many slots the service can keep in use, which may be less than one. */
+  double slots() {
+    return endpoints.slots(turnover.meanHoldMillis());
+  }
+
+  boolean isExpectedLate(WaitingRequest request, int position, long now) {
+    double slots = slots();
+    return slots <= 0 || now + turnover.expectedWait(position, slots) > request.latestOnTimeStart;
+  }
+
+  /**
+   * Returns whether a request is expected to start before its start deadline. One that became late
+   * while it waited is refused if arriving ones would overtake it, because its caller may return at
+   * a better time. One that arrived late has probably returned already and waits on.
+   */
+  boolean canStart(WaitingRequest each, int position, long now) {
+    double slots = slots();
+    long wait =
+        each.isLate && !each.hasArrivedLate
+            ? turnover.expectedLateWait(position, slots, now)
+            : turnover.expectedWait(position, slots);
+    return slots > 0 && now + wait <= each.request.startDeadline();
+  }
+}
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingQueue.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingQueue.java
@@ -15,7 +15,8 @@
  *
  * <p>Load pattern: more work than slots, over seconds. A request that can no longer meet its
  * objective earns its caller less, so it goes behind those of its rank and of the next one that
- * still can, and behind those of lower ranks of which several could be served in its time.
+ * still can, and behind those of lower ranks of which several could be served in its time. Requests
+ * of hosts that reach no endpoint go last, as a slot would be of no use to them.
  */
 final class WaitingQueue implements Iterable<WaitingRequest> {
 
@@ -29,7 +30,8 @@
   private static final double LATE_EXCHANGE_RATIO = 4;
 
   private static final Comparator<WaitingRequest> ORDER =
-      Comparator.<WaitingRequest>comparingDouble(waiting -> waiting.effectiveRank)
+      Comparator.<WaitingRequest, Boolean>comparing(waiting -> waiting.isWithoutPath)
+          .thenComparingDouble(waiting -> waiting.effectiveRank)
           .thenComparing(Comparator.<WaitingRequest>comparingDouble(w -> w.density).reversed())
           .thenComparingLong(waiting -> waiting.request.objectiveDeadline())
           .thenComparingLong(waiting -> waiting.request.id());
@@ -82,6 +84,17 @@
     ordered.add(waiting);
   }
 
+  /** Moves the requests of a requester that reaches no endpoint behind all others, or back. */
+  void setWithoutPath(String requester, boolean isWithoutPath) {
+    for (WaitingRequest waiting : snapshot()) {
+      if (waiting.request.requester().equals(requester)) {
+        ordered.remove(waiting);
+        waiting.isWithoutPath = isWithoutPath;
+        ordered.add(waiting);
+      }
+    }
+  }
+
   /** Returns the requests in order, unaffected by changes of the queue. */
   List<WaitingRequest> snapshot() {
     return new ArrayList<>(ordered);
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingRequest.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingRequest.java
@@ -28,6 +28,9 @@
 
   boolean isLate;
 
+  /** Whether its requester reaches no endpoint, as far as is known. */
+  boolean isWithoutPath;
+
   WaitingRequest(
       SlotRequest request,
       long latestOnTimeStart,
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
@@ -298,7 +298,7 @@
 
   /** Releases all slots of a host that has failed or left. */
   void hostGone(String requester) {
-    scheduler.reconcile(requester, Set.of(), loop.nanoTime());
+    scheduler.hostGone(requester, loop.nanoTime());
   }
 
   /** Handles a message of another host. */
