Gateway: endpoint addresses are resolved by an interface

Tests of hosts without a path need a link between one host and an endpoint, while the other hosts reach it. The registered address is the same for all hosts, so the link can't be put there. A gateway can now be given a resolver of endpoint addresses, package-private; the default parses them as before.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.samphiredyke.core.follow.PositionCheck;
-import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.PoolScheduler;
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.core.serving.EndpointDirectory;
@@ -30,6 +29,7 @@
 import io.samphiredyke.gateway.store.StoreEraTracker;
 import io.samphiredyke.gateway.store.StreamOriginArchive;
 import io.samphiredyke.gateway.store.TopicFollower;
+import io.samphiredyke.gateway.upstream.AddressResolver;
 import io.samphiredyke.gateway.upstream.EndpointConnectionPool;
 import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.net.control.SocketAddresses;
@@ -60,18 +60,6 @@
 
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
-  /** Used share of the retry budget; the rest is reserved for hosts that schedule on their own. */
-  private static final double RETRY_BUDGET_SHARE = 0.6;
-
-  /**
-   * Used share of the tolerated quota excess; the rest is reserved for hosts that schedule on their
-   * own.
-   */
-  private static final double QUOTA_TOLERANCE_SHARE = 0.6;
-
-  /** How long a grant may be missing from the reports of its requester. */
-  private static final long REPORT_GRACE_MILLIS = 300;
-
   private final RandomGenerator random;
   private HostSettings settings;
   private final EventLoop eventLoop;
@@ -102,29 +90,32 @@
   private boolean ready;
 
   Gateway(HostSettings settings, EventLoopGroup group, RandomGenerator random, DecisionLog log) {
+    this(settings, group, random, log, SocketAddresses::parse);
+  }
+
+  /** Creates a gateway that connects to endpoints at resolved addresses. */
+  Gateway(
+      HostSettings settings,
+      EventLoopGroup group,
+      RandomGenerator random,
+      DecisionLog log,
+      AddressResolver resolver) {
     this.settings = settings;
     this.random = random;
     this.log = log;
     this.eventLoop = group.next();
     this.loop = new ControlEventLoop(eventLoop, Clock.systemUTC());
-    this.connections = new EndpointConnectionPool(eventLoop);
+    this.connections = new EndpointConnectionPool(eventLoop, resolver);
     this.directory =
         new EndpointDirectory(
             ENTRY_EXPIRY_GRACE.toNanos(),
             new EndpointAvailability(this::scheduler, connections, loop::nanoTime, log));
     this.state = new ServingState(directory);
-    PoolOptions options =
-        new PoolOptions(
-            settings.retryRatio() * RETRY_BUDGET_SHARE,
-            settings.retryReserve() * RETRY_BUDGET_SHARE,
-            settings.quotaTolerance() * QUOTA_TOLERANCE_SHARE,
-            settings.quotaSlack() * QUOTA_TOLERANCE_SHARE,
-            REPORT_GRACE_MILLIS);
     this.peers =
         new PeerGroup(
             loop,
             HostCapacity.member(settings, random),
-            options,
+            SchedulerOptions.of(settings),
             Duration.ofMillis(settings.quotaWindowMillis()),
             random,
             log);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -49,6 +49,7 @@
   private record IdleState(String address, long expiresAt) {}
 
   private final EventLoop loop;
+  private final AddressResolver resolver;
   private final Map<String, Deque<Channel>> idle = new HashMap<>();
   private long openedConnections;
   private long surplusResponses;
@@ -56,7 +57,13 @@
 
   /** Creates an empty pool whose connections run on a loop. */
   public EndpointConnectionPool(EventLoop loop) {
+    this(loop, SocketAddresses::parse);
+  }
+
+  /** Creates an empty pool that connects to endpoints at resolved addresses. */
+  public EndpointConnectionPool(EventLoop loop, AddressResolver resolver) {
     this.loop = loop;
+    this.resolver = resolver;
   }
 
   /**
@@ -73,7 +80,7 @@
       return exchange;
     }
     openedConnections++;
-    ChannelFuture connecting = bootstrap(address).connect(SocketAddresses.parse(address));
+    ChannelFuture connecting = bootstrap(address).connect(resolver.resolve(address));
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
