Client: a response without id on a reused connection isn't accepted

What callers saw: a call to a plain service could return the copy of an earlier failure that a host's HTTP server (or a proxy) sent by itself, and that states no id, as the service's response; the call itself ran or runs.

Cause: an absent id counted as the id of the request, also on a connection that had carried other requests.

Ruled out: the copy of a refusal with the id of a request that is under way again. The library draws each id from its lease, only the first attempt with an id uses a kept connection, and retries, redirects and resumed streams have new ones; noIdIsSentTwiceOnOneConnection plays all of them and passed before as well.

Fix: the HTTP client tells its listener that a connection is reused, and the library then takes a response without id for an interruption: it asks again with the same id on a new connection, where the response is accepted.

Evidence: responseWithoutIdOnReusedConnectionIsIgnored failed before (the second call returned "failed"), passes after; SamphiredykeClientTest 19 of 19.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -15,8 +15,9 @@
  * Reads a response and passes it to a handler on the event loop of the request.
  *
  * <p>A response that states the id of another request is a late one on a reused connection and
- * counts as an interruption. The parts arrive on the event loop of the connection and are passed,
- * in order, to that of the request.
+ * counts as an interruption. So does a response on a reused connection that states no id: it may be
+ * the copy of one that the HTTP server of a host sent by itself. The parts arrive on the event loop
+ * of the connection and are passed, in order, to that of the request.
  */
 final class ResponseReader implements StreamListener {
 
@@ -29,6 +30,7 @@
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable SseDecoder decoder;
   private Head head = Head.NONE;
+  private boolean isConnectionReused;
   private boolean cancelled;
 
   ResponseReader(EventLoop loop, String requestId, Handler handler) {
@@ -67,13 +69,18 @@
         });
   }
 
+  @Override
+  public void onConnectionReused() {
+    executeUnlessCancelled(() -> isConnectionReused = true);
+  }
+
   @Override
   public void onHeaders(int status, Map<String, String> headers) {
     executeUnlessCancelled(() -> begin(new Head(status, headers)));
   }
 
   private void begin(Head received) {
-    if (received.isForOtherRequest(requestId)) {
+    if (!received.isFor(requestId, isConnectionReused)) {
       cancelled = true;
       handler.onInterrupted();
       return;
@@ -145,9 +152,14 @@
 
     static final Head NONE = new Head(0, Map.of());
 
-    /** Returns whether the response states the id of another request than the given one. */
-    boolean isForOtherRequest(String requestId) {
-      return !headers.getOrDefault("idempotency-key", requestId).equals(requestId);
+    /**
+     * Returns whether the response is to a request.
+     *
+     * @param isIdRequired whether a response that states no id is none to the request
+     */
+    boolean isFor(String requestId, boolean isIdRequired) {
+      String stated = headers.getOrDefault("idempotency-key", isIdRequired ? "" : requestId);
+      return stated.equals(requestId);
     }
 
     boolean isEventStream() {
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
@@ -102,6 +102,45 @@
     assertThat(server.posts()).extracting(ScriptedServer.Post::id).containsOnly("ticket1.1");
   }
 
+  /** Guards against the copy of a failure without id that is taken for a service's response. */
+  @Test
+  void responseWithoutIdOnReusedConnectionIsIgnored() {
+    ServiceCall call = ServiceCall.of("registrations", "file", ScriptedServer.bytes("{}"));
+    server
+        .then(exchange -> exchange.respond(500, Map.of(), ScriptedServer.bytes("failed")))
+        .then(exchange -> exchange.respond(500, Map.of(), ScriptedServer.bytes("failed")))
+        .then(exchange -> exchange.respond(200, Map.of(), ScriptedServer.bytes("filed")));
+    assertThat(client.call(call).join().text()).isEqualTo("failed");
+    assertThat(client.call(call).join().text()).isEqualTo("filed");
+    assertThat(server.posts())
+        .extracting(ScriptedServer.Post::id)
+        .containsExactly("ticket1.1", "ticket1.2", "ticket1.2");
+  }
+
+  /** Guards against the copy of a refusal that has the id of the request under way. */
+  @Test
+  void noIdIsSentTwiceOnOneConnection() {
+    for (int i = 0; i < 20; i++) {
+      server
+          .then(ScriptedServer.problem(503, "no", Map.of("retry-after", "0")))
+          .then(ScriptedServer.problem(503, "unknown", Map.of()))
+          .then(ScriptedServer.misdirected(server.address()))
+          .then(exchange -> exchange.respond(429, Map.of(), new byte[0]))
+          .then(ScriptedServer.events(1, 2, false, true))
+          .then(ScriptedServer.events(3, 3, true, false));
+    }
+    for (int i = 0; i < 5; i++) {
+      client.chat(CHAT).join();
+    }
+    assertThat(server.posts()).hasSizeGreaterThan(20);
+    assertThat(server.posts())
+        .extracting(post -> post.id() + " on connection " + post.connection())
+        .doesNotHaveDuplicates();
+    assertThat(server.posts().stream().map(ScriptedServer.Post::connection).distinct())
+        .as("connections, of which some are reused")
+        .hasSizeLessThan(server.posts().size());
+  }
+
   @Test
   void resumesInterruptedStreamWithTheSameId() {
     server
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/ScriptedServer.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/ScriptedServer.java
@@ -22,7 +22,7 @@
   private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   /** A received POST request. */
-  record Post(String path, String id, @Nullable String lastEventId) {}
+  record Post(String path, String id, @Nullable String lastEventId, long connection) {}
 
   private final HttpServer server;
   private final Deque<HttpHandler> script = new ArrayDeque<>();
@@ -65,7 +65,8 @@
       return;
     }
     String id = String.valueOf(exchange.header("idempotency-key"));
-    posts.add(new Post(exchange.path(), id, exchange.header("last-event-id")));
+    String lastEventId = exchange.header("last-event-id");
+    posts.add(new Post(exchange.path(), id, lastEventId, exchange.connectionNumber()));
     HttpHandler step = script.poll();
     if (step == null) {
       exchange.respond(500, Map.of(), new byte[0]);
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -51,6 +51,12 @@
     connected.eventLoop().execute(() -> send(connected));
   }
 
+  /** Starts the exchange on a connection that has carried others. */
+  void startOnReused(Channel connected) {
+    connected.eventLoop().execute(listener::onConnectionReused);
+    start(connected);
+  }
+
   private void send(Channel connected) {
     channel = connected;
     if (closeRequested) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -87,7 +87,7 @@
     ClientExchange exchange = new ClientExchange(this, request, listener);
     Channel pooled = request.newConnection() ? null : acquireIdle(request.address());
     if (pooled != null) {
-      exchange.start(pooled);
+      exchange.startOnReused(pooled);
       return exchange;
     }
     connect(request.address(), exchange);
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/StreamListener.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/StreamListener.java
@@ -5,6 +5,12 @@
 /** Receives a streamed response, on the event loop of the connection. */
 public interface StreamListener {
 
+  /**
+   * Called before the request is sent on a connection that has carried another request, so that a
+   * second copy of an earlier response may be received in place of the response.
+   */
+  default void onConnectionReused() {}
+
   /** Called once with the status and the headers. Header names are in lower case. */
   void onHeaders(int status, Map<String, String> headers);
 
