Net: HttpClientTest tests the client, not when its server gets processor time

Cause, by trace, in the test's server: - Its backlog was 10 for 13 connections. The kernel's ListenOverflows rose by 1 or 2 in exactly the 9 failed runs, and by none in the others; a dropped first segment is sent again after 1 s, later than the 0.7 s. Client: all requests sent within 34 ms. Server: the acceptor's thread got the processor once in 4 ms, was off it for 147 ms once, and for more than 200 ms in another run. Ruled out: data that waited at the client (none was found by a second look).

Requests that are answered now have 5 s, and the bodies 2 s; the tests of silence and of endless responses keep 200 ms. What bodiesOfOneServerShareTheLimit demands of the bodies is as before, and in addition that /ok is answered while others are still held, which the short timeout implied.

Known red 24 is removed.

--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
@@ -26,7 +26,6 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -35,6 +34,15 @@
 class HttpClientTest {
 
   private static final Duration TIMEOUT = Duration.ofMillis(200);
+
+  /**
+   * Of requests that are answered, so that a server thread without processor time is no failure.
+   */
+  private static final Duration LONG_TIMEOUT = Duration.ofSeconds(5);
+
+  /** The kernel drops connections beyond the backlog, and the client retries only after 1 s. */
+  private static final int BACKLOG = 1024;
+
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
   private static final Duration MAX_READ_TIME = Duration.ofMillis(500);
@@ -55,7 +63,7 @@
 
   @BeforeEach
   void listen() throws IOException {
-    server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     Thread acceptor = new Thread(this::acceptAll);
     acceptor.setDaemon(true);
     acceptor.start();
@@ -164,9 +172,18 @@
   }
 
   private CompletableFuture<HttpResponse> get(String path, boolean newConnection) {
+    return get(path, newConnection, TIMEOUT);
+  }
+
+  private CompletableFuture<HttpResponse> get(
+      String path, boolean newConnection, Duration timeout) {
     InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
     return client.send(
-        HttpRequest.get(address, path).timeout(TIMEOUT).newConnection(newConnection).build());
+        HttpRequest.get(address, path).timeout(timeout).newConnection(newConnection).build());
+  }
+
+  private HttpResponse answer(String path, boolean newConnection) {
+    return get(path, newConnection, LONG_TIMEOUT).join();
   }
 
   private static void await(BooleanSupplier condition) throws InterruptedException {
@@ -178,19 +195,18 @@
 
   @Test
   void newConnectionIsOpenedAlthoughOneIsIdle() {
-    get("/ok", false).join();
-    get("/ok", false).join();
+    answer("/ok", false);
+    answer("/ok", false);
     assertThat(accepted).hasSize(1);
-    get("/ok", true).join();
+    answer("/ok", true);
     assertThat(accepted).hasSize(2);
   }
 
   /** Guards against the begin of a surplus response that becomes the status of the next one. */
   @Test
-  @Tag("known-red")
   void connectionWithBytesAfterTheResponseIsNotReused() {
-    assertThat(get("/surplus", false).join().status()).isEqualTo(200);
-    assertThat(get("/ok", false).join().status()).isEqualTo(200);
+    assertThat(answer("/surplus", false).status()).isEqualTo(200);
+    assertThat(answer("/ok", false).status()).isEqualTo(200);
     assertThat(accepted).hasSize(2);
   }
 
@@ -220,7 +236,7 @@
   /** Guards against an interim response that is taken for the response. */
   @Test
   void interimResponseIsSkipped() {
-    HttpResponse response = get("/interim", false).join();
+    HttpResponse response = answer("/interim", false);
     assertThat(response.status()).isEqualTo(200);
     assertThat(response.body()).asString().isEqualTo("ok");
   }
@@ -232,22 +248,21 @@
 
   @Test
   void connectionThatTimedOutClosesTheIdleOnesToItsAddress() throws InterruptedException {
-    get("/ok", false).join();
+    answer("/ok", false);
     assertThatThrownBy(() -> get("/silent", true).join()).hasMessageContaining("no data received");
     await(() -> accepted.stream().allMatch(Socket::isClosed));
-    get("/ok", false).join();
+    answer("/ok", false);
     assertThat(accepted).hasSize(3);
   }
 
   /** Guards against a response that counts as missing because the client was busy or paused. */
   @Test
   void responseThatArrivesWhileTheClientIsBusyIsNotLost() throws Exception {
-    InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
     Duration timeout = TIMEOUT.multipliedBy(5);
-    CompletableFuture<HttpResponse> response =
-        client.send(HttpRequest.get(address, "/while-busy").timeout(timeout).build());
+    CompletableFuture<HttpResponse> response = get("/while-busy", true, timeout);
     step.await();
-    CompletableFuture<Boolean> wasBusy = get("/ok", true).thenApply(it -> occupyLoop(timeout));
+    CompletableFuture<Boolean> wasBusy =
+        get("/ok", true, LONG_TIMEOUT).thenApply(it -> occupyLoop(timeout));
     assertThat(response.join().status()).isEqualTo(200);
     assertThat(wasBusy.join()).isTrue();
   }
@@ -282,9 +297,10 @@
   void bodiesOfOneServerShareTheLimit() {
     List<CompletableFuture<HttpResponse>> endless = new ArrayList<>();
     for (int i = 0; i < 3 * MAX_BODY_BYTES >> 20; i++) {
-      endless.add(get("/megabyte-without-end", true));
+      endless.add(get("/megabyte-without-end", true, TIMEOUT.multipliedBy(10)));
     }
-    assertThat(get("/ok", true).join().status()).isEqualTo(200);
+    assertThat(answer("/ok", true).status()).isEqualTo(200);
+    assertThat(endless).anyMatch(call -> !call.isDone());
     List<String> failures =
         endless.stream()
             .map(call -> call.handle((it, failed) -> String.valueOf(failed)).join())
@@ -292,7 +308,7 @@
     assertThat(failures)
         .filteredOn(failure -> failure.contains("exceeds"))
         .hasSizeGreaterThanOrEqualTo(2 * MAX_BODY_BYTES >> 20);
-    assertThat(get("/ok", true).join().status()).isEqualTo(200);
+    assertThat(answer("/ok", true).status()).isEqualTo(200);
   }
 
   /** Guards against a body that is never complete and never silent for the timeout. */
