Daemon: an entry that reaches no endpoint of a service refuses the service's requests

What callers saw: a request at an entry whose connections to all engines of its service fail got no response until its deadline. Other entries could have run it.

Cause: after an attempt that reached nothing, the request claimed the next slot at once, and with all circuit breakers open every endpoint counted as a candidate again.

Fix: if no breaker admits a request and the latest connection to each endpoint of the service failed, the request is refused as not run (503, Retry-After), so that its caller takes another host. An endpoint that refuses by itself proves the path: such requests are treated as before.

Ruled out: blame for all entries. Breakers belong to the entry, the slot is released as UNUSED, and the broker changes its limit for COMPLETED and OVERLOADED alone.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EndpointCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/EndpointCall.java
@@ -29,8 +29,12 @@
     /** The response is longer than the configured limit; the rest is not read. */
     void onResponseTooLong();
 
-    /** Nothing was sent, or the endpoint proved that it did not execute the request. */
-    void onNotExecuted();
+    /**
+     * Nothing was sent, or the endpoint proved that it did not execute the request.
+     *
+     * @param isReached whether the endpoint itself refused it, so that there is a path to it
+     */
+    void onNotExecuted(boolean isReached);
 
     /** The connection was lost or timed out after the request was sent. */
     void onConnectionLost();
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -216,7 +216,7 @@
       if (isResume) {
         handleRefusedResume();
       } else if (provesNotExecuted(status)) {
-        listener.onNotExecuted();
+        listener.onNotExecuted(true);
       } else {
         listener.onResponseTooLong();
       }
@@ -232,7 +232,7 @@
 
     private void handleErrorResponse() {
       if (provesNotExecuted(status)) {
-        listener.onNotExecuted();
+        listener.onNotExecuted(true);
         return;
       }
       buffer.head(new ResponseHead(status, contentType, false));
@@ -248,7 +248,7 @@
       }
       isFinished = true;
       if (!isResume && cause instanceof ConnectFailedException) {
-        listener.onNotExecuted();
+        listener.onNotExecuted(false);
         return;
       }
       handleConnectionLoss();
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
@@ -37,7 +37,7 @@
               if (failure == null) {
                 handleResponse(response);
               } else if (failure instanceof ConnectFailedException) {
-                listener.onNotExecuted();
+                listener.onNotExecuted(false);
               } else {
                 listener.onConnectionLost();
               }
@@ -46,7 +46,7 @@
 
   private void handleResponse(HttpResponse response) {
     if (provesNotExecuted(response.status())) {
-      listener.onNotExecuted();
+      listener.onNotExecuted(true);
       return;
     }
     storeResponse(response);
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ProblemFactory.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ProblemFactory.java
@@ -48,6 +48,12 @@
         .withRetryAfter(Duration.ofSeconds(1));
   }
 
+  Problem noPath() {
+    return Problem.notExecuted(
+            SERVICE_UNAVAILABLE, "no path", "this host reaches no endpoint of the service")
+        .withRetryAfter(Duration.ofSeconds(1));
+  }
+
   Problem responseTooLong() {
     return Problem.of(
         BAD_GATEWAY,
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -340,6 +340,11 @@
     refuse(problems.noEndpoint());
   }
 
+  @Override
+  public void onNoPath() {
+    refuse(problems.noPath());
+  }
+
   private void withdrawSlotRequests() {
     SlotAcquisition acquisition = slotAcquisition;
     if (acquisition != null) {
@@ -436,8 +441,8 @@
     }
 
     @Override
-    public void onNotExecuted() {
-      context.loop().execute(() -> handleNotDispatched(endpoint, attempt));
+    public void onNotExecuted(boolean isReached) {
+      context.loop().execute(() -> handleNotDispatched(endpoint, attempt, isReached));
     }
 
     @Override
@@ -471,6 +476,7 @@
   }
 
   private void handleCompletion(Endpoint endpoint, int attempt) {
+    context.routing().recordPath(endpoint.name(), true);
     context.routing().circuitBreaker(endpoint.name()).succeeded();
     timings.recordCompletion(buffer, payload);
     history.add("Ended", endpoint.name());
@@ -495,7 +501,8 @@
     dropContent();
   }
 
-  private void handleNotDispatched(Endpoint endpoint, int attempt) {
+  private void handleNotDispatched(Endpoint endpoint, int attempt, boolean isReached) {
+    context.routing().recordPath(endpoint.name(), isReached);
     context.routing().circuitBreaker(endpoint.name()).failed(context.loop().nanoTime());
     context.metrics().count("endpoint-not-reached");
     history.add("NotDispatched", endpoint.name());
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RoutingState.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RoutingState.java
@@ -8,7 +8,10 @@
 import io.samphiredyke.core.routing.PrefixCacheIndex;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -30,6 +33,8 @@
   private final LengthEstimator lengths = new LengthEstimator();
   private final CustomerLimits limits = new CustomerLimits();
   private final Map<String, CircuitBreaker> circuitBreakers = new HashMap<>();
+  private final Set<String> unreached = new HashSet<>();
+  private final Map<String, Long> nextProbes = new HashMap<>();
   private final RandomGenerator random;
 
   /** Creates a state without observations. */
@@ -67,4 +72,30 @@
                 MIN_CIRCUIT_OPEN.toNanos(),
                 new Backoff(MIN_CIRCUIT_OPEN.toNanos(), MAX_CIRCUIT_OPEN.toNanos(), random)));
   }
+
+  /** Records whether the latest connection to an endpoint was established. */
+  public void recordPath(String endpoint, boolean isReached) {
+    if (isReached) {
+      unreached.remove(endpoint);
+    } else {
+      unreached.add(endpoint);
+    }
+  }
+
+  /**
+   * Returns whether a request may be dispatched although no circuit breaker of its service's
+   * endpoints admits one. If this entry reaches none of them, one may once in a while, so that the
+   * return of a path is noticed soon.
+   */
+  public boolean tryProbe(String service, List<String> endpoints, long now) {
+    if (!unreached.containsAll(endpoints)) {
+      return true;
+    }
+    Long next = nextProbes.get(service);
+    if (next != null && now < next) {
+      return false;
+    }
+    nextProbes.put(service, now + MIN_CIRCUIT_OPEN.toNanos());
+    return true;
+  }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SlotAcquisition.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/SlotAcquisition.java
@@ -6,7 +6,6 @@
 import io.samphiredyke.core.broker.SlotRefusal;
 import io.samphiredyke.core.broker.SlotRequest;
 import io.samphiredyke.core.broker.SlotRequestKey;
-import io.samphiredyke.core.config.Configuration;
 import io.samphiredyke.core.config.Endpoint;
 import io.samphiredyke.core.membership.Member;
 import io.samphiredyke.core.routing.EndpointOption;
@@ -44,6 +43,9 @@
 
     /** No endpoint is currently configured and accepting work for the request's service. */
     void onNoEndpoint();
+
+    /** This entry has failed to reach each of the endpoints that may serve the request. */
+    void onNoPath();
   }
 
   private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(400);
@@ -88,11 +90,16 @@
 
   /** Requests slots at the best endpoints; may be called again after an earlier attempt ended. */
   void start() {
-    List<String> candidates = candidates();
-    if (candidates.isEmpty()) {
+    List<String> serving = serving();
+    if (serving.isEmpty()) {
       listener.onNoEndpoint();
       return;
     }
+    List<String> candidates = candidates(serving);
+    if (candidates.isEmpty()) {
+      listener.onNoPath();
+      return;
+    }
     List<EndpointOption> options =
         context.routing().ranking().rank(candidates, estimate, fingerprint);
     history.add("Candidates", options.toString());
@@ -121,23 +128,27 @@
     execute(started, started.start(context.loop().nanoTime()));
   }
 
+  /** Returns the endpoints of the service that accept new work. */
+  private List<String> serving() {
+    return context.configuration().get().endpointsFor(request.service().name()).stream()
+        .filter(endpoint -> !context.isDraining().test(endpoint))
+        .map(Endpoint::name)
+        .toList();
+  }
+
   /**
-   * Returns the endpoints whose circuit breaker admits a request, or all serving endpoints if there
-   * are none.
+   * Returns the endpoints whose circuit breaker admits a request. If there are none, returns all
+   * endpoints; if none of them is reached, only from time to time.
    */
-  private List<String> candidates() {
-    Configuration configuration = context.configuration().get();
+  private List<String> candidates(List<String> serving) {
+    RoutingState routing = context.routing();
     long now = context.loop().nanoTime();
-    List<Endpoint> serving =
-        configuration.endpointsFor(request.service().name()).stream()
-            .filter(endpoint -> !context.isDraining().test(endpoint))
-            .toList();
     List<String> healthy =
-        serving.stream()
-            .map(Endpoint::name)
-            .filter(name -> context.routing().circuitBreaker(name).tryAcquire(now))
-            .toList();
-    return healthy.isEmpty() ? serving.stream().map(Endpoint::name).toList() : healthy;
+        serving.stream().filter(name -> routing.circuitBreaker(name).tryAcquire(now)).toList();
+    if (!healthy.isEmpty()) {
+      return healthy;
+    }
+    return routing.tryProbe(request.service().name(), serving, now) ? serving : List.of();
   }
 
   private void execute(SlotRequestSet set, List<SlotRequestAction> actions) {
