--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -39,6 +39,7 @@
   private int interimResponses;
   private boolean keepAlive = true;
   private long lastReadNanos;
+  private boolean isTimeoutSuspected;
 
   ClientExchange(HttpClient client, HttpRequest request, StreamListener listener) {
     this.client = client;
@@ -50,6 +51,12 @@
     connected.eventLoop().execute(() -> send(connected));
   }
 
+  /** Starts the exchange on a connection that has carried others. */
+  void startOnReused(Channel connected) {
+    connected.eventLoop().execute(listener::onConnectionReused);
+    start(connected);
+  }
+
   private void send(Channel connected) {
     channel = connected;
     if (closeRequested) {
@@ -103,6 +110,7 @@
     long inactiveNanos = nanoTime(connected) - lastReadNanos;
     long timeoutNanos = request.timeout().toNanos();
     if (inactiveNanos < timeoutNanos) {
+      isTimeoutSuspected = false;
       scheduleInactivityCheck(connected, timeoutNanos - inactiveNanos);
       return;
     }
@@ -110,6 +118,13 @@
       scheduleInactivityCheck(connected, timeoutNanos);
       return;
     }
+    if (!isTimeoutSuspected) {
+      // Data may have arrived while the event loop was busy; a task that the loop itself schedules
+      // runs after the next read.
+      isTimeoutSuspected = true;
+      scheduleInactivityCheck(connected, 1);
+      return;
+    }
     // What silenced this connection may have silenced the others to the same address as well.
     client.closeIdle(request.address());
     fail(new ConnectionLostException("no data received for " + request.timeout()));
