An error that is sent as a success completes no stream

Cause: lines that are no field of an event counted as comments, so that the continuation was taken for a regular end without events, and the content type of a continuation was not compared.

Now a continuation of another stated media type than that of the begun stream is not read, and lines that are neither a comment nor a known field are a fault as the first part of a resumption. The stream goes on elsewhere or breaks off. Within an attempt, and before the first event, such lines pass as before.

Evidence: the last five errors of StreamContinuationTest.errorInPlaceOfTheRestOfAStreamBreaksItOff failed before, four of them with the last chunk, one with foreign events. continuationWithoutErrorCompletesAStream (comments only, 204 with digest, another charset, extension fields beside an id) is green before and after.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/EventDecision.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/EventDecision.java
@@ -14,7 +14,7 @@
   GAP("a gap after the last event"),
   /** The id is not a number. */
   MALFORMED_ID("an event id that is no number"),
-  /** The first event of a resumption has no id. */
+  /** The first event of a resumption has no id, or it is no event at all. */
   UNNUMBERED_RESUMPTION("a continuation without event id"),
   /** The event contains the head of a response, so that the body goes on with another one. */
   RESPONSE_HEAD("the head of another response"),
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/EventSequence.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/EventSequence.java
@@ -39,14 +39,24 @@
       case OVERSIZED -> EventDecision.OVERSIZED;
       case RESPONSE_HEAD -> EventDecision.RESPONSE_HEAD;
       case MALFORMED_ID -> EventDecision.MALFORMED_ID;
-      case COMMENT -> isFirstOfAttempt ? EventDecision.HOLD : EventDecision.PASS;
+      case COMMENT -> acceptComment();
+      case NO_EVENT -> isResumption() ? EventDecision.UNNUMBERED_RESUMPTION : acceptComment();
       case UNNUMBERED -> acceptUnnumbered();
       case NUMBERED -> acceptNumbered(event.id());
     };
   }
 
+  private EventDecision acceptComment() {
+    return isFirstOfAttempt ? EventDecision.HOLD : EventDecision.PASS;
+  }
+
+  /** Returns whether the next event is the first one after an event that the caller has. */
+  private boolean isResumption() {
+    return isFirstOfAttempt && lastId >= 0;
+  }
+
   private EventDecision acceptUnnumbered() {
-    if (isFirstOfAttempt && lastId >= 0) {
+    if (isResumption()) {
       return EventDecision.UNNUMBERED_RESUMPTION;
     }
     endsNumbered = false;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/StreamEvent.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/StreamEvent.java
@@ -18,8 +18,10 @@
     MALFORMED_ID,
     /** Lines of the head of a response, which are part of no event. */
     RESPONSE_HEAD,
-    /** Comments or other lines without data and id. */
+    /** Comments or known fields without data and id. */
     COMMENT,
+    /** Lines that are no known field of an event, without data and id. */
+    NO_EVENT,
     /** An event that exceeds the permitted size; it may still be incomplete. */
     OVERSIZED
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -257,7 +257,7 @@
             && !HttpUtil.isContentLengthSet(response)
             && !HttpUtil.isTransferEncodingChunked(response);
     isNotRun = head.isNotRun();
-    defect = isNotRun ? null : defectOf(head);
+    defect = isNotRun ? null : defectOf(head, response);
     if (isNotRun || defect != null) {
       return;
     }
@@ -278,12 +278,15 @@
             head.status());
   }
 
-  private @Nullable String defectOf(EndpointResponseHead head) {
+  private @Nullable String defectOf(EndpointResponseHead head, HttpResponse response) {
     if (head.isEncoded()) {
       return "the answer has a content encoding";
     }
+    if (head.isSuccess() && head.hasDigest()) {
+      return request.relay().canContinueWith(response) ? null : "a success of another media type";
+    }
     if (head.isSuccess()) {
-      return head.hasDigest() ? null : "a success without digest";
+      return "a success without digest";
     }
     if (impliesNotRun(head.status())) {
       return "status " + head.status() + " without a statement that it did not run";
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ResponseRelay.java
@@ -62,6 +62,26 @@
     this.onFirstEvent = onFirstEvent;
   }
 
+  /**
+   * Returns whether the head of a success can belong to the rest of the response: none has begun,
+   * or the media types are the same, as far as both are stated.
+   */
+  boolean canContinueWith(HttpResponse response) {
+    HttpHeaders begun = headers;
+    if (!started || begun == null) {
+      return true;
+    }
+    String expected = mediaType(begun);
+    String stated = mediaType(response.headers());
+    return expected.isEmpty() || stated.isEmpty() || expected.equalsIgnoreCase(stated);
+  }
+
+  private static String mediaType(HttpHeaders headers) {
+    String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+    int end = type.indexOf(';');
+    return (end < 0 ? type : type.substring(0, end)).strip();
+  }
+
   /** Handles the head of a response. A stream keeps the head that its first event came with. */
   void onHead(HttpResponse response, boolean isSuccess) {
     if (started) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -19,6 +19,13 @@
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
+  /** Begins of comments and of fields that make no event by themselves. */
+  private static final byte[][] SILENT_FIELDS = {
+    ":".getBytes(StandardCharsets.US_ASCII),
+    "event".getBytes(StandardCharsets.US_ASCII),
+    "retry".getBytes(StandardCharsets.US_ASCII)
+  };
+
   /**
    * Begins of lines in the head of a response. No event has such fields, so that a body with them
    * was cut off and goes on with another response.
@@ -33,6 +40,7 @@
   };
 
   private static final StreamEvent RESPONSE_HEAD = StreamEvent.of(StreamEvent.Kind.RESPONSE_HEAD);
+  private static final StreamEvent NO_EVENT = StreamEvent.of(StreamEvent.Kind.NO_EVENT);
   private static final StreamEvent OVERSIZED = StreamEvent.of(StreamEvent.Kind.OVERSIZED);
   private static final StreamEvent COMMENT = StreamEvent.of(StreamEvent.Kind.COMMENT);
   private static final StreamEvent UNNUMBERED = StreamEvent.of(StreamEvent.Kind.UNNUMBERED);
@@ -78,31 +86,36 @@
   }
 
   private void readField(int lineEnd) {
-    if (event.kind() == StreamEvent.Kind.RESPONSE_HEAD || isOfHead(lineEnd)) {
+    if (event.kind() == StreamEvent.Kind.RESPONSE_HEAD || startsWithAny(HEAD_FIELDS, lineEnd)) {
       event = RESPONSE_HEAD;
-    } else if (startsWith(ID_FIELD, lineEnd)) {
+    } else if (startsWith(ID_FIELD, lineEnd, false)) {
       int valueStart = lineStart + ID_FIELD.length;
       event =
           StreamEvent.withId(
               pending.toString(valueStart, lineEnd - valueStart, StandardCharsets.US_ASCII));
-    } else if (event.kind() == StreamEvent.Kind.COMMENT && startsWith(DATA_FIELD, lineEnd)) {
-      event = UNNUMBERED;
+    } else if (event.kind() == StreamEvent.Kind.COMMENT
+        || event.kind() == StreamEvent.Kind.NO_EVENT) {
+      event = withoutId(lineEnd);
     }
   }
 
-  private boolean isOfHead(int lineEnd) {
-    for (byte[] field : HEAD_FIELDS) {
-      if (startsWith(field, lineEnd, true)) {
+  /** Returns what a line makes of an event that has neither id nor data before it. */
+  private StreamEvent withoutId(int lineEnd) {
+    if (startsWith(DATA_FIELD, lineEnd, false)) {
+      return UNNUMBERED;
+    }
+    return startsWithAny(SILENT_FIELDS, lineEnd) ? event : NO_EVENT;
+  }
+
+  private boolean startsWithAny(byte[][] names, int lineEnd) {
+    for (byte[] name : names) {
+      if (startsWith(name, lineEnd, true)) {
         return true;
       }
     }
     return false;
   }
 
-  private boolean startsWith(byte[] name, int lineEnd) {
-    return startsWith(name, lineEnd, false);
-  }
-
   private boolean startsWith(byte[] name, int lineEnd, boolean ignoresCase) {
     if (lineEnd - lineStart < name.length) {
       return false;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
@@ -161,6 +161,11 @@
     errors.add(FAILED + "X-Samphiredyke-Request-Id: {id}" + CLOSE);
     errors.add(STREAM + CLOSE);
     errors.add("HTTP/1.1 200 O" + CLOSE);
+    errors.add(STREAM + sized(text + "\n\n"));
+    errors.add(STREAM + sized("<html>\nfailed\n</html>\n\n"));
+    errors.add(OK + "Content-Type: application/json\r\n" + sized(text + "\n\n"));
+    errors.add(OK + "Content-Type: application/json; charset=utf-8\r\n" + sized(""));
+    errors.add(OK + "Content-Type: text/html\r\n" + sized(events(3, 4)));
     return errors;
   }
 
