A connection that ends within a head counts as broken off

An endpoint that crashed while it sent the head of a response was reported as "the answer is not valid HTTP", as if it lived, and the crash did not count for the request or prompt that caused it. A crash one byte before or after the head did.

Cause: at the end of the connection Netty passes on the begun head with a PrematureChannelClosureException, before it reports the end itself; EndpointExchange took every failed head for malformed data.

Evidence: EndpointExchangeTest.responseCutOffAtAnyByteIsNotComplete cuts two responses (interim response and chunks with trailers; a skipped response and one with length) at every byte, with close and with reset. Close failed before in both, for each byte within a head.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -136,6 +137,10 @@
     if (finished) {
       return;
     }
+    if (message.decoderResult().cause() instanceof PrematureChannelClosureException) {
+      fail("the connection ended within a head", true);
+      return;
+    }
     if (message.decoderResult().isFailure()) {
       fail("the answer is not valid HTTP");
       return;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
@@ -15,12 +15,15 @@
 import io.samphiredyke.platform.standin.RawServer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Exchanges with endpoints that send malformed, surplus or truncated data. */
@@ -278,6 +281,36 @@
     assertThat(exchange(serve(send("nonsense\r\n\r\n")))).startsWith("!");
   }
 
+  private static final String CHUNKED_RESPONSE =
+      "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"
+          + OWN_RESPONSE.replace("Content-Length: 3\r\n\r\nown", "Transfer-Encoding: chunked")
+          + "\r\n\r\n2;a=b\r\now\r\n1\r\nn\r\n0\r\nTrailer: x\r\n\r\n";
+
+  /** Guards against a response that is cut off and looks complete, or malformed. */
+  @ParameterizedTest
+  @CsvSource({"true, true", "true, false", "false, true", "false, false"})
+  void responseCutOffAtAnyByteIsNotComplete(boolean isChunked, boolean isReset) throws IOException {
+    String whole = isChunked ? CHUNKED_RESPONSE : OTHER_RESPONSE + OWN_RESPONSE;
+    AtomicInteger length = new AtomicInteger();
+    String address =
+        serve(
+            (id, socket) -> {
+              RawServer.write(socket, whole.substring(0, length.get()));
+              socket.setSoLinger(isReset, 0);
+              socket.close();
+            });
+    List<String> wrong = new ArrayList<>();
+    for (; length.get() < whole.length(); length.incrementAndGet()) {
+      String outcome = exchange(address);
+      boolean isEnd = outcome.startsWith("!the connection ended");
+      if (!isEnd && !(isReset && outcome.startsWith("!the connection failed"))) {
+        wrong.add(whole.substring(0, length.get()) + " is read as " + outcome);
+      }
+    }
+    assertThat(wrong).isEmpty();
+    assertThat(isReset ? "own" : exchange(address)).as("whole response").isEqualTo("own");
+  }
+
   @Test
   void failsATruncatedResponse() throws IOException {
     String address =
