Client library: the body of an error is no part of a stream

What a caller saw: "t1 t2 failed" as complete text.

Cause: ResponseReader took any response with that content type for a part of the stream, whatever its status. Now only one with status 200 is; any other is a response of its own, and the request goes on as after other failures, with the same id. No host of ours sends such a response; a proxy before it may.

Evidence: SamphiredykeClientTest.errorInPlaceOfTheRestIsNoPartOfAStream failed before at its first error. The seven others (429, 502, a success with JSON, without body, with text or an event without offset) are green with the fix; before it they were not reached.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -20,6 +20,7 @@
  */
 final class ResponseReader implements StreamListener {
 
+  private static final int OK = 200;
   private static final int MAX_EVENT_BYTES = 1024 * 1024;
   private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
 
@@ -150,8 +151,9 @@
       return !headers.getOrDefault("idempotency-key", requestId).equals(requestId);
     }
 
+    /** Returns whether the body is part of a stream; that of an error never is. */
     boolean isEventStream() {
-      return contentType().startsWith("text/event-stream");
+      return status == OK && contentType().startsWith("text/event-stream");
     }
 
     boolean isProblem() {
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/SamphiredykeClientTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.samphiredyke.net.http.HttpHandler;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -113,6 +114,38 @@
     assertThat(server.posts().get(1).lastEventId()).isEqualTo("3");
   }
 
+  private static HttpHandler error(int status, String type, String body) {
+    return exchange ->
+        exchange.respond(status, Map.of("content-type", type), ScriptedServer.bytes(body));
+  }
+
+  /** Guards against an error in place of the rest of a stream that becomes part of its text. */
+  @Test
+  void errorInPlaceOfTheRestIsNoPartOfAStream() {
+    String events = "id: 3\ndata: {\"choices\":[{\"delta\":{\"content\":\"failed\"}}]}\n\n";
+    String done = "id: 4\ndata: [DONE]\n\n";
+    List<HttpHandler> errors =
+        List.of(
+            error(500, "text/event-stream", events + done),
+            error(500, "text/event-stream", "data: failed\n\n"),
+            error(429, "text/plain", "failed"),
+            error(502, "text/plain", ""),
+            error(200, "application/json", "{\"error\":\"failed\"}"),
+            error(200, "application/json", ""),
+            error(200, "text/event-stream", "failed\n\n"),
+            error(200, "text/event-stream", "data: {\"error\":\"failed\"}\n\n"));
+    for (HttpHandler error : errors) {
+      receivedText.setLength(0);
+      server
+          .then(ScriptedServer.events(1, 2, false, true))
+          .then(error)
+          .then(ScriptedServer.events(3, 4, true, false));
+      Response response = client.chat(CHAT, listener).join();
+      assertThat(response.text()).isEqualTo("t1 t2 t3 t4 ").isEqualTo(receivedText.toString());
+      assertThat(response.status()).isEqualTo(200);
+    }
+  }
+
   @Test
   void resumesInactiveStream() {
     server
