Responses and requests that are cut off at any byte: regression tests

HttpObjectDecoder, which ResponseDecoder extends, completes a message only after the blank line of its head, and at the end of the connection passes a begun head on as failed (PrematureChannelClosure) and ends a body only if it has neither length nor chunks; EndpointExchange, ClientExchange, FrontendConnection and ServerConnection reject it. A reset is reported before the end.

Shown by cutting at every byte, with close and reset: HttpClientTest (interim response, length, chunks, trailers; also the store client's and daemon's way), at ten places on each kind of route: StreamContinuationTest (502). With close only: HttpServerTest and FrontendServerTest (request head, body, chunks, trailers; never handled as a whole). MalformedEngineResponseTest: of seven errors in place of the rest of a daemon's stream nothing reaches the caller, as each chunk needs the next number. None took a part for a whole.

--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/MalformedEngineResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/MalformedEngineResponseTest.java
@@ -29,6 +29,8 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Guards against engines whose responses are malformed, too long or faster than the caller reads. A
@@ -163,6 +165,36 @@
     assertCompleteAfter(event(1, "a") + event(2, "z".repeat(2_000_000)));
   }
 
+  /** Guards against an error in place of the rest of a stream that becomes part of it. */
+  @ParameterizedTest
+  @CsvSource({
+    "500, text/plain, failed",
+    "500, text/event-stream, id: 2|data: failed||",
+    "302, text/plain, ''",
+    "204, text/plain, ''",
+    "200, application/json, '{\"error\":\"failed\"}||'",
+    "200, text/event-stream, data: failed||",
+    "200, text/event-stream, failed||"
+  })
+  void errorInPlaceOfTheRestIsNoPartOfAStream(int status, String type, String text)
+      throws IOException {
+    onDispatch = exchange -> stream(exchange, event(1, "a")).end();
+    onResume =
+        exchange -> {
+          onResume = MalformedEngineResponseTest::sendRest;
+          byte[] body = text.replace('|', '\n').getBytes(StandardCharsets.UTF_8);
+          exchange.respond(status, Map.of("content-type", type), body);
+        };
+    try (Socket socket = new Socket()) {
+      socket.connect(cluster.callerAddress(HOST));
+      socket.getOutputStream().write(streamRequest());
+      String response = readAll(socket.getInputStream());
+      assertThat(response).contains(event(1, "a"), event(2, "b"), "[DONE]").endsWith("0\r\n\r\n");
+      assertThat(response).doesNotContain("failed");
+    }
+    assertThat(dispatches).hasValue(1);
+  }
+
   @Test
   void reportsExecutionIfResponseIsNotJson() {
     onDispatch = exchange -> stream(exchange, "id: 1\ndata: {]\n\nid: 2\ndata: [DONE]\n\n").end();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Streams that break off and whose next endpoint responds with an error, byte by byte. */
+/** Responses that break off and whose next endpoint responds with an error, byte by byte. */
 @Timeout(60)
 class StreamContinuationTest extends GatewayHarness {
 
@@ -37,6 +37,7 @@
   private static final char PAUSE = '|';
 
   private static final char CLOSE = '!';
+  private static final char RESET = '~';
 
   /** Groups of errors, each of which has the retry budget of a gateway of its own. */
   private static final int GROUPS = 5;
@@ -50,19 +51,23 @@
   @BeforeEach
   void startEndpoints() throws IOException {
     register("draining", modelEndpoints);
-    for (int i = 1; i <= 2; i++) {
+    register("draining", plainEndpoints);
+    for (String id : List.of("model-1", "model-2", "plain-1", "plain-2")) {
       RawServer server = RawServer.start(this::respond);
+      String service = id.substring(0, id.indexOf('-'));
       String entry =
           String.format(
               Locale.ROOT,
-              "{\"Service\":\"model\",\"Address\":\"%s\",\"Zone\":\"a\",\"Version\":\"v1\","
+              "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"a\",\"Version\":\"v1\","
                   + "\"BatchSlots\":4,\"State\":\"ready\",\"ColdLeftMs\":0,\"Sequence\":1,"
                   + "\"born\":1}",
+              service,
               server.address());
-      store.put(StoreClient.ENDPOINT_TOPIC, "s-" + i, entry);
+      store.put(StoreClient.ENDPOINT_TOPIC, id, entry);
     }
     running = startConfiguredGateway();
     await(() -> running.gateway().directory().ofService("model").size() == 2);
+    await(() -> running.gateway().directory().ofService("plain").size() == 2);
   }
 
   /** Sends the next response; the last one is sent again for each further request. */
@@ -70,9 +75,13 @@
     sent.incrementAndGet();
     String text = responses.size() > 1 ? responses.remove() : responses.element();
     for (String part : text.replace("{id}", id).split("(?<=[|])")) {
-      RawServer.write(socket, part.replaceAll("[|!]", ""));
+      RawServer.write(socket, part.replaceAll("[|!~]", ""));
       pauseIf(part.indexOf(PAUSE) >= 0);
     }
+    if (text.indexOf(RESET) >= 0) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
     if (text.indexOf(CLOSE) >= 0) {
       socket.close();
     }
@@ -102,8 +111,14 @@
     return "Content-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
-  /** Returns all bytes of the response after its head, to the last chunk or the end. */
+  /** Returns all bytes after the head of a success, to the last chunk or the end. */
   private String body(String path, String... toSend) throws IOException {
+    String response = response(path, toSend);
+    assertThat(response).startsWith("HTTP/1.1 200 OK\r\n");
+    return response.substring(response.indexOf("\r\n\r\n") + 4);
+  }
+
+  private String response(String path, String... toSend) throws IOException {
     responses.clear();
     responses.addAll(List.of(toSend));
     requestCount++;
@@ -117,7 +132,8 @@
               + " HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer key\r\n"
               + "X-Samphiredyke-Request-Id: r-"
               + requestCount
-              + "\r\nX-Samphiredyke-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n");
+              + "\r\nX-Samphiredyke-Deadline-Ms: 8000\r\n"
+              + "Connection: close\r\nContent-Length: 0\r\n\r\n");
       StringBuilder text = new StringBuilder();
       InputStream in = socket.getInputStream();
       for (int next = in.read(); next >= 0; next = in.read()) {
@@ -126,9 +142,7 @@
           break;
         }
       }
-      int headEnd = text.indexOf("\r\n\r\n") + 4;
-      assertThat(text.substring(0, headEnd)).startsWith("HTTP/1.1 200 OK\r\n");
-      return text.substring(headEnd);
+      return text.toString();
     }
   }
 
@@ -216,4 +230,16 @@
     assertThat(body("/resumable/x", BEGUN, utf + sized(events)))
         .isEqualTo(chunk(events(1, 2)) + chunk(events) + LAST_CHUNK);
   }
+
+  /** Guards against a head that is cut off and looks like a response without a body. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"})
+  void responseThatIsCutOffInItsHeadReachesNoCaller(String path) throws IOException {
+    String head = OK + "Content-Length: 30\r\n\r\n";
+    for (int missing : List.of(0, 1, 2, 3, 4, 5, 23, 24, 30, head.length() - 15)) {
+      String cut = head.substring(0, head.length() - missing);
+      assertThat(response(path, cut + CLOSE)).as(cut).startsWith("HTTP/1.1 502 ");
+      assertThat(response(path, cut + RESET)).as(cut).startsWith("HTTP/1.1 502 ");
+    }
+  }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Connections of callers of a server that is drained. */
 @Timeout(30)
@@ -113,4 +115,26 @@
     assertThat(responses.split("HTTP/1.1 200 OK")).hasSize(4);
     assertThat(responses.split("connection: close")).hasSize(2);
   }
+
+  /** Guards against a request that is cut off, also within its head, and is handled as whole. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 3\r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n"
+      })
+  void requestCutOffAtAnyByteIsNotHandled(String rest) throws Exception {
+    String whole = "POST /x HTTP/1.1\r\nHost: a\r\n" + rest;
+    for (int length = 1; length < whole.length(); length++) {
+      try (Socket cut = new Socket(caller.getInetAddress(), caller.getPort())) {
+        cut.setSoTimeout(5_000);
+        cut.getOutputStream().write(whole.substring(0, length).getBytes(StandardCharsets.US_ASCII));
+        cut.shutdownOutput();
+        assertThat(cut.getInputStream().read()).isEqualTo(-1);
+      }
+      assertThat(requests).as(whole.substring(0, length)).isEmpty();
+    }
+    send(whole);
+    assertThat(requests.poll(5, TimeUnit.SECONDS)).isNotNull();
+  }
 }
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
@@ -27,13 +27,19 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Connections that are silent, abandoned, or never stop sending. */
 @Timeout(30)
 class HttpClientTest {
 
   private static final Duration TIMEOUT = Duration.ofMillis(200);
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String CHUNKS = "2;a=b\r\nab\r\n1\r\nc\r\n0\r\nA: b\r\n\r\n";
+  private static final String SIZED =
+      "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
   private static final Duration MAX_READ_TIME = Duration.ofMillis(500);
   private static final int REPEATED_RESPONSE_LENGTH =
@@ -99,6 +105,13 @@
           out.write(
               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 Int"
                   .getBytes(StandardCharsets.UTF_8));
+        } else if (line.startsWith("GET /cut/")) {
+          String[] path = line.split("[/ ]");
+          String whole = path[3].equals("chunked") ? CHUNKED + CHUNKS : SIZED;
+          out.write(whole.substring(0, Integer.parseInt(path[5])).getBytes(StandardCharsets.UTF_8));
+          socket.setSoLinger(path[4].equals("reset"), 0);
+          socket.close();
+          return;
         } else if (line.startsWith("GET /interim")) {
           out.write(
               ("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
@@ -154,6 +167,13 @@
     }
   }
 
+  /** Gets a response on a new connection, with a time that a busy machine does not exceed. */
+  private CompletableFuture<HttpResponse> getPatiently(String path) {
+    InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+    return client.send(
+        HttpRequest.get(address, path).timeout(PATIENCE).newConnection(true).build());
+  }
+
   private CompletableFuture<HttpResponse> get(String path, boolean newConnection) {
     InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
     return client.send(
@@ -185,6 +205,24 @@
     assertThat(accepted).hasSize(2);
   }
 
+  /** Guards against a response that is cut off, also within its head, and looks complete. */
+  @ParameterizedTest
+  @ValueSource(strings = {"chunked/end/", "chunked/reset/", "sized/end/", "sized/reset/"})
+  void responseCutOffAtAnyByteIsNotComplete(String path) {
+    int whole = path.startsWith("sized") ? SIZED.length() : (CHUNKED + CHUNKS).length();
+    for (int length = 0; length < whole; length++) {
+      assertThat(getPatiently("/cut/" + path + length))
+          .as(path + length)
+          .failsWithin(PATIENCE.plusSeconds(1))
+          .withThrowableThat()
+          .withCauseInstanceOf(ConnectionLostException.class)
+          .withMessageNotContaining("no data received");
+    }
+    if (path.endsWith("end/")) {
+      assertThat(getPatiently("/cut/" + path + whole).join().text()).isEqualTo("abc");
+    }
+  }
+
   /** Guards against a late second copy of a response that is taken for the next response. */
   @Test
   void secondCopyOfResponseIsNotTakenForTheNextOne() {
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpServerTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests {@link HttpServer} and {@link HttpClient} against each other. */
 class HttpServerTest {
@@ -308,4 +310,42 @@
     @Override
     public void onFailure(Throwable cause) {}
   }
+
+  /** Guards against a request that is cut off, also within its head, and is handled as whole. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 3\r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n"
+      })
+  void requestCutOffAtAnyByteIsNotHandled(String rest) throws IOException {
+    String whole = "POST /x HTTP/1.1\r\nHost: a\r\n" + rest;
+    AtomicInteger heads = new AtomicInteger();
+    AtomicInteger bodies = new AtomicInteger();
+    HttpServer server =
+        serve(
+            exchange -> {
+              heads.incrementAndGet();
+              exchange.body().thenAccept(body -> bodies.incrementAndGet());
+            });
+    int headLength = whole.indexOf("\r\n\r\n") + 4;
+    for (int length = 1; length < whole.length(); length++) {
+      sendAndClose(server.address(), whole.substring(0, length));
+      assertThat(bodies).as(whole.substring(0, length)).hasValue(0);
+      assertThat(heads).hasValue(Math.max(0, length - headLength + 1));
+    }
+    server.stop().join();
+  }
+
+  /** Sends a text and the end of the connection, and waits until the server has closed it. */
+  private static void sendAndClose(InetSocketAddress address, String text) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(5_000);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+      socket.shutdownOutput();
+      while (socket.getInputStream().read() >= 0) {
+        // Only the end is awaited.
+      }
+    }
+  }
 }
