--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/StreamEvent.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/StreamEvent.java
@@ -16,8 +16,12 @@
     UNNUMBERED,
     /** An event whose id is not a number from 0 to {@link Long#MAX_VALUE}. */
     MALFORMED_ID,
-    /** Comments or other lines without data and id. */
+    /** Lines of the head of a response, which are part of no event. */
+    RESPONSE_HEAD,
+    /** Comments or known fields without data and id. */
     COMMENT,
+    /** Lines that are no known field of an event, without data and id. */
+    NO_EVENT,
     /** An event that exceeds the permitted size; it may still be incomplete. */
     OVERSIZED
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -18,6 +18,29 @@
   private static final byte LINE_FEED = '\n';
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
+
+  /** Begins of comments and of fields that make no event by themselves. */
+  private static final byte[][] SILENT_FIELDS = {
+    ":".getBytes(StandardCharsets.US_ASCII),
+    "event".getBytes(StandardCharsets.US_ASCII),
+    "retry".getBytes(StandardCharsets.US_ASCII)
+  };
+
+  /**
+   * Begins of lines in the head of a response. No event has such fields, so that a body with them
+   * was cut off and goes on with another response.
+   */
+  private static final byte[][] HEAD_FIELDS = {
+    "HTTP/1.".getBytes(StandardCharsets.US_ASCII),
+    "connection:".getBytes(StandardCharsets.US_ASCII),
+    "content-length:".getBytes(StandardCharsets.US_ASCII),
+    "content-type:".getBytes(StandardCharsets.US_ASCII),
+    "transfer-encoding:".getBytes(StandardCharsets.US_ASCII),
+    "x-samphiredyke-".getBytes(StandardCharsets.US_ASCII)
+  };
+
+  private static final StreamEvent RESPONSE_HEAD = StreamEvent.of(StreamEvent.Kind.RESPONSE_HEAD);
+  private static final StreamEvent NO_EVENT = StreamEvent.of(StreamEvent.Kind.NO_EVENT);
   private static final StreamEvent OVERSIZED = StreamEvent.of(StreamEvent.Kind.OVERSIZED);
   private static final StreamEvent COMMENT = StreamEvent.of(StreamEvent.Kind.COMMENT);
   private static final StreamEvent UNNUMBERED = StreamEvent.of(StreamEvent.Kind.UNNUMBERED);
@@ -63,22 +86,44 @@
   }
 
   private void readField(int lineEnd) {
-    if (startsWith(ID_FIELD, lineEnd)) {
+    if (event.kind() == StreamEvent.Kind.RESPONSE_HEAD || startsWithAny(HEAD_FIELDS, lineEnd)) {
+      event = RESPONSE_HEAD;
+    } else if (startsWith(ID_FIELD, lineEnd, false)) {
       int valueStart = lineStart + ID_FIELD.length;
       event =
           StreamEvent.withId(
               pending.toString(valueStart, lineEnd - valueStart, StandardCharsets.US_ASCII));
-    } else if (event.kind() == StreamEvent.Kind.COMMENT && startsWith(DATA_FIELD, lineEnd)) {
-      event = UNNUMBERED;
+    } else if (event.kind() == StreamEvent.Kind.COMMENT
+        || event.kind() == StreamEvent.Kind.NO_EVENT) {
+      event = withoutId(lineEnd);
+    }
+  }
+
+  /** Returns what a line makes of an event that has neither id nor data before it. */
+  private StreamEvent withoutId(int lineEnd) {
+    if (startsWith(DATA_FIELD, lineEnd, false)) {
+      return UNNUMBERED;
+    }
+    return startsWithAny(SILENT_FIELDS, lineEnd) ? event : NO_EVENT;
+  }
+
+  private boolean startsWithAny(byte[][] names, int lineEnd) {
+    for (byte[] name : names) {
+      if (startsWith(name, lineEnd, true)) {
+        return true;
+      }
     }
+    return false;
   }
 
-  private boolean startsWith(byte[] name, int lineEnd) {
+  private boolean startsWith(byte[] name, int lineEnd, boolean ignoresCase) {
     if (lineEnd - lineStart < name.length) {
       return false;
     }
     for (int i = 0; i < name.length; i++) {
-      if (pending.getByte(lineStart + i) != name[i]) {
+      int read = pending.getByte(lineStart + i);
+      boolean isEqual = read == name[i];
+      if (!isEqual && !(ignoresCase && Character.toLowerCase(read) == name[i])) {
         return false;
       }
     }
