--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.samphiredyke.core.stream.StreamEvent;
+import io.samphiredyke.platform.Headers;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,7 +38,7 @@
     "content-length:".getBytes(StandardCharsets.US_ASCII),
     "content-type:".getBytes(StandardCharsets.US_ASCII),
     "transfer-encoding:".getBytes(StandardCharsets.US_ASCII),
-    "x-samphiredyke-".getBytes(StandardCharsets.US_ASCII)
+    Headers.PREFIX.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.US_ASCII)
   };
 
   private static final StreamEvent RESPONSE_HEAD = StreamEvent.of(StreamEvent.Kind.RESPONSE_HEAD);
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
@@ -329,7 +329,7 @@
     String address =
         serve(
             (id, socket) -> {
-              RawServer.write(socket, whole.substring(0, length.get()));
+              write(id, socket, whole.substring(0, length.get()));
               socket.setSoLinger(isReset, 0);
               socket.close();
             });
