Gateway: failing test of hosts that lose the path to all endpoints

PartitionedHostTest cuts one and two of four hosts from all stand-in endpoints: in silence (open connections stall, connecting hangs), by resets with new connections refused, and with open connections that live on. From 3 s after the cut the first tries there must be served at least two thirds as often as at the others, which must serve all; no unsafe request may run twice, none that was refused may run, also if a stalled connection delivers late; and the path must be used again within 4 s of its return.

Tagged known-red until a host without a path has another way. Link counts what it forwards, SilentPort is an address at which connecting hangs, the harness can give a gateway a resolver of endpoint addresses.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -6,6 +6,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.gateway.upstream.AddressResolver;
+import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.platform.HostSettings;
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.standin.EndpointStandIn;
@@ -117,6 +119,11 @@
   record RunningGateway(Gateway gateway, String address, String peerAddress) {}
 
   RunningGateway startGateway(String name, List<String> seeds) {
+    return startGateway(name, seeds, SocketAddresses::parse);
+  }
+
+  /** Starts a gateway that connects to endpoints at resolved addresses. */
+  RunningGateway startGateway(String name, List<String> seeds, AddressResolver endpoints) {
     int port = freePorts(5);
     String address = "127.0.0.1:" + port;
     String peer = "127.0.0.1:" + (port + 1);
@@ -144,7 +151,7 @@
             1,
             1_000);
     DecisionLog log = new DecisionLog(logOutput, System::currentTimeMillis);
-    Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log);
+    Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log, endpoints);
     gateway.start().join();
     return new RunningGateway(gateway, address, peer);
   }
