--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -41,7 +41,16 @@
   private static final AttributeKey<IdleState> IDLE_STATE = AttributeKey.valueOf("kept");
 
   /** The peer through which a connection goes; direct connections have none. */
-  private static final AttributeKey<String> PEER = AttributeKey.valueOf("peer");
+  private static final AttributeKey<Detour> DETOUR = AttributeKey.valueOf("detour");
+
+  /**
+   * Time in which the loss of a path is confirmed; older connections through peers are reused only
+   * while it is lost.
+   */
+  private static final long CONFIRMATION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** The peer through which a connection goes and when it was opened. */
+  private record Detour(String peer, long openedAt) {}
 
   /** The endpoint address of a connection and when the connection expires. */
   private record IdleState(String address, long expiresAt) {}
@@ -139,8 +148,7 @@
   void release(Channel channel, int keepAliveSeconds) {
     IdleState state = channel.attr(IDLE_STATE).get();
     Deque<Channel> connections = idle.computeIfAbsent(state.address(), key -> new ArrayDeque<>());
-    boolean isDetour = peerOf(channel) != null && !paths.isLost(state.address());
-    if (!channel.isActive() || connections.size() >= MAX_IDLE || isDetour) {
+    if (!channel.isActive() || connections.size() >= MAX_IDLE || isUnneeded(channel, state)) {
       channel.close();
       return;
     }
@@ -155,6 +163,13 @@
     connections.addLast(channel);
   }
 
+  private boolean isUnneeded(Channel channel, IdleState state) {
+    Detour detour = channel.attr(DETOUR).get();
+    return detour != null
+        && loop.ticker().nanoTime() - detour.openedAt() >= CONFIRMATION_NANOS
+        && !paths.isLost(state.address());
+  }
+
   /** Closes the idle connections that have expired. */
   public void closeExpired() {
     Iterator<Deque<Channel>> addresses = idle.values().iterator();
@@ -223,12 +238,13 @@
 
   /** Returns the peer through which a connection goes, or null. */
   static @Nullable String peerOf(Channel channel) {
-    return channel.attr(PEER).get();
+    Detour detour = channel.attr(DETOUR).get();
+    return detour == null ? null : detour.peer();
   }
 
   /** Prepares a new connection through a peer for exchanges. */
   void initializeTunnel(Channel channel, String address, String peer) {
-    channel.attr(PEER).set(peer);
+    channel.attr(DETOUR).set(new Detour(peer, loop.ticker().nanoTime()));
     initialize(channel, address);
   }
 
