--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GracefulShutdownTest.java
@@ -131,6 +131,34 @@
     assertThat(runs(plainEndpoints)).isEqualTo(1);
   }
 
+  /** Guards against requests of other hosts that are cut off by the end of the host they cross. */
+  @Test
+  void tunnelsOfOtherHostsLiveUntilTheyAreClosed() throws Exception {
+    graceMillis = 8_000;
+    RunningGateway running = startConfiguredGateway();
+    try (Socket tunnel = openTunnel(running)) {
+      assertThat(tunnel.getInputStream().readNBytes(12)).asString().isEqualTo("HTTP/1.1 200");
+      final CompletableFuture<Void> ended = stop(running);
+      Thread.sleep(4_500);
+      assertThat(ended).isNotDone();
+      try (Socket refused = openTunnel(running)) {
+        assertThat(refused.getInputStream().readNBytes(12)).asString().isEqualTo("HTTP/1.1 503");
+      }
+      tunnel.close();
+      ended.get(1_500, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private static Socket openTunnel(RunningGateway to) throws IOException {
+    String endpoint = to.gateway().directory().all().get(0).address();
+    String id = to.gateway().directory().all().get(0).id();
+    String[] peer = to.peerAddress().split(":", 2);
+    Socket socket = new Socket(peer[0], Integer.parseInt(peer[1]));
+    RawServer.write(
+        socket, "CONNECT " + endpoint + " HTTP/1.1\r\ntunnel-endpoint: " + id + "\r\n\r\n");
+    return socket;
+  }
+
   /** Guards against requests that wait for the configuration when the host is stopped. */
   @Test
   void requestsOfTheStartAreRefused() {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
@@ -19,6 +19,7 @@
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.platform.EndpointResponseHead;
 import io.samphiredyke.platform.standin.RawServer;
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -53,7 +54,7 @@
   private final EventLoop loop = group.next();
   private final Queue<String> events = new ConcurrentLinkedQueue<>();
   private final AtomicInteger requests = new AtomicInteger();
-  private final List<Socket> backlog = new ArrayList<>();
+  private final List<Closeable> backlog = new ArrayList<>();
   private RawServer endpoint;
   private volatile boolean isEndpointSilent;
   private volatile InetSocketAddress directAddress;
@@ -63,6 +64,7 @@
   private TunnelServer tunnels;
   private HostPaths paths;
   private EndpointConnectionPool pool;
+  private volatile EndpointExchange lastExchange;
 
   @BeforeEach
   void start() throws IOException {
@@ -102,7 +104,7 @@
   @AfterEach
   void stop() throws IOException {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    for (Socket socket : backlog) {
+    for (Closeable socket : backlog) {
       socket.close();
     }
   }
@@ -116,6 +118,7 @@
   /** Returns an address to which connections hang, that of a server that accepts none. */
   private InetSocketAddress hangingAddress() throws IOException {
     ServerSocket full = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+    backlog.add(full);
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", full.getLocalPort());
     while (true) {
       Socket socket = new Socket();
@@ -177,7 +180,7 @@
     OutgoingRequest request =
         new OutgoingRequest(id, HttpMethod.GET, "/x", headers, Unpooled.EMPTY_BUFFER);
     EndpointTarget target = new EndpointTarget("e", endpoint.address());
-    loop.execute(() -> pool.open(target, request, true, listener));
+    loop.execute(() -> lastExchange = pool.open(target, request, true, listener));
     return outcome;
   }
 
@@ -320,6 +323,33 @@
     assertThat(events).contains("path_lost").endsWith("sent_through");
   }
 
+  private void giveUpAfter(long millis) throws InterruptedException {
+    isEndpointSilent = true;
+    CompletableFuture<Object> silent = send();
+    Thread.sleep(millis);
+    loop.execute(() -> lastExchange.cancel());
+    isEndpointSilent = false;
+    assertThat(silent).isNotDone();
+  }
+
+  @Test
+  void requestGivenUpSoonKeepsIdleConnections() throws Exception {
+    sendTwice();
+    giveUpAfter(50);
+    assertThat(exchange()).isEqualTo("own");
+    assertThat(endpoint.connections()).isEqualTo(2);
+  }
+
+  @Test
+  void requestGivenUpAfterSilenceClosesIdleConnections() throws Exception {
+    sendTwice();
+    giveUpAfter(600);
+    assertThat(endpoint.connections()).as("with that of the probe").isEqualTo(3);
+    assertThat(exchange()).isEqualTo("own");
+    assertThat(endpoint.connections()).isEqualTo(4);
+    assertThat(isLost()).isFalse();
+  }
+
   @Test
   void idleTunnelIsClosedWhenItsPeerLeaves() throws Exception {
     directAddress = refusingAddress();
