--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -44,7 +44,16 @@
   private static final AttributeKey<CarriedIds> CARRIED = AttributeKey.valueOf("carried");
 
   /** The peer through which a connection goes; direct connections have none. */
-  private static final AttributeKey<String> PEER = AttributeKey.valueOf("peer");
+  private static final AttributeKey<Detour> DETOUR = AttributeKey.valueOf("detour");
+
+  /**
+   * Time in which the loss of a path is confirmed; older connections through peers are reused only
+   * while it is lost.
+   */
+  private static final long CONFIRMATION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** The peer through which a connection goes and when it was opened. */
+  private record Detour(String peer, long openedAt) {}
 
   /** The endpoint address of a connection and when the connection expires. */
   private record IdleState(String address, long expiresAt) {}
@@ -150,8 +159,8 @@
   void release(Channel channel, int keepAliveSeconds) {
     IdleState state = channel.attr(IDLE_STATE).get();
     Deque<Channel> connections = idle.computeIfAbsent(state.address(), key -> new ArrayDeque<>());
-    boolean isDetour = peerOf(channel) != null && !paths.isLost(state.address());
-    boolean isKept = channel.isActive() && !isDetour && !channel.attr(CARRIED).get().isFull();
+    boolean isKept =
+        channel.isActive() && !channel.attr(CARRIED).get().isFull() && !isUnneeded(channel, state);
     if (!isKept || connections.size() >= MAX_IDLE) {
       channel.close();
       return;
@@ -167,6 +176,13 @@
     connections.addLast(channel);
   }
 
+  private boolean isUnneeded(Channel channel, IdleState state) {
+    Detour detour = channel.attr(DETOUR).get();
+    return detour != null
+        && loop.ticker().nanoTime() - detour.openedAt() >= CONFIRMATION_NANOS
+        && !paths.isLost(state.address());
+  }
+
   /** Closes the idle connections that have expired. */
   public void closeExpired() {
     Iterator<Deque<Channel>> addresses = idle.values().iterator();
@@ -235,12 +251,13 @@
 
   /** Returns the peer through which a connection goes, or null. */
   static @Nullable String peerOf(Channel channel) {
-    return channel.attr(PEER).get();
+    Detour detour = channel.attr(DETOUR).get();
+    return detour == null ? null : detour.peer();
   }
 
   /** Prepares a new connection through a peer for exchanges. */
   void initializeTunnel(Channel channel, String address, String peer) {
-    channel.attr(PEER).set(peer);
+    channel.attr(DETOUR).set(new Detour(peer, loop.ticker().nanoTime()));
     initialize(channel, address);
   }
 
