--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
@@ -160,7 +160,7 @@
     errors.add(head + "\r\n" + text + CLOSE);
     errors.add(head + sized(""));
     errors.add(head + "X-Samphiredyke-Server-Signature: d\r\n" + sized(text));
-    errors.add(head + EVENT_STREAM + OWN + sized(events(3, 4)));
+    errors.add(FAILED + EVENT_STREAM + OWN + sized(events(3, 4)));
     errors.add(head + EVENT_STREAM + sized(events(3, 4)));
     errors.add(head + "Content-Encoding: gzip\r\n" + sized(text));
     errors.add("HTTP/1.1 50|0 Internal Server Error\r|\n" + ID + "Content-|Length: 3\r\n\r\nab|c");
