Log: each refusal, failure and repeat has a line, also on a busy host

The users' record of requests that were refused although they ran has no line that names them. What a host decides on a request was not always in its log:

- All lines shared the limit of 500 a second, most of which are "sent" and "answered".
With 80 callers at one host 193 of its 371 errors (503, 502) had no line; all full seconds of the log have 500 lines exactly.
- 400, 408, 413 and 431 of the HTTP server itself, too many pipelined messages and exceptions had none.
- A response that is skipped because it states another id had none, so that the copy of a refusal was not seen at all.

Routine lines and all others have a limit of 500 each, and "log_dropped" counts what is missing. "rejected" and "response_skipped" name the request.

Not logged: slots that are returned because the endpoint has left or pauses, and surplus bytes on idle connections (counted).

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -184,7 +184,7 @@
             endpointRefresh::read);
     peers.statements().setLeavingListener(directory::markLeaving);
     this.startupQueue = new StartupQueue(loop, service);
-    this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits);
+    this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits, log);
     endpointFollower.setReadCondition(endpointUpdates::mustReadStore);
     this.peerBootstrap =
         new PeerBootstrap(
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.platform.Headers;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -95,6 +97,7 @@
     if (writer != null) {
       pipelined.add(message);
       if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
+        logRejected(0, "too many pipelined messages");
         ctx.close();
       }
       return;
@@ -219,6 +222,7 @@
 
   private void reject(HttpResponseStatus status) {
     ChannelHandlerContext ctx = context;
+    logRejected(status.code(), status.reasonPhrase());
     closing = true;
     head = null;
     releaseBody();
@@ -233,6 +237,13 @@
     ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
+  /** Logs that what arrived is not handled; no request is known if its head is incomplete. */
+  private void logRejected(int status, String reason) {
+    HttpRequest request = head;
+    String id = request == null ? "" : request.headers().get(Headers.REQUEST_ID, "");
+    server.log().event("rejected", "id", id, "status", status, "reason", reason);
+  }
+
   /** Closes the connection unless it is processing or receiving a request. */
   void closeIfIdle() {
     ChannelHandlerContext ctx = context;
@@ -303,6 +314,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      logRejected(0, String.valueOf(cause));
+    }
     ctx.close();
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.gateway.log.DecisionLog;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -33,12 +34,15 @@
   private final EventLoop loop;
   private final RequestHandler handler;
   private final Supplier<CallerLimits> limits;
+  private final DecisionLog log;
   private final Set<FrontendConnection> connections = new HashSet<>();
   private @Nullable Channel listener;
   private boolean draining;
 
   /** Creates a server that is not bound yet. */
-  public FrontendServer(EventLoop loop, RequestHandler handler, Supplier<CallerLimits> limits) {
+  public FrontendServer(
+      EventLoop loop, RequestHandler handler, Supplier<CallerLimits> limits, DecisionLog log) {
+    this.log = log;
     this.loop = loop;
     this.handler = handler;
     this.limits = limits;
@@ -101,6 +105,10 @@
     return limits.get();
   }
 
+  DecisionLog log() {
+    return log;
+  }
+
   RequestHandler handler() {
     return handler;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.LongAdder;
@@ -17,16 +18,24 @@
  * Structured log with one JSON line for each decision.
  *
  * <p>Lines are queued for a writer thread. If the bounded queue is full or the rate limit is
- * exceeded, lines are dropped and counted, so that logging never blocks.
+ * exceeded, lines are dropped and counted, so that logging never blocks. Lines that each request
+ * has and all others are limited separately, so that a busy host still reports which requests it
+ * refused, repeated or failed. A line tells how many were dropped since the last one that does.
  */
 public final class DecisionLog implements AutoCloseable {
 
   /** Queue capacity in lines, about 1 MB. */
   private static final int QUEUE_LINES = 4_096;
 
-  /** Rate limit; a host serves a few dozen requests per second with two or three lines each. */
+  /**
+   * Rate limit of either class; a host serves a few dozen requests per second with two or three
+   * lines each.
+   */
   private static final int LINES_PER_SECOND = 500;
 
+  /** Events that each request has. */
+  private static final Set<String> ROUTINE_EVENTS = Set.of("sent", "answered");
+
   private static final long SECOND_MILLIS = 1_000;
 
   /** Maximum time for which closing waits for the remaining lines. */
@@ -40,7 +49,9 @@
   private final Thread writer;
   private volatile boolean closing;
   private long currentSecond;
-  private int linesInSecond;
+  private int routineLinesInSecond;
+  private int otherLinesInSecond;
+  private long reportedAsDropped;
 
   /**
    * Creates a log and starts its writer thread.
@@ -65,14 +76,25 @@
     long now = clock.getAsLong();
     if (now / SECOND_MILLIS != currentSecond) {
       currentSecond = now / SECOND_MILLIS;
-      linesInSecond = 0;
+      routineLinesInSecond = 0;
+      otherLinesInSecond = 0;
+      reportDropped(now);
     }
-    linesInSecond++;
+    boolean isRoutine = ROUTINE_EVENTS.contains(event);
+    int linesInSecond = isRoutine ? ++routineLinesInSecond : ++otherLinesInSecond;
     if (linesInSecond > LINES_PER_SECOND || !queue.offer(line(now, event, fields))) {
       dropped.increment();
     }
   }
 
+  private void reportDropped(long now) {
+    long total = dropped();
+    Object[] fields = {"lines", total - reportedAsDropped};
+    if (total > reportedAsDropped && queue.offer(line(now, "log_dropped", fields))) {
+      reportedAsDropped = total;
+    }
+  }
+
   /** Returns the number of dropped lines. */
   public long dropped() {
     return dropped.sum();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -42,7 +42,6 @@
   private final ActiveRequest request;
   private final EndpointRecord endpoint;
   private final SlotHandle slot;
-  private String requestId = "";
   private @Nullable EndpointExchange exchange;
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
@@ -128,7 +127,6 @@
    *     the previous attempt as the response to this one.
    */
   void start(OutgoingRequest outgoing, boolean isFirst) {
-    requestId = outgoing.requestId();
     lastEventIdBefore = request.relay().lastEventId();
     sentAt = request.context().loop().nanoTime();
     lastProgressAt = sentAt;
@@ -248,7 +246,7 @@
       return;
     }
     if (head.requestId().isEmpty()) {
-      logMissingId(head);
+      request.log().withoutId(endpoint.id(), head.status());
     }
     status = head.status();
     isSuccess = head.isSuccess();
@@ -264,18 +262,9 @@
     request.relay().onHead(response, head.isSuccess());
   }
 
-  private void logMissingId(EndpointResponseHead head) {
-    request
-        .context()
-        .log()
-        .event(
-            "response_without_id",
-            "id",
-            requestId,
-            "endpoint",
-            endpoint.id(),
-            "status",
-            head.status());
+  @Override
+  public void onOtherResponse(EndpointResponseHead head) {
+    request.log().skipped(endpoint.id(), head.requestId(), head.status());
   }
 
   private @Nullable String defectOf(EndpointResponseHead head) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -65,6 +65,29 @@
         afterEvent);
   }
 
+  /** Logs that a response without id has arrived for the request. */
+  void withoutId(String endpointId, int status) {
+    log.event("response_without_id", "id", requestId, "endpoint", endpointId, "status", status);
+  }
+
+  /**
+   * Logs that a response to another request has arrived and is skipped.
+   *
+   * @param statedId id of the request that it responds to
+   */
+  void skipped(String endpointId, String statedId, int status) {
+    log.event(
+        "response_skipped",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "stated",
+        statedId,
+        "status",
+        status);
+  }
+
   /**
    * Logs that a caller takes up a stream.
    *
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -158,7 +158,10 @@
         !head.requestId().isEmpty() && !head.requestId().equals(request.requestId());
     skippingResponse = isOtherRequest || head.status() < FIRST_FINAL_STATUS;
     if (skippingResponse) {
-      hasSkippedResponse |= isOtherRequest;
+      if (isOtherRequest) {
+        hasSkippedResponse = true;
+        listener.onOtherResponse(head);
+      }
       skippedResponses++;
       if (skippedResponses > MAX_SKIPPED_RESPONSES) {
         fail("interim responses or responses to other requests without end");
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
@@ -15,6 +15,9 @@
     return true;
   }
 
+  /** Called when a response has arrived that states the id of another request. */
+  default void onOtherResponse(EndpointResponseHead head) {}
+
   /** Called when the head of the response has arrived. */
   void onHead(EndpointResponseHead head, HttpResponse response);
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
@@ -9,6 +9,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.gateway.log.DecisionLog;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -36,8 +38,13 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final BlockingQueue<ResponseWriter> requests = new LinkedBlockingQueue<>();
+  private final ByteArrayOutputStream log = new ByteArrayOutputStream();
   private final FrontendServer server =
-      new FrontendServer(loop, this, () -> new CallerLimits(2_048, 4_096, 3_000, 15_000));
+      new FrontendServer(
+          loop,
+          this,
+          () -> new CallerLimits(2_048, 4_096, 3_000, 15_000),
+          new DecisionLog(log, () -> 0));
   private Socket caller;
 
   @BeforeEach
@@ -113,4 +120,14 @@
     assertThat(responses.split("HTTP/1.1 200 OK")).hasSize(4);
     assertThat(responses.split("connection: close")).hasSize(2);
   }
+
+  /** Guards against answers of the server itself that no line of the log relates to a request. */
+  @Test
+  void rejectedRequestIsNamedInTheLog() throws Exception {
+    send("POST / HTTP/1.1\r\nX-Samphiredyke-Request-Id: a1\r\nContent-Length: 5000\r\n\r\n");
+    assertThat(caller.getInputStream().readAllBytes()).asString().contains(" 413 ");
+    while (!log.toString(StandardCharsets.UTF_8).contains("\"event\":\"rejected\",\"id\":\"a1\"")) {
+      Thread.sleep(5);
+    }
+  }
 }
