--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
@@ -180,7 +180,7 @@
     OutgoingRequest request =
         new OutgoingRequest(id, HttpMethod.GET, "/x", headers, Unpooled.EMPTY_BUFFER);
     EndpointTarget target = new EndpointTarget("e", endpoint.address());
-    loop.execute(() -> lastExchange = pool.open(target, request, true, listener));
+    loop.execute(() -> lastExchange = pool.open(target, request, listener));
     return outcome;
   }
 
