Daemon: connections that are lost count in the circuit breaker of their endpoint

What callers saw: an endpoint that accepts connections and resets them kept getting requests of an entry, each of which is resumed for some 17 s and then answered as unknown (504), although another endpoint of the service is sound.

Cause: only attempts that reached nothing, or were refused, counted as failures; a lost connection didn't.

Fix: a connection that is lost after the dispatch is a failure of the entry's own breaker for the endpoint; a completed response closes the breaker as before. Resumptions don't ask the breaker, and the other entries aren't concerned.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/RequestSession.java
@@ -448,7 +448,7 @@
     @Override
     public void onConnectionLost() {
       context.metrics().count("endpoint-connection-lost");
-      report(new OwnershipEvent.StreamBroken(attempt));
+      context.loop().execute(() -> handleConnectionLost(endpoint, attempt));
     }
 
     @Override
@@ -510,6 +510,11 @@
     handle(new OwnershipEvent.NotDispatched(attempt));
   }
 
+  private void handleConnectionLost(Endpoint endpoint, int attempt) {
+    context.routing().circuitBreaker(endpoint.name()).failed(context.loop().nanoTime());
+    handle(new OwnershipEvent.StreamBroken(attempt));
+  }
+
   private void releaseSlot(Release.Outcome outcome) {
     SlotAcquisition acquisition = slotAcquisition;
     if (acquisition != null) {
