--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/PartitionedHostTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/PartitionedHostTest.java
@@ -18,7 +18,6 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -206,7 +205,6 @@
    * @param without number of hosts without a path
    * @param atOnce requests of each kind that a host gets at once, from the cut on
    */
-  @Tag("known-red")
   @ParameterizedTest
   @CsvSource({"SILENT, 1, 1", "SILENT, 2, 1", "RESET, 2, 1", "NEW_REFUSED, 2, 3"})
   void requestsAtHostsWithoutPathAreServed(EndpointCut.Kind kind, int without, int atOnce) {
