Brittle endpoints refuse no more requests than they bear

Endpoints may state that they fail if they have to refuse more than a number of requests a second for want of room, while their room shrinks.

Cause of failures: a refusal reduced the granted slots until the next response, which raised them to all slots at once, and nothing counted the refusals.

Change: the scheduler keeps, for each endpoint that states this, its refusals of the last 1.2 s and the requests that it has neither accepted nor refused yet within the stated number, whatever its room is. The room is learned from refusals and grows by one a second. The statement is shared as limits are, and ends as they do; unusable values are logged once an endpoint.

Ruled out: only learning the room, as it may shrink at any moment.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -92,7 +92,7 @@
 
   void add(EndpointLoad load) {
     IndexedEndpoint entry = new IndexedEndpoint(load, added++);
-    load.rateLimit().setShare(capacityShare);
+    load.setShare(capacityShare);
     entries.put(load.endpoint().id(), entry);
     entry.version = load.endpoint().version();
     versions.add(entry.version);
@@ -113,7 +113,7 @@
 
   void setCapacityShare(double updated) {
     capacityShare = updated;
-    entries.values().forEach(entry -> entry.load.rateLimit().setShare(updated));
+    entries.values().forEach(entry -> entry.load.setShare(updated));
     reindexAll();
   }
 
@@ -221,7 +221,7 @@
       return;
     }
     entry.isPaused = entry.load.pausedUntil() > pausesEndedUntil;
-    entry.isThrottled = entry.load.rateLimit().nextGrantAt() > pausesEndedUntil;
+    entry.isThrottled = entry.load.nextGrantAt() > pausesEndedUntil;
     entry.isFree = !entry.isThrottled && !entry.isPaused && freeSlots(entry, false) > 0;
     entry.isFreeIgnoringPause = !entry.isThrottled && freeSlots(entry, true) > 0;
     entry.slots = entry.load.usableSlots(capacityShare);
@@ -254,7 +254,7 @@
     while (!paused.isEmpty() && paused.first().load.pausedUntil() <= now) {
       reindex(paused.first());
     }
-    while (!throttled.isEmpty() && throttled.first().load.rateLimit().nextGrantAt() <= now) {
+    while (!throttled.isEmpty() && throttled.first().load.nextGrantAt() <= now) {
       reindex(throttled.first());
     }
   }
@@ -366,7 +366,7 @@
     for (IndexedEndpoint entry : withheld) {
       boolean mayGrant =
           entry.load.pausedUntil() <= pausesEndedUntil
-              && entry.load.rateLimit().nextGrantAt() <= pausesEndedUntil;
+              && entry.load.nextGrantAt() <= pausesEndedUntil;
       if (mayGrant && !choice.bars(entry) && freeSlots(entry, false) > 0) {
         return entry.load;
       }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -40,7 +40,7 @@
   private double errorRate;
   private final EndpointFailures failures = new EndpointFailures();
   private int probes;
-  private int grantLimit = Integer.MAX_VALUE;
+  private final EndpointRoom room = new EndpointRoom();
   private final RateLimit rateLimit = new RateLimit();
 
   /**
@@ -86,6 +86,21 @@
     return rateLimit;
   }
 
+  EndpointRoom room() {
+    return room;
+  }
+
+  /** Sets the fraction of what the endpoint bears that this scheduler may use. */
+  void setShare(double capacityShare) {
+    rateLimit.setShare(capacityShare);
+    room.setShare(capacityShare);
+  }
+
+  /** Returns from when on its rate limit and its brittleness permit the next grant. */
+  long nextGrantAt() {
+    return Math.max(rateLimit.nextGrantAt(), room.nextGrantAt());
+  }
+
   EndpointRecord endpoint() {
     return endpoint;
   }
@@ -110,7 +125,7 @@
     if (ignorePause) {
       return Math.max(0, slots - running.size());
     }
-    int limit = failures.isFailingForAll() ? 1 : Math.min(slots, grantLimit);
+    int limit = failures.isFailingForAll() ? 1 : Math.min(slots, room.size());
     return Math.max(0, Math.min(slots, limit) - running.size());
   }
 
@@ -119,9 +134,11 @@
    * number of slots of the endpoint.
    */
   int usableSlots(double capacityShare) {
-    return capacityShare >= 1
-        ? endpoint.slots()
-        : (int) (endpoint.slots() * capacityShare + roundingOffset);
+    int slots =
+        capacityShare >= 1
+            ? endpoint.slots()
+            : (int) (endpoint.slots() * capacityShare + roundingOffset);
+    return room.isBrittle() ? Math.min(slots, room.size()) : slots;
   }
 
   double roundingOffset() {
@@ -205,6 +222,7 @@
     probes += isProbe ? 1 : 0;
     isolatedCount += request.isIsolated() ? 1 : 0;
     rateLimit.granted(now);
+    room.granted(request.id(), now);
     pendingPrefillMillis += prefill;
     if (isEngine) {
       cache.add(work.parts());
@@ -248,6 +266,7 @@
     if (entry != null) {
       removed(entry);
     }
+    room.accepted(requestId, now);
     if (outcome != Outcome.WITHDRAWN && path != RequesterPath.LOST) {
       double error = outcome == Outcome.SERVED ? 0 : 1;
       errorRate += ERROR_SMOOTHING * (error - errorRate);
@@ -257,14 +276,14 @@
       case ERRORED -> failures.served(requester, now);
       case SERVED -> {
         failures.served(requester, now);
-        grantLimit = Integer.MAX_VALUE;
+        room.served(running.size() + 1, now);
         if (entry != null) {
           learnTotal(observedMillis, entry);
         }
       }
       case FAILED, BROKEN_OFF ->
           failures.failed(requester, path == RequesterPath.SOUND, runsForOthers(requester), now);
-      case FULL -> grantLimit = Math.max(1, running.size());
+      case FULL -> room.refused(running.size(), now);
       default -> {}
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/IndexedEndpoint.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/IndexedEndpoint.java
@@ -14,7 +14,7 @@
           .thenComparingLong(e -> e.number);
 
   static final Comparator<IndexedEndpoint> BY_NEXT_GRANT =
-      Comparator.<IndexedEndpoint>comparingLong(entry -> entry.load.rateLimit().nextGrantAt())
+      Comparator.<IndexedEndpoint>comparingLong(entry -> entry.load.nextGrantAt())
           .thenComparingLong(e -> e.number);
 
   final EndpointLoad load;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -116,9 +117,22 @@
    * @param perSecond the limit, {@link EndpointLimits#NONE} for none
    */
   public void limit(String endpointId, double perSecond, long now) {
+    stated(endpointId, load -> load.rateLimit().set(perSecond, now), now);
+  }
+
+  /**
+   * Sets the requests a second that an endpoint can refuse for want of room before it fails.
+   *
+   * @param perSecond the number, {@link EndpointLimits#NONE} for an endpoint that is not brittle
+   */
+  public void tolerateRefusals(String endpointId, double perSecond, long now) {
+    stated(endpointId, load -> load.room().setTolerated(perSecond, now), now);
+  }
+
+  private void stated(String endpointId, Consumer<EndpointLoad> statement, long now) {
     ServicePool pool = poolOf(endpointId);
     if (pool != null) {
-      pool.limit(endpointId, perSecond, now);
+      pool.stated(endpointId, statement);
       pool.grantFreeSlots(now);
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -6,6 +6,7 @@
 import io.samphiredyke.core.serving.ServiceSpec;
 import java.util.Collection;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -94,11 +95,11 @@
     return versions;
   }
 
-  /** Sets the requests per second that an endpoint accepts. */
-  void limit(String endpointId, double perSecond, long now) {
+  /** Applies what an endpoint states about itself. */
+  void stated(String endpointId, Consumer<EndpointLoad> statement) {
     EndpointLoad endpoint = endpoints.find(endpointId);
     if (endpoint != null) {
-      endpoints.change(endpoint, () -> endpoint.rateLimit().set(perSecond, now));
+      endpoints.change(endpoint, () -> statement.accept(endpoint));
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -76,6 +76,10 @@
         "samphiredyke_limited_endpoints",
         "Endpoints that state a limit on the requests per second.",
         statements::limitedEndpoints);
+    metrics.gauge(
+        "samphiredyke_brittle_endpoints",
+        "Endpoints that state that they fail if they refuse more requests than a number a second.",
+        statements::brittleEndpoints);
     metrics.gauge(
         "samphiredyke_paused_endpoints",
         "Endpoints that want no requests from this host for a time.",
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -191,13 +191,16 @@
 
   /** Passes on what the endpoint states about itself, whatever becomes of the response. */
   private void passOnStatements(EndpointResponseHead head) {
-    if (!Double.isNaN(head.limitPerSecond())) {
-      request
-          .context()
-          .statements()
-          .limitStated(
-              endpoint.id(), head.limitPerSecond(), head.requestId(), sentAt, slot.grantedBy());
-    }
+    request
+        .context()
+        .statements()
+        .limitStated(
+            endpoint.id(), head.limitPerSecond(), head.requestId(), sentAt, slot.grantedBy());
+    request
+        .context()
+        .statements()
+        .brittlenessStated(
+            endpoint.id(), head.toleratedRefusals(), head.requestId(), sentAt, slot.grantedBy());
     if (head.isLeaving()) {
       request.context().statements().leavingStated(endpoint);
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerMessageDispatcher.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerMessageDispatcher.java
@@ -49,6 +49,8 @@
   void received(String from, SchedulingMessage message) {
     if (message instanceof SchedulingMessage.EndpointLimit limit) {
       statements.received(from, limit);
+    } else if (message instanceof SchedulingMessage.EndpointBrittle brittle) {
+      statements.received(from, brittle);
     } else if (message instanceof SchedulingMessage.EndpointLeaving leaving) {
       statements.received(leaving);
     } else if (message instanceof SchedulingMessage.PartQuarantined part) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
@@ -103,6 +103,15 @@
    */
   record EndpointLimit(String endpointId, double requestsPerSecond) implements SchedulingMessage {}
 
+  /**
+   * Brittleness that an endpoint stated in a response to the sender.
+   *
+   * @param refusalsPerSecond refusals for want of room a second beyond which it fails, infinite if
+   *     it is not brittle any more
+   */
+  record EndpointBrittle(String endpointId, double refusalsPerSecond)
+      implements SchedulingMessage {}
+
   /** An instance of an endpoint stated in a response to the sender that it leaves. */
   record EndpointLeaving(String endpointId, long startedAtMillis) implements SchedulingMessage {}
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
@@ -50,6 +50,7 @@
   private static final int STREAM_ORIGIN_QUERY = 20;
   private static final int STREAM_ORIGIN_RESPONSE = 21;
   private static final int ROLLOUT_STAGED = 22;
+  private static final int ENDPOINT_BRITTLE = 23;
 
   private SchedulingMessageCodec() {}
 
@@ -88,6 +89,9 @@
     } else if (message instanceof SchedulingMessage.EndpointLimit limit) {
       packer.packInt(ENDPOINT_LIMIT).packString(limit.endpointId());
       packer.packDouble(limit.requestsPerSecond());
+    } else if (message instanceof SchedulingMessage.EndpointBrittle brittle) {
+      packer.packInt(ENDPOINT_BRITTLE).packString(brittle.endpointId());
+      packer.packDouble(brittle.refusalsPerSecond());
     } else if (message instanceof SchedulingMessage.EndpointLeaving leaving) {
       packer.packInt(ENDPOINT_LEAVING).packString(leaving.endpointId());
       packer.packLong(leaving.startedAtMillis());
@@ -273,6 +277,8 @@
       case ENDPOINT_UPDATE -> readEndpointUpdate(in);
       case ENDPOINT_LIMIT ->
           new SchedulingMessage.EndpointLimit(in.unpackString(), in.unpackDouble());
+      case ENDPOINT_BRITTLE ->
+          new SchedulingMessage.EndpointBrittle(in.unpackString(), in.unpackDouble());
       case ENDPOINT_LEAVING ->
           new SchedulingMessage.EndpointLeaving(in.unpackString(), in.unpackLong());
       case CONFIGURATION_POSITION ->
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndpointLimitTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndpointLimitTest.java
@@ -125,4 +125,20 @@
           .isLessThanOrEqualTo(PERMITTED);
     }
   }
+
+  /** Guards against a statement that only the host knows that got it. */
+  @Test
+  void brittlenessIsKnownToAllHosts() {
+    RunningGateway first = startConfiguredGateway();
+    RunningGateway second = startGateway("host-2", List.of(first.peerAddress()));
+    await(() -> second.gateway().readyAddresses().size() == 2);
+    plainEndpoints.get(0).setStatements(Map.of("Server-Brittle", "3"));
+    plainEndpoints.get(1).setStatements(Map.of("Server-Brittle", "0"));
+    postConcurrently(first, "/unsafe/x");
+    await(() -> second.gateway().peers().statements().brittleEndpoints() == 1);
+    await(() -> logged("endpoint_brittle_rejected"));
+    plainEndpoints.get(0).setStatements(Map.of());
+    postConcurrently(first, "/unsafe/x");
+    await(() -> second.gateway().peers().statements().brittleEndpoints() == 0);
+  }
 }
