Soak: an error of a host that its log does not report is a finding

Also, callers of REFUSAL_COPIES repeat a refused id at once three times in four, as the copy meets an id on its connection only while that connection is idle. Lines of earlier runs of a seed are not taken for those of this one.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -40,6 +40,7 @@
   private final Queue<CallerOutcome> outcomes = new ConcurrentLinkedQueue<>();
   private final List<EndpointFaultsChecker.Outage> outages = new ArrayList<>();
   private final SplittableRandom random;
+  private final long beginMillis = System.currentTimeMillis();
 
   private EndpointFaultsRun(SoakOptions options) {
     this.options = options;
@@ -60,12 +61,7 @@
       run.execute(directory);
       EndpointFaultsResult result =
           new EndpointFaultsResult(
-              options,
-              run.observations,
-              run.outcomes,
-              HostLogs.addTo(
-                  EndpointFaultsChecker.check(run.observations, run.outcomes, run.outages),
-                  directory));
+              options, run.observations, run.outcomes, run.findings(directory));
       Files.write(directory.resolve("result.txt"), result.lines());
       return result;
     } catch (IOException e) {
@@ -76,6 +72,16 @@
     }
   }
 
+  private List<EndpointFaultsChecker.Finding> findings(Path directory) throws IOException {
+    List<EndpointFaultsChecker.Finding> findings =
+        new ArrayList<>(EndpointFaultsChecker.check(observations, outcomes, outages));
+    HostLogs logs = new HostLogs(directory, beginMillis);
+    if (outages.isEmpty()) {
+      findings.addAll(logs.unreported(outcomes));
+    }
+    return logs.addTo(findings);
+  }
+
   private void execute(Path directory) {
     try (Fleet fleet = new Fleet(options, directory, observations, group)) {
       new Operator(http, fleet.storeAddress()).writeConfiguration();
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/KeptCaller.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/KeptCaller.java
@@ -28,8 +28,9 @@
   /** How often a refused request is sent again with its id. */
   private static final int MAX_REPEATS = 4;
 
-  private static final int NEW_ID_ONE_IN = 4;
-  private static final int OTHER_HOST_ONE_IN = 6;
+  private static final int NEW_ID_ONE_IN = 6;
+  private static final int WAIT_ONE_IN = 4;
+  private static final int OTHER_HOST_ONE_IN = 8;
   private static final long MAX_RETRY_MILLIS = 400;
   private static final int MAX_THINK_MILLIS = 20;
   private static final long RETRY_MILLIS = 150;
@@ -82,7 +83,8 @@
       if (!outcome.isRefused() || random.nextInt(NEW_ID_ONE_IN) == 0) {
         return outcome;
       }
-      pause(random.nextBoolean() ? 0 : Math.min(MAX_RETRY_MILLIS, outcome.retryAfterMillis()));
+      boolean waits = random.nextInt(WAIT_ONE_IN) == 0;
+      pause(waits ? Math.min(MAX_RETRY_MILLIS, outcome.retryAfterMillis()) : 0);
       if (random.nextInt(OTHER_HOST_ONE_IN) == 0) {
         disconnect();
       }
