Gateway: tunnels outlive a moment in which their host counts as gone

A host that is overloaded can be taken for dead for a moment, and its tunnels would have been closed with the requests on them. They are now closed only after two seconds of absence.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
@@ -50,6 +50,9 @@
   static final int HEAD_TIMEOUT_MILLIS = 1_000;
   static final int HIGH_WATER_MARK_BYTES = 32 * 1024;
 
+  /** Time after which a host that has left is taken as gone; overloaded hosts return sooner. */
+  private static final long ABANDONED_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private static final WriteBufferWaterMark WATER_MARK =
       new WriteBufferWaterMark(HIGH_WATER_MARK_BYTES / 2, HIGH_WATER_MARK_BYTES);
 
@@ -62,6 +65,7 @@
     private final TunnelRequest request;
     private final long startedAt;
     private boolean hasBeenLive;
+    private long lastLiveAt;
 
     Tunnel(TunnelRequest request, long startedAt) {
       this.request = request;
@@ -253,12 +257,13 @@
     Set<String> live = new HashSet<>(livePeers.get());
     for (Map.Entry<Channel, Tunnel> entry : List.copyOf(tunnels.entrySet())) {
       Tunnel tunnel = entry.getValue();
-      boolean isLive = live.contains(tunnel.request.from());
-      if (tunnel.hasBeenLive && !isLive) {
+      if (live.contains(tunnel.request.from())) {
+        tunnel.hasBeenLive = true;
+        tunnel.lastLiveAt = now();
+      } else if (tunnel.hasBeenLive && now() - tunnel.lastLiveAt >= ABANDONED_NANOS) {
         logDecision("tunnel_abandoned", tunnel.request, "reason", "the host has left");
         entry.getKey().close();
       }
-      tunnel.hasBeenLive |= isLive;
     }
   }
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/tunnel/TunnelServerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/tunnel/TunnelServerTest.java
@@ -360,6 +360,9 @@
       loop.submit(server::closeAbandoned).get();
       live = List.of();
       loop.submit(server::closeAbandoned).get();
+      assertThat(onLoop(server::openTunnels)).isEqualTo(1);
+      Thread.sleep(2_100);
+      loop.submit(server::closeAbandoned).get();
       assertThat(caller.getInputStream().read()).isEqualTo(-1);
     }
     assertThat(events).containsExactly("tunnel_opened", "tunnel_abandoned");
