Scheduler: the cost of a decision does not grow with the hosts without a path

Cause: each host without a path looked through all endpoints for one without a probe, in each pass over the queue. They are all refused the same endpoints, so the first that finds none ends the pass, as their requests are the last of the queue; and the index counts the endpoints that run a probe.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -20,11 +20,12 @@
  */
 final class EndpointIndex {
 
-  private static final double MILLIS_PER_SECOND = 1e3;
-
   private final RandomGenerator random;
   private final RequesterPaths paths;
 
+  /** Stands for all requesters that reach no endpoint, for which the same ones are free. */
+  private static final String ALL_LOST = "";
+
   /** Requesters for which no endpoint was free, since slots were last freed. */
   private final Set<String> withoutSlot = new HashSet<>();
 
@@ -43,6 +44,7 @@
   private @Nullable IndexedEndpoint guaranteed;
   private int slots;
   private int pausedSlots;
+  private int probed;
   private long added;
   private long pausesEndedUntil = Long.MIN_VALUE;
 
@@ -65,20 +67,12 @@
     double usable = ignoresPauses() ? slots : slots - pausedSlots;
     for (IndexedEndpoint entry : limited) {
       if (!entry.isPaused || ignoresPauses()) {
-        usable += limitedSlots(entry, meanHoldMillis);
+        usable += entry.limitedSlots(meanHoldMillis);
       }
     }
     return usable;
   }
 
-  private static double limitedSlots(IndexedEndpoint entry, double meanHoldMillis) {
-    if (meanHoldMillis <= 0) {
-      return entry.slots;
-    }
-    double grantsPerSecond = entry.load.rateLimit().grantsPerSecond();
-    return Math.min(entry.slots, grantsPerSecond * meanHoldMillis / MILLIS_PER_SECOND);
-  }
-
   /** Returns whether there is an endpoint that a request may be sent to, now or later. */
   boolean hasEligible(SlotRequest request) {
     return request.excluded().size() < entries.size()
@@ -190,6 +184,8 @@
       pausedSlots -= entry.isPaused ? entry.slots : 0;
     }
     entry.slots = 0;
+    probed -= entry.isProbed ? 1 : 0;
+    entry.isProbed = false;
     if (entry.isFree) {
       free.remove(entry);
     }
@@ -213,6 +209,8 @@
   }
 
   private void insert(IndexedEndpoint entry) {
+    entry.isProbed = entry.load.runsProbe();
+    probed += entry.isProbed ? 1 : 0;
     // The random part spreads requests over endpoints of equal cost.
     entry.cost = entry.load.expectedCostMillis(averageWork) + random.nextDouble();
     entry.isWithheld = !filter.admits(entry.version);
@@ -307,24 +305,23 @@
 
   /** Returns the endpoint with a free slot that is expected to serve a request soonest, or null. */
   @Nullable EndpointLoad cheapest(SlotRequest request) {
-    EndpointLoad best =
-        withoutSlot.contains(request.requester()) ? null : cheapestAdmitted(request);
+    boolean isLost = paths.isLost(request.requester());
+    String group = isLost ? ALL_LOST : request.requester();
+    EndpointLoad best = withoutSlot.contains(group) ? null : cheapestAdmitted(request, isLost);
+    if (best == null && request.excluded().isEmpty() && !request.isIsolated()) {
+      withoutSlot.add(group);
+    }
     if (best == null && !withheld.isEmpty() && filter.admitsResumptions()) {
       return withheldFor(request);
     }
     return best;
   }
 
-  private @Nullable EndpointLoad cheapestAdmitted(SlotRequest request) {
-    String requester = request.requester();
-    boolean isLost = paths.isLost(requester);
+  private @Nullable EndpointLoad cheapestAdmitted(SlotRequest request, boolean isLost) {
     EndpointLoad best = choose(request, isLost, ignoresPauses());
-    if (best == null && (isLost || isPausedEverywhere(requester))) {
+    if (best == null && (isLost || isPausedEverywhere(request.requester()))) {
       best = choose(request, isLost, true);
     }
-    if (best == null && request.excluded().isEmpty() && !request.isIsolated()) {
-      withoutSlot.add(requester);
-    }
     return best;
   }
 
@@ -374,6 +371,11 @@
     return null;
   }
 
+  /** Returns whether no endpoint is free for a requester that reaches none. */
+  boolean hasNoneForLost() {
+    return withheld.isEmpty() && (probed == entries.size() || withoutSlot.contains(ALL_LOST));
+  }
+
   /** Returns whether a grant to a requester tests an endpoint that it may not reach. */
   boolean isProbe(EndpointLoad load, String requester) {
     return paths.isLost(requester) || load.failures().isFailingFor(requester);
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/IndexedEndpoint.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/IndexedEndpoint.java
@@ -5,6 +5,8 @@
 /** An endpoint with its position in the {@link EndpointIndex}. */
 final class IndexedEndpoint {
 
+  private static final double MILLIS_PER_SECOND = 1e3;
+
   static final Comparator<IndexedEndpoint> BY_COST =
       Comparator.<IndexedEndpoint>comparingDouble(entry -> entry.cost)
           .thenComparingLong(e -> e.number);
@@ -26,10 +28,20 @@
   boolean isPaused;
   boolean isThrottled;
   boolean isWithheld;
+  boolean isProbed;
   String version = "";
 
   IndexedEndpoint(EndpointLoad load, long number) {
     this.load = load;
     this.number = number;
   }
+
+  /** Returns with how many of its slots the rate limit binds. */
+  double limitedSlots(double meanHoldMillis) {
+    if (meanHoldMillis <= 0) {
+      return slots;
+    }
+    double grantsPerSecond = load.rateLimit().grantsPerSecond();
+    return Math.min(slots, grantsPerSecond * meanHoldMillis / MILLIS_PER_SECOND);
+  }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -18,9 +18,6 @@
   /** Assumed prefix cache capacity of an engine that states none, tokens. */
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
 
-  /** Lower bound of the slots in estimates, so that no return is scheduled as endless. */
-  private static final double MIN_SLOTS = 0.001;
-
   /** Bounds the value density to [1/2, 2], so that neither long nor short requests starve. */
   private static final double MAX_DENSITY_RATIO = 2;
 
@@ -207,6 +204,9 @@
       SlotRequest best = null;
       EndpointLoad target = null;
       for (WaitingRequest candidate : waiting) {
+        if (candidate.isWithoutPath && endpoints.hasNoneForLost()) {
+          break;
+        }
         boolean mustWait = held.runsAlike(candidate.request);
         target = mustWait ? null : endpoints.cheapest(candidate.request);
         if (target != null) {
@@ -376,7 +376,7 @@
 
   private void refuseOverloaded(WaitingRequest refused, long now) {
     drop(refused.request.id());
-    double slots = Math.max(MIN_SLOTS, forecast.slots());
+    double slots = forecast.positiveSlots();
     long returnAt = turnover.nextReturn(refused.holdMillis, waiting.size(), slots, now);
     turnover.limitReturns(now + (long) (RetryTimes.MAX_MILLIS * NANOS_PER_MILLI));
     listener.refused(refused.request, retryTimes.refusal(refused.overloadReason(), returnAt - now));
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/StartForecast.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/StartForecast.java
@@ -3,6 +3,9 @@
 /** Tells whether waiting requests are expected to start in time. */
 final class StartForecast {
 
+  /** Lower bound of the slots in estimates, so that no return is scheduled as endless. */
+  private static final double MIN_SLOTS = 0.001;
+
   private final SlotTurnover turnover;
   private final EndpointIndex endpoints;
 
@@ -16,6 +19,11 @@
     return endpoints.slots(turnover.meanHoldMillis());
   }
 
+  /** Returns the number of slots for the estimate of a return, which is more than none. */
+  double positiveSlots() {
+    return Math.max(MIN_SLOTS, slots());
+  }
+
   boolean isExpectedLate(WaitingRequest request, int position, long now) {
     double slots = slots();
     return slots <= 0 || now + turnover.expectedWait(position, slots) > request.latestOnTimeStart;
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerPathTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerPathTest.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Hosts that reach some or no endpoints, and endpoints that no host reaches. */
 class PoolSchedulerPathTest extends PoolSchedulerFixture {
@@ -216,4 +218,29 @@
         own.stream().filter(id -> failed.contains(id) || !grants.containsKey(id)).count();
     assertThat(unserved).as("not served of " + own.size()).isLessThanOrEqualTo(1);
   }
+
+  /** Paths are lost and found at random, also while requests hang. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void allHostsAreServedOnceTheirPathsAreBack(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    putEndpoints(4);
+    Set<String> lost = new HashSet<>();
+    reaches = (host, endpoint) -> !lost.contains(host + endpoint) && !lost.contains(host);
+    for (long at = 500; at < 10_000; at += 100) {
+      String host = "host" + random.nextInt(4);
+      String path = random.nextBoolean() ? host : host + "e" + random.nextInt(4);
+      at(at * MILLI, () -> hangMillis = random.nextInt(600));
+      at(at * MILLI, () -> lost.add(path));
+      at((at + random.nextInt(3_000)) * MILLI, () -> lost.remove(path));
+    }
+    at(10_000 * MILLI, lost::clear);
+    send(hosts(4), 48, 16_000);
+    run(16_000);
+    List<Long> last = requestsOf(Set.copyOf(hosts(4)), 14_000);
+    assertThat(last)
+        .filteredOn(id -> failed.contains(id) || refusals.containsKey(id))
+        .as("not served of " + last.size())
+        .isEmpty();
+  }
 }
