A tunnel's unread bytes are bounded in the operating system as well

TunnelServerTest.slowReaderSlowsTheEndpoint failed on x86-64, where a receive buffer may grow to 32 MiB: a reader that stood still let the endpoint send 35.5 of 48 MB. Each connection of a tunnel has a receive buffer of 256 KiB now; the test is unchanged and passes.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
@@ -50,6 +50,9 @@
   static final int HEAD_TIMEOUT_MILLIS = 1_000;
   static final int HIGH_WATER_MARK_BYTES = 32 * 1024;
 
+  /** Receive buffer of each connection; the operating system's own limit may be many megabytes. */
+  private static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
+
   /** Time after which a host that has left is taken as gone; overloaded hosts return sooner. */
   private static final long ABANDONED_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -117,6 +120,7 @@
             .group(loop)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, MAX_CONNECTIONS)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
@@ -206,6 +210,7 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
             .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
