--- a/samphiredyke-soak/src/test/java/io/samphiredyke/soak/EndpointFaultsTest.java
+++ b/samphiredyke-soak/src/test/java/io/samphiredyke/soak/EndpointFaultsTest.java
@@ -47,7 +47,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void copyOfRefusalIsNotTheAnswerToTheSameIdSentAgain() {
     assertNoFindings(run(6, 2, 4, 8, "REFUSAL_COPIES"));
   }
