An attempt to connect is given up after 500 ms, also with peers

Peers that are asked one after the other could prolong an attempt at an endpoint that hangs for all hosts to 900 ms, beside the direct connection's 500 ms; the next endpoint was tried that much later. The whole attempt has 500 ms now.

LostPathTest.endpointThatHangsForAllHostsIsGivenUpInTime failed before.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ConnectionAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ConnectionAttempt.java
@@ -64,6 +64,9 @@
   /** Time after which the next peer is asked too. */
   private static final int NEXT_PEER_MILLIS = 150;
 
+  /** Time after which the attempt fails, whatever is still pending. */
+  private static final int GIVE_UP_MILLIS = 500;
+
   private enum Direct {
     NOT_TRIED,
     PENDING,
@@ -103,6 +106,7 @@
   }
 
   void start() {
+    loop.schedule(this::giveUp, GIVE_UP_MILLIS, TimeUnit.MILLISECONDS);
     isPathSuspect = paths.isLost(target.address());
     if (isPathSuspect) {
       List<String> chosen = paths.choosePeers(target.address());
@@ -199,11 +203,22 @@
   private void failIfOver() {
     List<String> chosen = peers;
     boolean hasMorePeers = chosen != null && askedPeers < chosen.size() && listener.isWanted();
-    if (done || direct == Direct.PENDING || !pendingPeers.isEmpty() || hasMorePeers) {
+    if (direct == Direct.PENDING || !pendingPeers.isEmpty() || hasMorePeers) {
       return;
     }
-    done = true;
-    listener.failed(String.valueOf(reason), isPathSuspect);
+    fail(String.valueOf(reason));
+  }
+
+  /** Fails an attempt that lasts too long; the endpoint may be down for all hosts. */
+  private void giveUp() {
+    fail("no connection within " + GIVE_UP_MILLIS + " ms");
+  }
+
+  private void fail(String cause) {
+    if (!done) {
+      done = true;
+      listener.failed(cause, isPathSuspect);
+    }
   }
 
   private final class TunnelListener implements TunnelClient.Listener {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
@@ -136,6 +136,10 @@
     }
   }
 
+  private static String text(InetSocketAddress address) {
+    return "127.0.0.1:" + address.getPort();
+  }
+
   private <T> T onLoop(Callable<T> action) {
     try {
       return loop.submit(action).get();
@@ -227,6 +231,20 @@
         .isBetween(1L, (long) TIME_LEFT_MILLIS - HEDGE_MILLIS);
   }
 
+  /** Guards against a failover that waits for one peer after the other. */
+  @Test
+  void endpointThatHangsForAllHostsIsGivenUpInTime() throws Exception {
+    directAddress = hangingAddress();
+    peers = List.of(text(hangingAddress()), text(hangingAddress()), text(hangingAddress()));
+    assertThat(exchange())
+        .isInstanceOfSatisfying(
+            ExchangeFailure.class,
+            failure -> {
+              assertThat(failure.isUnsent()).isTrue();
+              assertThat(failure.reason()).isEqualTo("no connection within 500 ms");
+            });
+  }
+
   /** Sends two requests at once, of which one needs a new connection, and waits for the loss. */
   private void losePathWithIdleConnection() throws InterruptedException {
     CompletableFuture<Object> first = send();
