A request that was granted is not refused, nor granted again

What callers may see: a request that isn't idempotent is answered 503 though it runs (REFUSED), or is sent a second time while it runs (TWICE).

Cause, found by the review of the copied refusals and independent of them: the scheduler goes over a copy of its queue and delivers refusals on the way. For requests of its own host the delivery ends the request, which lets a pipelining caller's next request in; its submission may grant another request of the copy. That one was then refused as well, or put back into the queue as late and granted once more. The client of the local scheduler checked neither, unlike that of a remote one, and the request accepted both.

Change: a request is refused only if it still waited, and is put behind others only if it waits; decisions of the local scheduler are ignored as those of others are if the request is granted or has moved; a request with an attempt in progress ignores both.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -286,8 +286,8 @@
   private void refuseWaiting(Function<SlotRequest, @Nullable SlotRefusal> refusalOf) {
     for (WaitingRequest each : waiting.snapshot()) {
       SlotRefusal refusal = refusalOf.apply(each.request);
-      if (refusal != null) {
-        drop(each.request.id());
+      // The delivery of a refusal may submit a request and so grant one of the snapshot.
+      if (refusal != null && drop(each.request.id()) != null) {
         listener.refused(each.request, refusal);
       }
     }
@@ -338,9 +338,6 @@
 
   /** Refuses the requests that are not expected to start before their start deadline. */
   void refuseUnservable(long now) {
-    if (waiting.isEmpty()) {
-      return;
-    }
     if (capacityShare < 1) {
       refuseOverdue(now);
       return;
@@ -376,11 +373,13 @@
   }
 
   private void refuseOverloaded(WaitingRequest refused, long now) {
-    drop(refused.request.id());
-    double slots = forecast.positiveSlots();
-    long returnAt = turnover.nextReturn(refused.holdMillis, waiting.size(), slots, now);
-    turnover.limitReturns(now + (long) (RetryTimes.MAX_MILLIS * NANOS_PER_MILLI));
-    listener.refused(refused.request, retryTimes.refusal(refused.overloadReason(), returnAt - now));
+    if (drop(refused.request.id()) != null) {
+      double slots = forecast.positiveSlots();
+      long returnAt = turnover.nextReturn(refused.holdMillis, waiting.size(), slots, now);
+      turnover.limitReturns(now + (long) (RetryTimes.MAX_MILLIS * NANOS_PER_MILLI));
+      SlotRefusal.Reason reason = refused.overloadReason();
+      listener.refused(refused.request, retryTimes.refusal(reason, returnAt - now));
+    }
   }
 
   /** Frees the slots that a requester was granted and that its report no longer lists. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingQueue.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/WaitingQueue.java
@@ -71,9 +71,14 @@
     return ordered.last();
   }
 
-  /** Moves a request that can't meet its objective any more behind requests that can. */
+  /**
+   * Moves a request that can't meet its objective any more behind requests that can. One that does
+   * not wait any more is left alone.
+   */
   void markLate(WaitingRequest waiting, RankStatistics ranks) {
-    ordered.remove(waiting);
+    if (!ordered.remove(waiting)) {
+      return;
+    }
     waiting.isLate = true;
     waiting.effectiveRank = waiting.shareRank() + LATE_RANKS;
     for (int rank : ranks.lowerThan(waiting.request.rank())) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -135,7 +135,7 @@
 
   @Override
   public void granted(SlotHandle slot) {
-    if (ended) {
+    if (ended || attempt != null) {
       slot.release(Outcome.WITHDRAWN);
       return;
     }
@@ -181,7 +181,7 @@
 
   @Override
   public void refused(SlotRefusal refusal) {
-    if (ended) {
+    if (ended || attempt != null) {
       return;
     }
     String reason = "no place: " + refusal.reason();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
@@ -343,7 +343,7 @@
 
   private void receivedRefusal(String from, SchedulingMessage.Refused refused) {
     LocalSlotRequest pending = requests.get(refused.slotRequestId());
-    if (pending == null || pending.isGranted() || !pending.scheduler.equals(from)) {
+    if (pending == null || !isAwaitedFrom(from, pending)) {
       return;
     }
     requests.remove(refused.slotRequestId());
@@ -354,7 +354,7 @@
   @Override
   public void granted(SlotRequest request, String endpointId) {
     LocalSlotRequest pending = requests.get(request.id());
-    if (pending == null) {
+    if (pending == null || !isAwaitedFrom(self, pending)) {
       loop.execute(
           () ->
               scheduler.release(
@@ -371,13 +371,19 @@
 
   @Override
   public void refused(long slotRequestId, SlotRefusal refusal) {
-    LocalSlotRequest pending = requests.remove(slotRequestId);
-    if (pending != null) {
+    LocalSlotRequest pending = requests.get(slotRequestId);
+    if (pending != null && isAwaitedFrom(self, pending)) {
+      requests.remove(slotRequestId);
       pending.done = true;
       pending.listener.refused(refusal);
     }
   }
 
+  /** Returns whether a slot request still awaits the decision of a scheduler. */
+  private static boolean isAwaitedFrom(String scheduler, LocalSlotRequest pending) {
+    return !pending.isGranted() && pending.scheduler.equals(scheduler);
+  }
+
   /** Returns the number of slots held here. */
   public int heldSlots() {
     int held = 0;
