EndpointConnectionPool: one way to open a connection

The variant without the endpoint's id was used by a test only. No change of behaviour; EndpointExchangeTest, JoinedResponsesTest and LostPathTest pass.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -96,11 +96,6 @@
     this.connector = new EndpointConnector(loop, resolver, paths, silence, this);
   }
 
-  /** Sends a request to an endpoint whose id is not known, see the other method. */
-  public EndpointExchange open(String address, OutgoingRequest request, ExchangeListener listener) {
-    return open(new EndpointTarget("", address), request, listener);
-  }
-
   /** Sends a request, on an idle connection if there is one that may carry it. */
   public EndpointExchange open(
       EndpointTarget target, OutgoingRequest request, ExchangeListener listener) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/EndpointExchangeTest.java
@@ -109,7 +109,7 @@
         };
     HttpHeaders headers = new DefaultHttpHeaders().set("X-Samphiredyke-Request-Id", id);
     OutgoingRequest request = new OutgoingRequest(id, method, "/x", headers, Unpooled.EMPTY_BUFFER);
-    loop.execute(() -> pool.open(address, request, listener));
+    loop.execute(() -> pool.open(new EndpointTarget("", address), request, listener));
     return outcome.completeOnTimeout("!no outcome", 5, TimeUnit.SECONDS).join();
   }
 
