Net: a request whose connection ends before it is sent fails

What callers see: a request without an outcome.

The channel had no handlers any more, and the task ended with a NullPointerException that nobody handles, so the exchange never ended. It concerns each user of HttpClient, also the calls to the store.

Change: such a request fails as one for which no connection was made.

In the gateway's exchanges the check of the connection and the sending are one task.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.channels.ClosedChannelException;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -64,8 +65,14 @@
       connected.close();
       return;
     }
+    ResponseDecoder decoder = connected.pipeline().get(ResponseDecoder.class);
+    if (decoder == null) {
+      // A connection that has ended has no handlers any more, and would report nothing.
+      connectFailed(new ConnectFailedException(request.address(), new ClosedChannelException()));
+      return;
+    }
     DefaultFullHttpRequest encoded = encode();
-    connected.pipeline().get(ResponseDecoder.class).requestStarted(encoded.method());
+    decoder.requestStarted(encoded.method());
     connected.pipeline().addLast(this);
     lastReadNanos = nanoTime(connected);
     connected.writeAndFlush(encoded).addListener(done -> onSent(done.cause()));
