LoadRunTest: the forwarding entry states the id of the request, as hosts do

Since the client library asks again, with the same id on a new connection, if a response on a reused connection states no id. A host states it in all responses to requests (ResponseWriter) and executes an id once; the entry of this test did neither, so that a call on a reused connection was executed again. The checks are the same.

--- a/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/ForwardingEntry.java
+++ b/samphiredyke-bench/src/test/java/io/samphiredyke/bench/load/ForwardingEntry.java
@@ -57,10 +57,9 @@
   }
 
   private void forward(HttpExchange exchange, InetSocketAddress target, byte[] body) {
+    String id = String.valueOf(exchange.header("idempotency-key"));
     HttpRequest request =
-        HttpRequest.post(target, exchange.path(), body)
-            .header("idempotency-key", String.valueOf(exchange.header("idempotency-key")))
-            .build();
+        HttpRequest.post(target, exchange.path(), body).header("idempotency-key", id).build();
     CompletableFuture<?> firstSend =
         sendsTwice ? client.send(request) : CompletableFuture.completedFuture(null);
     firstSend
@@ -70,12 +69,15 @@
               if (reportsNotRunAfterDispatch) {
                 exchange.respond(
                     422,
-                    Map.of("content-type", "application/problem+json"),
+                    Map.of("content-type", "application/problem+json", "idempotency-key", id),
                     "{\"ran\":\"no\"}".getBytes(java.nio.charset.StandardCharsets.UTF_8));
                 return;
               }
               String type = response.headers().getOrDefault("content-type", "");
-              exchange.respond(response.status(), Map.of("content-type", type), response.body());
+              exchange.respond(
+                  response.status(),
+                  Map.of("content-type", type, "idempotency-key", id),
+                  response.body());
             });
   }
 
