--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathTest.java
@@ -60,19 +60,16 @@
 
   /** Sends two requests at once, of which one needs a new connection, and waits for the loss. */
   private void losePathWithIdleConnection() throws InterruptedException {
-    CompletableFuture<Object> first = send();
-    CompletableFuture<Object> second = send();
-    assertThat(first.join()).isEqualTo("own");
-    assertThat(second.join()).isEqualTo("own");
+    sendTwice();
     await(this::isLost);
     assertThat(paths.tunnelledConnections()).isEqualTo(1);
   }
 
+  /** Sends two requests in one turn of the event loop, so that they need two connections. */
   private void sendTwice() {
-    CompletableFuture<Object> first = send();
-    CompletableFuture<Object> second = send();
-    assertThat(first.join()).isEqualTo("own");
-    assertThat(second.join()).isEqualTo("own");
+    for (CompletableFuture<Object> outcome : onLoop(() -> List.of(send(), send()))) {
+      assertThat(outcome.join()).isEqualTo("own");
+    }
   }
 
   @Test
