Log: refusals of callers that retry at once have a line each

Cause: all lines but 'sent' and 'answered' share a limit of 500 a second. 16 callers without patience for Retry-After, whose endpoints have not registered yet, are refused some 1,500 times a second (145 to 157 lines in each tenth of a second of the log, until the 500 are used up).

The limit of these lines is 2,000 a second; the queue to the writer stays bounded.

DecisionLogTest.refusalsOfCallersThatRetryAtOnceAreLogged failed before (500 of 1,600 lines).

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
@@ -27,11 +27,11 @@
   /** Queue capacity in lines, about 1 MB. */
   private static final int QUEUE_LINES = 4_096;
 
-  /**
-   * Rate limit of either class; a host serves a few dozen requests per second with two or three
-   * lines each.
-   */
-  private static final int LINES_PER_SECOND = 500;
+  /** Rate limit of lines that each request has; a host serves a few dozen requests per second. */
+  private static final int ROUTINE_LINES_PER_SECOND = 500;
+
+  /** Rate limit of all others; callers that retry without a pause are refused more often. */
+  private static final int OTHER_LINES_PER_SECOND = 2_000;
 
   /** Events that each request has. */
   private static final Set<String> ROUTINE_EVENTS = Set.of("sent", "answered");
@@ -80,13 +80,17 @@
       otherLinesInSecond = 0;
       reportDropped(now);
     }
-    boolean isRoutine = ROUTINE_EVENTS.contains(event);
-    int linesInSecond = isRoutine ? ++routineLinesInSecond : ++otherLinesInSecond;
-    if (linesInSecond > LINES_PER_SECOND || !queue.offer(line(now, event, fields))) {
+    if (exceedsLimit(event) || !queue.offer(line(now, event, fields))) {
       dropped.increment();
     }
   }
 
+  private boolean exceedsLimit(String event) {
+    return ROUTINE_EVENTS.contains(event)
+        ? ++routineLinesInSecond > ROUTINE_LINES_PER_SECOND
+        : ++otherLinesInSecond > OTHER_LINES_PER_SECOND;
+  }
+
   private void reportDropped(long now) {
     long total = dropped();
     Object[] fields = {"lines", total - reportedAsDropped};
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/log/DecisionLogTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/log/DecisionLogTest.java
@@ -14,6 +14,9 @@
 
   private static final int REQUESTS = 600;
 
+  /** What 16 callers with a pause of 10 ms between two requests can be refused in a second. */
+  private static final int REFUSALS = 1_600;
+
   /** Guards against refusals that are not logged because the host is busy with other requests. */
   @Test
   void refusalIsLoggedBesideMoreRoutineLinesThanAreWritten() throws InterruptedException {
@@ -34,4 +37,16 @@
         .contains("\"log_dropped\",\"lines\":100}");
     assertThat(log.dropped()).isEqualTo(100);
   }
+
+  /** Guards against refusals that are not logged because callers retry without a pause. */
+  @Test
+  void refusalsOfCallersThatRetryAtOnceAreLogged() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    DecisionLog log = new DecisionLog(out, () -> 0);
+    for (int i = 0; i < REFUSALS; i++) {
+      log.event("refused", "id", i);
+    }
+    log.close();
+    assertThat(out.toString(StandardCharsets.UTF_8).lines()).hasSize(REFUSALS);
+  }
 }
