Net: TcpProfile sets the options of all TCP connections

Connect timeout, TCP_NODELAY and keep-alive were set in nine places, the probes by TcpKeepAlive. All of them use TcpProfile now: PROBED (to endpoints, to and from hosts with tunnels, all connections of HttpClient) or UNPROBED (accepted from callers and by HttpServer, links between daemons), as it was before. No change of behaviour.

TCP_USER_TIMEOUT is not set: Java 17 has no such option and all channels are NIO ones, so that the probes decide alone, 4 s after the other end was last heard. The test reads the options back from the sockets of each kind and checks that Java still doesn't know TCP_USER_TIMEOUT.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.http.TcpProfile;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -50,15 +51,14 @@
 
   /** Binds an address and accepts connections. */
   public CompletableFuture<Void> start(InetSocketAddress address) {
-    ChannelFuture bind =
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-            .childHandler(new Initializer())
-            .bind(address);
+            .childHandler(new Initializer());
+    ChannelFuture bind = TcpProfile.UNPROBED.accepted(bootstrap).bind(address);
     CompletableFuture<Void> started = new CompletableFuture<>();
     bind.addListener(
         done -> {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelClient.java
@@ -5,12 +5,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.samphiredyke.net.control.SocketAddresses;
-import io.samphiredyke.net.http.TcpKeepAlive;
+import io.samphiredyke.net.http.TcpProfile;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /** Opens tunnels to endpoints through other hosts. */
@@ -58,13 +58,11 @@
     TunnelRequest request = new TunnelRequest(address, endpointId, requestId, self);
     ResponseReader reader = new ResponseReader(request, listener);
     Bootstrap bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TIMEOUT_MILLIS)
-            .handler(reader);
-    ChannelFuture connecting = TcpKeepAlive.enable(bootstrap).connect(SocketAddresses.parse(peer));
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(reader);
+    ChannelFuture connecting =
+        TcpProfile.PROBED
+            .opened(bootstrap, Duration.ofMillis(TIMEOUT_MILLIS))
+            .connect(SocketAddresses.parse(peer));
     loop.schedule(() -> reader.timeOut(connecting), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     connecting.addListener(
         done -> {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
@@ -17,10 +17,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.samphiredyke.core.path.EndpointPaths;
 import io.samphiredyke.core.serving.EndpointRecord;
-import io.samphiredyke.net.http.TcpKeepAlive;
+import io.samphiredyke.net.http.TcpProfile;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -121,7 +122,6 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, MAX_CONNECTIONS)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
             .childHandler(
@@ -132,7 +132,7 @@
                   }
                 });
     CompletableFuture<@Nullable SocketAddress> started = new CompletableFuture<>();
-    ChannelFuture bind = TcpKeepAlive.enable(bootstrap).bind(address);
+    ChannelFuture bind = TcpProfile.PROBED.accepted(bootstrap).bind(address);
     bind.addListener(
         done -> {
           if (!done.isSuccess()) {
@@ -204,17 +204,16 @@
   }
 
   private Bootstrap bootstrap(Channel caller) {
-    return TcpKeepAlive.enable(
+    return TcpProfile.PROBED.opened(
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.AUTO_READ, false)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
             .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
-            .handler(new RelayHandler(caller)));
+            .handler(new RelayHandler(caller)),
+        Duration.ofMillis(CONNECT_TIMEOUT_MILLIS));
   }
 
   private void relay(Channel caller, Channel target, Tunnel tunnel) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnector.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnector.java
@@ -4,18 +4,18 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.samphiredyke.net.http.TcpKeepAlive;
+import io.samphiredyke.net.http.TcpProfile;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /** Opens the connections of a pool and probes the direct paths that are lost or may be. */
 final class EndpointConnector implements ConnectionAttempt.Connector {
 
   /** Connect timeout; within a region, connecting takes a few milliseconds. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 500;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
   private final EventLoop loop;
   private final AddressResolver resolver;
@@ -48,8 +48,6 @@
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -57,7 +55,7 @@
                     pool.initialize(channel, address);
                   }
                 });
-    return TcpKeepAlive.enable(bootstrap);
+    return TcpProfile.PROBED.opened(bootstrap, CONNECT_TIMEOUT);
   }
 
   @Override
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -95,15 +94,13 @@
   }
 
   private void connect(InetSocketAddress address, ClientExchange exchange) {
-    long connectMillis = options.connectTimeout().toMillis();
     Bootstrap bootstrap =
         new Bootstrap()
             .group(group)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis)
             .handler(new Initializer(options.tls()));
-    ChannelFuture connecting = TcpKeepAlive.enable(bootstrap).connect(address);
+    ChannelFuture connecting =
+        TcpProfile.PROBED.opened(bootstrap, options.connectTimeout()).connect(address);
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -48,10 +48,9 @@
             .group(group)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024)
-            .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new Initializer(options, handler, connections));
     CompletableFuture<HttpServer> started = new CompletableFuture<>();
-    ChannelFuture bind = bootstrap.bind(address);
+    ChannelFuture bind = TcpProfile.UNPROBED.accepted(bootstrap).bind(address);
     bind.addListener(
         done -> {
           if (done.isSuccess()) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/OutboundLink.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/OutboundLink.java
@@ -4,12 +4,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.samphiredyke.net.http.TcpProfile;
 import io.samphiredyke.schema.message.PeerMessage;
 import io.samphiredyke.schema.message.Welcome;
 import java.net.InetSocketAddress;
@@ -91,20 +91,20 @@
   }
 
   void open() {
-    int connectMillis = (int) options.connectTimeout().toMillis();
     OutboundLink self = this;
-    new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
-        .handler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel connecting) {
-                LinkPipeline.build(connecting, options.clientTls(), options, counters, self);
-              }
-            })
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel connecting) {
+                    LinkPipeline.build(connecting, options.clientTls(), options, counters, self);
+                  }
+                });
+    TcpProfile.UNPROBED
+        .opened(bootstrap, options.connectTimeout())
         .connect(address)
         .addListener(
             done -> {
@@ -112,7 +112,8 @@
                 failToReach("failed to connect to " + address);
               }
             });
-    loop.schedule(this::checkHandshake, connectMillis * 2L, TimeUnit.MILLISECONDS);
+    loop.schedule(
+        this::checkHandshake, options.connectTimeout().toMillis() * 2, TimeUnit.MILLISECONDS);
   }
 
   private void checkHandshake() {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerTransport.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/peer/PeerTransport.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.samphiredyke.net.http.TcpProfile;
 import io.samphiredyke.schema.message.PeerMessage;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -64,12 +65,11 @@
     Handshake handshake = new Handshake(self, keys);
     PeerCounters counters = new PeerCounters();
     ChannelGroup inbound = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    ChannelFuture bind =
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024)
-            .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -78,8 +78,8 @@
                     InboundLink link = new InboundLink(handshake, handler, counters);
                     LinkPipeline.build(channel, options.serverTls(), options, counters, link);
                   }
-                })
-            .bind(address);
+                });
+    ChannelFuture bind = TcpProfile.UNPROBED.accepted(bootstrap).bind(address);
     CompletableFuture<PeerTransport> started = new CompletableFuture<>();
     bind.addListener(
         done -> {
