FrontendConnection: a last response that isn't read is bounded by the idle timeout

A caller that asked for the end of the connection (or whose gateway drains, or whose request was rejected) and then read nothing kept its connection, and the unsent rest of the response in the gateway's memory, without end: checkTimeouts skipped connections that are closing, and the close waits until all bytes are flushed. The kernel gives up on an unreachable caller only after its retransmissions (tcp_retries2), and never on one that acknowledges window probes. A draining gateway waited for it to the end of the grace period.

Such a connection is closed when none of its output was taken for IdleTimeoutMs, with a line response_not_read. Output is checked instead of the time since the response's end, so that a caller that reads slowly still gets all of it.

Ruled out: kept connections (the idle timeout closes them) and running requests (the deadline aborts the response).

SlowCallerTest, with a clock that the test advances: the case "Connection: close" of callerThatReadsNothing... failed before (1 connection open instead of 0), all 3 cases pass now. FrontendServerTest and GatewayTest pass.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -52,6 +53,8 @@
   private long idleSince;
   private long firstByteAt = -1;
   private int unflushedResponses;
+  private long unsentBytes = -1;
+  private String lastRequestId = "";
   private boolean closing;
 
   FrontendConnection(FrontendServer server) {
@@ -175,6 +178,7 @@
     }
     head = null;
     body = null;
+    lastRequestId = idOf(request);
     FrontendResponseWriter current =
         new FrontendResponseWriter(this, ctx, HttpUtil.isKeepAlive(request));
     writer = current;
@@ -240,10 +244,14 @@
   /** Logs that what arrived is not handled; no request is known if its head is incomplete. */
   private void logRejected(int status, String reason) {
     HttpRequest request = head;
-    String id = request == null ? "" : request.headers().get(Headers.REQUEST_ID, "");
+    String id = request == null ? "" : idOf(request);
     server.log().event("rejected", "id", id, "status", status, "reason", reason);
   }
 
+  private static String idOf(HttpRequest request) {
+    return request.headers().get(Headers.REQUEST_ID, "");
+  }
+
   /** Closes the connection unless it is processing or receiving a request. */
   void closeIfIdle() {
     ChannelHandlerContext ctx = context;
@@ -253,15 +261,17 @@
     }
   }
 
-  /** Enforces the header and idle timeouts. */
+  /** Enforces the header and idle timeouts, the latter also while a last response is sent. */
   void checkTimeouts(CallerLimits limits, long now) {
     ChannelHandlerContext ctx = context;
-    if (ctx == null || closing || writer != null) {
+    if (ctx == null || writer != null) {
       return;
     }
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
     long idleNanos = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
-    if (head == null && firstByteAt >= 0 && now - firstByteAt > headNanos) {
+    if (closing) {
+      closeIfNotRead(ctx, idleNanos, now);
+    } else if (head == null && firstByteAt >= 0 && now - firstByteAt > headNanos) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (head != null && now - headArrivedAt > idleNanos) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -271,6 +281,19 @@
     }
   }
 
+  /** Closes the connection if the caller has taken nothing of its last response for some time. */
+  private void closeIfNotRead(ChannelHandlerContext ctx, long idleNanos, long now) {
+    ChannelOutboundBuffer output = ctx.channel().unsafe().outboundBuffer();
+    long unsent = output == null ? 0 : output.totalPendingWriteBytes() - output.currentProgress();
+    if (unsent != unsentBytes) {
+      unsentBytes = unsent;
+      idleSince = now;
+    } else if (now - idleSince > idleNanos) {
+      server.log().event("response_not_read", "id", lastRequestId, "unsent_bytes", unsent);
+      ctx.close();
+    }
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     RequestHandler.Observer current = observer;
