FrontendConnection: a response in transfer doesn't count as an idle connection

A caller that reads slowly on a kept connection got a truncated response: the idle timeout counted from when the gateway had the whole response, not from when the caller took something of it, so that all had to be read within IdleTimeoutMs. With "Connection: close" the same caller got all of it.

While a response is not flushed, kept connections have the bound of those that end with the response: no output taken for IdleTimeoutMs.

SlowCallerTest.callerThatReadsSlowlyGetsTheWholeResponse, kept connection: failed before (the connection ended within the 32 MiB), passes now, as do the other cases, FrontendServerTest, GatewayTest and GracefulShutdownTest.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -261,7 +261,7 @@
     }
   }
 
-  /** Enforces the header and idle timeouts, the latter also while a last response is sent. */
+  /** Enforces the header and idle timeouts, the latter also while a response is sent. */
   void checkTimeouts(CallerLimits limits, long now) {
     ChannelHandlerContext ctx = context;
     if (ctx == null || writer != null) {
@@ -269,7 +269,7 @@
     }
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
     long idleNanos = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
-    if (closing) {
+    if (closing || head == null && firstByteAt < 0 && unflushedResponses > 0) {
       closeIfNotRead(ctx, idleNanos, now);
     } else if (head == null && firstByteAt >= 0 && now - firstByteAt > headNanos) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -281,7 +281,7 @@
     }
   }
 
-  /** Closes the connection if the caller has taken nothing of its last response for some time. */
+  /** Closes the connection if the caller has taken nothing of its response for some time. */
   private void closeIfNotRead(ChannelHandlerContext ctx, long idleNanos, long now) {
     ChannelOutboundBuffer output = ctx.channel().unsafe().outboundBuffer();
     long unsent = output == null ? 0 : output.totalPendingWriteBytes() - output.currentProgress();
@@ -290,6 +290,7 @@
       idleSince = now;
     } else if (now - idleSince > idleNanos) {
       server.log().event("response_not_read", "id", lastRequestId, "unsent_bytes", unsent);
+      closing = true;
       ctx.close();
     }
   }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/SlowCallerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/SlowCallerTest.java
@@ -121,7 +121,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = "Connection: close\r\n")
+  @ValueSource(strings = {"", "Connection: close\r\n"})
   void callerThatReadsSlowlyGetsTheWholeResponse(String header) throws Exception {
     request(header);
     InputStream in = caller.getInputStream();
