HttpClient: idle connections are closed, also to addresses that aren't used again

maxIdleTime decided about reuse only: an idle connection was closed by the next request to its address. To an address without a next request (a host that has been replaced) it stayed open until the server closed it or the probes failed, and to a server whose process hangs without end, since its kernel acknowledges the probes.

The connections to an address are checked every maxIdleTime while there are idle ones, so that one is closed within twice that time. Which one may be reused is as before.

IdleConnectionTest, with a clock that the test advances, failed before (still open after maxIdleTime) and passes now, as do HttpClientTest and ClientExchangeTest.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpClient.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -27,7 +28,7 @@
  * <p>HTTP/1.1 matches a response to its request by the order on the connection alone, so a second
  * copy of an earlier response can be taken for the response to the next request. Connections are
  * reused only if the options say so, and only if they were idle for a short time in which nothing
- * arrived. The client never sends a request twice.
+ * arrived. They are closed within twice that time. The client never sends a request twice.
  */
 public final class HttpClient implements AutoCloseable {
 
@@ -37,6 +38,7 @@
   private final HttpClientOptions options;
   private final BodyBudget bodyBudget;
   private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
+  private final Set<InetSocketAddress> expiring = ConcurrentHashMap.newKeySet();
   private volatile boolean closed;
 
   /** Creates a client whose connections run on the given event loops. */
@@ -146,12 +148,39 @@
     synchronized (channels) {
       if (channels.size() < options.maxIdlePerAddress()) {
         channels.addLast(channel);
+        scheduleExpiry(address);
         return;
       }
     }
     channel.close();
   }
 
+  /** Schedules the next check of the idle connections to an address, unless there is one. */
+  private void scheduleExpiry(InetSocketAddress address) {
+    if (expiring.add(address)) {
+      group
+          .next()
+          .schedule(
+              () -> closeExpired(address), options.maxIdleTime().toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void closeExpired(InetSocketAddress address) {
+    expiring.remove(address);
+    Deque<Channel> channels = idle.get(address);
+    if (channels == null) {
+      return;
+    }
+    synchronized (channels) {
+      while (!channels.isEmpty() && !isReusable(channels.peekFirst())) {
+        channels.removeFirst().close();
+      }
+      if (!channels.isEmpty()) {
+        scheduleExpiry(address);
+      }
+    }
+  }
+
   /** Closes the idle connections to an address, after one to it has turned out to be dead. */
   void closeIdle(InetSocketAddress address) {
     Deque<Channel> channels = idle.get(address);
