Scheduler: a host without a path looks only at endpoints without a probe

No caller has seen this. Cause: requests of hosts without a path may only go to endpoints that run no probe. To find one, the scheduler went through all free endpoints by cost, up to their whole number at each decision, as nearly all of them run a probe while many hosts are cut off. Free endpoints are now kept in two sets, with and without a probe; these requests look at the second one, all others at both in their common order.

PoolSchedulerPathTest.decisionLooksAtFewEndpoints counts the endpoints looked at for a request.

Ruled out: a change of decisions.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointChoice.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointChoice.java
@@ -1,7 +1,6 @@
 package io.samphiredyke.core.pool;
 
 import java.util.Iterator;
-import java.util.SortedSet;
 import org.jspecify.annotations.Nullable;
 
 /** Chooses an endpoint for one request among those with a free slot. */
@@ -49,7 +48,7 @@
   }
 
   /** Compares the cheapest ones of some endpoints. */
-  void compareCheapest(SortedSet<IndexedEndpoint> byCost) {
+  void compareCheapest(Iterable<IndexedEndpoint> byCost) {
     int compared = 0;
     for (Iterator<IndexedEndpoint> i = byCost.iterator();
         i.hasNext() && compared < COMPARED_ENDPOINTS; ) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -30,8 +29,8 @@
   private final Set<String> withoutSlot = new HashSet<>();
 
   private final Map<String, IndexedEndpoint> entries = new HashMap<>();
-  private final TreeSet<IndexedEndpoint> free = new TreeSet<>(IndexedEndpoint.BY_COST);
-  private final TreeSet<IndexedEndpoint> freeIgnoringPause = new TreeSet<>(IndexedEndpoint.BY_COST);
+  private final FreeEndpoints free = new FreeEndpoints();
+  private final FreeEndpoints freeIgnoringPause = new FreeEndpoints();
   private final VersionCounts versions = new VersionCounts();
   private final TreeSet<IndexedEndpoint> withheld = new TreeSet<>(IndexedEndpoint.BY_COST);
   private final TreeSet<IndexedEndpoint> paused = new TreeSet<>(IndexedEndpoint.BY_PAUSE_END);
@@ -44,7 +43,6 @@
   private @Nullable IndexedEndpoint guaranteed;
   private int slots;
   private int pausedSlots;
-  private int probed;
   private long added;
   private long pausesEndedUntil = Long.MIN_VALUE;
 
@@ -184,8 +182,6 @@
       pausedSlots -= entry.isPaused ? entry.slots : 0;
     }
     entry.slots = 0;
-    probed -= entry.isProbed ? 1 : 0;
-    entry.isProbed = false;
     if (entry.isFree) {
       free.remove(entry);
     }
@@ -201,6 +197,7 @@
     if (entry.isWithheld) {
       withheld.remove(entry);
     }
+    entry.isProbed = false;
     entry.isWithheld = false;
     entry.isFree = false;
     entry.isFreeIgnoringPause = false;
@@ -210,7 +207,6 @@
 
   private void insert(IndexedEndpoint entry) {
     entry.isProbed = entry.load.runsProbe();
-    probed += entry.isProbed ? 1 : 0;
     // The random part spreads requests over endpoints of equal cost.
     entry.cost = entry.load.expectedCostMillis(averageWork) + random.nextDouble();
     entry.isWithheld = !filter.admits(entry.version);
@@ -295,7 +291,7 @@
   }
 
   /** Returns the endpoints with a free slot. */
-  private SortedSet<IndexedEndpoint> usable() {
+  private FreeEndpoints usable() {
     return ignoresPauses() ? freeIgnoringPause : free;
   }
 
@@ -327,9 +323,9 @@
 
   private @Nullable EndpointLoad choose(
       SlotRequest request, boolean isLost, boolean ignoresPauses) {
-    SortedSet<IndexedEndpoint> usable = usable();
+    FreeEndpoints usable = usable();
     EndpointChoice choice = new EndpointChoice(request, isLost, ignoresPauses, pausesEndedUntil);
-    choice.compareCheapest(usable);
+    choice.compareCheapest(isLost ? usable.unprobed() : usable);
     for (PromptPart part : request.estimate().parts()) {
       for (String id : holders.of(part)) {
         IndexedEndpoint holder = entries.get(id);
@@ -373,7 +369,7 @@
 
   /** Returns whether no endpoint is free for a requester that reaches none. */
   boolean hasNoneForLost() {
-    return withheld.isEmpty() && (probed == entries.size() || withoutSlot.contains(ALL_LOST));
+    return withheld.isEmpty() && (usable().unprobed().isEmpty() || withoutSlot.contains(ALL_LOST));
   }
 
   /** Returns whether a grant to a requester tests an endpoint that it may not reach. */
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerPathTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerPathTest.java
@@ -2,15 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.AbstractSet;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -26,6 +30,27 @@
   /** Time from the cut until hosts with paths must be served as before, {@code StableWindowMs}. */
   private static final int STABLE_MILLIS = 3_000;
 
+  /** An empty set of excluded endpoints that counts for how many endpoints it is asked. */
+  private static final class Visits extends AbstractSet<String> {
+    private long count;
+
+    @Override
+    public boolean contains(@Nullable Object endpoint) {
+      count++;
+      return false;
+    }
+
+    @Override
+    public Iterator<String> iterator() {
+      return Collections.emptyIterator();
+    }
+
+    @Override
+    public int size() {
+      return 0;
+    }
+  }
+
   private record Event(long at, long number, Runnable action) {}
 
   private final PriorityQueue<Event> events =
@@ -36,6 +61,7 @@
   private final Map<Long, Long> submittedAt = new HashMap<>();
   private final Map<Long, Long> grantedAt = new HashMap<>();
   private final Set<Long> failed = new HashSet<>();
+  private final Visits visits = new Visits();
   private BiPredicate<String, String> reaches = (host, endpoint) -> true;
   private int hangMillis;
   private long now;
@@ -76,7 +102,7 @@
             "",
             0,
             false,
-            Set.of(),
+            visits,
             now + 400 * MILLI,
             now + 1_000 * MILLI);
     submitted.put(request.id(), request);
@@ -219,6 +245,24 @@
     assertThat(unserved).as("not served of " + own.size()).isLessThanOrEqualTo(1);
   }
 
+  /** The cost of a decision must not grow with the endpoints, the hosts or those cut off. */
+  @ParameterizedTest
+  @CsvSource({"74, 69, 0", "74, 69, 60", "300, 69, 60", "300, 300, 100", "1000, 300, 100"})
+  void decisionLooksAtFewEndpoints(int endpoints, int count, int cut) {
+    hangMillis = 500;
+    putEndpoints(endpoints);
+    reaches = (host, endpoint) -> Integer.parseInt(host.substring(4)) >= cut;
+    send(hosts(count), count * 1_000 / (8 * endpoints), 3_000);
+    run(2_000);
+    final long before = visits.count;
+    final int submittedBefore = submitted.size();
+    run(3_000);
+    long decisions = submitted.size() - submittedBefore;
+    assertThat((visits.count - before) / decisions)
+        .as("endpoints looked at for each of %d requests", decisions)
+        .isLessThanOrEqualTo(10);
+  }
+
   /** Paths are lost and found at random, also while requests hang. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
