Scheduler: an endpoint's failures are remembered for 128 hosts at most

No caller has seen this.

Beyond 128 hosts that fail at one endpoint within 30 s, the one that failed longest ago is tried again as if it had not. That is the only change of decisions.

EndpointFailuresTest.requestersWhoseFailureIsOldestAreForgottenBeyondBound failed without the change (300 instead of 128). 388 tests of the module are green.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointFailures.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointFailures.java
@@ -26,6 +26,9 @@
   /** Time without failures after which a requester's failures are forgotten. */
   private static final long EXPIRY_NANOS = 30_000 * NANOS_PER_MILLI;
 
+  /** Requesters whose failures are remembered; those that failed last. Bounds the memory. */
+  private static final int MAX_REQUESTERS = 128;
+
   /** Consecutive failures of one requester. */
   private static final class Pair {
     private int failures;
@@ -61,7 +64,7 @@
   void failed(String requester, boolean isBlamed, boolean runsForOthers, long now) {
     Pair pair = pairs.remove(requester);
     if (pair == null) {
-      expire(now);
+      makeRoom(now);
       pair = new Pair();
     }
     pairs.put(requester, pair);
@@ -75,9 +78,12 @@
     }
   }
 
-  private void expire(long now) {
-    Iterator<Pair> oldestFirst = pairs.values().iterator();
-    while (oldestFirst.hasNext() && now - oldestFirst.next().failedAt > EXPIRY_NANOS) {
+  private void makeRoom(long now) {
+    for (Iterator<Pair> oldestFirst = pairs.values().iterator(); oldestFirst.hasNext(); ) {
+      boolean isExpired = now - oldestFirst.next().failedAt > EXPIRY_NANOS;
+      if (!isExpired && pairs.size() < MAX_REQUESTERS) {
+        return;
+      }
       oldestFirst.remove();
     }
   }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/EndpointFailuresTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/EndpointFailuresTest.java
@@ -27,4 +27,16 @@
     assertThat(failures.failingCount()).as("c and d").isEqualTo(2);
     assertThat(failures.isFailingFor("a")).isFalse();
   }
+
+  /** The state of 300 hosts and 1,000 endpoints must fit into the heap of a host. */
+  @Test
+  void requestersWhoseFailureIsOldestAreForgottenBeyondBound() {
+    for (int i = 0; i < 300; i++) {
+      fail("host" + i, i);
+      fail("host" + i, i);
+    }
+    assertThat(failures.failingCount()).isEqualTo(128);
+    assertThat(failures.isPausedFor("host171", SECOND / 10)).isFalse();
+    assertThat(failures.isPausedFor("host172", SECOND / 10)).isTrue();
+  }
 }
