Scheduler: the slots of endpoints with a limit are summed up once for all waiting requests

No caller has seen this; found while the cost of ticks was measured. The forecast of each waiting request went twice through all endpoints with a rate limit, at each tick (15 ms).

The sum is kept until an endpoint with a limit, the mean time of a slot or the slots of the other endpoints change; a decision still sums up once.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -3,7 +3,6 @@
 import io.samphiredyke.core.rollout.VersionFilter;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -34,7 +33,7 @@
   private final VersionCounts versions = new VersionCounts();
   private final TreeSet<IndexedEndpoint> withheld = new TreeSet<>(IndexedEndpoint.BY_COST);
   private final TreeSet<IndexedEndpoint> paused = new TreeSet<>(IndexedEndpoint.BY_PAUSE_END);
-  private final Set<IndexedEndpoint> limited = new LinkedHashSet<>();
+  private final LimitedEndpoints limited = new LimitedEndpoints();
   private final TreeSet<IndexedEndpoint> throttled = new TreeSet<>(IndexedEndpoint.BY_NEXT_GRANT);
   private final PromptHolders holders = new PromptHolders();
   private WorkEstimate averageWork = WorkEstimate.PLAIN;
@@ -62,13 +61,9 @@
    * @param meanHoldMillis mean time for which a request holds a slot, 0 if unknown
    */
   double slots(double meanHoldMillis) {
-    double usable = ignoresPauses() ? slots : slots - pausedSlots;
-    for (IndexedEndpoint entry : limited) {
-      if (!entry.isPaused || ignoresPauses()) {
-        usable += entry.limitedSlots(meanHoldMillis);
-      }
-    }
-    return usable;
+    boolean ignoresPauses = ignoresPauses();
+    int unlimited = ignoresPauses ? slots : slots - pausedSlots;
+    return limited.slots(unlimited, meanHoldMillis, ignoresPauses);
   }
 
   /** Returns whether there is an endpoint that a request may be sent to, now or later. */
