--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointFailures.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointFailures.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.core.pool;
 
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -25,6 +26,9 @@
   /** Time without failures after which a requester's failures are forgotten. */
   private static final long EXPIRY_NANOS = 30_000 * NANOS_PER_MILLI;
 
+  /** Requesters whose failures are remembered; those that failed last. Bounds the memory. */
+  private static final int MAX_REQUESTERS = 128;
+
   /** Consecutive failures of one requester. */
   private static final class Pair {
     private int failures;
@@ -32,7 +36,9 @@
     private long pausedUntil = Long.MIN_VALUE;
   }
 
-  private final Map<String, Pair> pairs = new HashMap<>();
+  /** In the order of their last failures. */
+  private final Map<String, Pair> pairs = new LinkedHashMap<>();
+
   private final LatestRequesters served = new LatestRequesters();
   private int failures;
   private String firstBlamer = "";
@@ -56,12 +62,12 @@
    * @param runsForOthers whether the endpoint runs requests of other requesters
    */
   void failed(String requester, boolean isBlamed, boolean runsForOthers, long now) {
-    Pair pair = pairs.get(requester);
+    Pair pair = pairs.remove(requester);
     if (pair == null) {
-      pairs.values().removeIf(each -> now - each.failedAt > EXPIRY_NANOS);
+      makeRoom(now);
       pair = new Pair();
-      pairs.put(requester, pair);
     }
+    pairs.put(requester, pair);
     pair.failures++;
     pair.failedAt = now;
     if (pair.failures >= FAILURES_TO_PAUSE) {
@@ -72,6 +78,16 @@
     }
   }
 
+  private void makeRoom(long now) {
+    for (Iterator<Pair> oldestFirst = pairs.values().iterator(); oldestFirst.hasNext(); ) {
+      boolean isExpired = now - oldestFirst.next().failedAt > EXPIRY_NANOS;
+      if (!isExpired && pairs.size() < MAX_REQUESTERS) {
+        return;
+      }
+      oldestFirst.remove();
+    }
+  }
+
   private void blame(String requester, boolean runsForOthers, long now) {
     if (failures == 0) {
       firstBlamer = requester;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointIndex.java
@@ -3,10 +3,8 @@
 import io.samphiredyke.core.rollout.VersionFilter;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -30,12 +28,12 @@
   private final Set<String> withoutSlot = new HashSet<>();
 
   private final Map<String, IndexedEndpoint> entries = new HashMap<>();
-  private final TreeSet<IndexedEndpoint> free = new TreeSet<>(IndexedEndpoint.BY_COST);
-  private final TreeSet<IndexedEndpoint> freeIgnoringPause = new TreeSet<>(IndexedEndpoint.BY_COST);
+  private final FreeEndpoints free = new FreeEndpoints();
+  private final FreeEndpoints freeIgnoringPause = new FreeEndpoints();
   private final VersionCounts versions = new VersionCounts();
   private final TreeSet<IndexedEndpoint> withheld = new TreeSet<>(IndexedEndpoint.BY_COST);
   private final TreeSet<IndexedEndpoint> paused = new TreeSet<>(IndexedEndpoint.BY_PAUSE_END);
-  private final Set<IndexedEndpoint> limited = new LinkedHashSet<>();
+  private final LimitedEndpoints limited = new LimitedEndpoints();
   private final TreeSet<IndexedEndpoint> throttled = new TreeSet<>(IndexedEndpoint.BY_NEXT_GRANT);
   private final PromptHolders holders = new PromptHolders();
   private WorkEstimate averageWork = WorkEstimate.PLAIN;
@@ -44,7 +42,6 @@
   private @Nullable IndexedEndpoint guaranteed;
   private int slots;
   private int pausedSlots;
-  private int probed;
   private long added;
   private long pausesEndedUntil = Long.MIN_VALUE;
 
@@ -64,13 +61,9 @@
    * @param meanHoldMillis mean time for which a request holds a slot, 0 if unknown
    */
   double slots(double meanHoldMillis) {
-    double usable = ignoresPauses() ? slots : slots - pausedSlots;
-    for (IndexedEndpoint entry : limited) {
-      if (!entry.isPaused || ignoresPauses()) {
-        usable += entry.limitedSlots(meanHoldMillis);
-      }
-    }
-    return usable;
+    boolean ignoresPauses = ignoresPauses();
+    int unlimited = ignoresPauses ? slots : slots - pausedSlots;
+    return limited.slots(unlimited, meanHoldMillis, ignoresPauses);
   }
 
   /** Returns whether there is an endpoint that a request may be sent to, now or later. */
@@ -184,8 +177,6 @@
       pausedSlots -= entry.isPaused ? entry.slots : 0;
     }
     entry.slots = 0;
-    probed -= entry.isProbed ? 1 : 0;
-    entry.isProbed = false;
     if (entry.isFree) {
       free.remove(entry);
     }
@@ -201,6 +192,7 @@
     if (entry.isWithheld) {
       withheld.remove(entry);
     }
+    entry.isProbed = false;
     entry.isWithheld = false;
     entry.isFree = false;
     entry.isFreeIgnoringPause = false;
@@ -210,7 +202,6 @@
 
   private void insert(IndexedEndpoint entry) {
     entry.isProbed = entry.load.runsProbe();
-    probed += entry.isProbed ? 1 : 0;
     // The random part spreads requests over endpoints of equal cost.
     entry.cost = entry.load.expectedCostMillis(averageWork) + random.nextDouble();
     entry.isWithheld = !filter.admits(entry.version);
@@ -295,7 +286,7 @@
   }
 
   /** Returns the endpoints with a free slot. */
-  private SortedSet<IndexedEndpoint> usable() {
+  private FreeEndpoints usable() {
     return ignoresPauses() ? freeIgnoringPause : free;
   }
 
@@ -327,9 +318,9 @@
 
   private @Nullable EndpointLoad choose(
       SlotRequest request, boolean isLost, boolean ignoresPauses) {
-    SortedSet<IndexedEndpoint> usable = usable();
+    FreeEndpoints usable = usable();
     EndpointChoice choice = new EndpointChoice(request, isLost, ignoresPauses, pausesEndedUntil);
-    choice.compareCheapest(usable);
+    choice.compareCheapest(isLost ? usable.unprobed() : usable);
     for (PromptPart part : request.estimate().parts()) {
       for (String id : holders.of(part)) {
         IndexedEndpoint holder = entries.get(id);
@@ -373,7 +364,7 @@
 
   /** Returns whether no endpoint is free for a requester that reaches none. */
   boolean hasNoneForLost() {
-    return withheld.isEmpty() && (probed == entries.size() || withoutSlot.contains(ALL_LOST));
+    return withheld.isEmpty() && (usable().unprobed().isEmpty() || withoutSlot.contains(ALL_LOST));
   }
 
   /** Returns whether a grant to a requester tests an endpoint that it may not reach. */
