--- a/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
+++ b/samphiredyke-bench/src/main/java/io/samphiredyke/bench/Main.java
@@ -3,6 +3,7 @@
 import io.samphiredyke.bench.capacity.CapacityCommand;
 import io.samphiredyke.bench.decisions.DecisionBench;
 import io.samphiredyke.bench.jmh.DecisionJmh;
+import io.samphiredyke.bench.jmh.PathJmh;
 import io.samphiredyke.bench.jmh.PoolJmh;
 import io.samphiredyke.bench.load.LoadCommand;
 import io.samphiredyke.bench.load.OverheadCommand;
@@ -28,6 +29,7 @@
     DECISIONS("compares scheduling decisions under load with baselines", DecisionBench::run),
     JMH("measures the time of one scheduling decision", DecisionJmh::run),
     POOL_JMH("measures the time of one decision of the pool scheduler", PoolJmh::run),
+    PATH_JMH("measures decisions of the pool scheduler while hosts are cut off", PathJmh::run),
     MEMBERSHIP("simulates failure detection among many hosts", MembershipBench::run),
     OWNERSHIP("compares protocols for at-most-once dispatch", OwnershipComparison::run),
     LOAD("generates load and verifies the outcomes", LoadCommand::run),
