Soak: brittle endpoints, and the rule LIMIT on their falls

Server-Brittle was decided on in core but had never been played by processes. The new endpoint fault BRITTLE draws, for each service, times in which all its endpoints state a number in all responses; 3 to 4.5 s later their room is one to three requests, redrawn every few seconds, and one that refuses more than the number within a second resets its connections and refuses new ones for 1.5 to 4 s. The endpoint reports each fall with its cause, and how much of its reduced room was used. ONE_HOST kills one host after the other.

The checker counts falls in each such time: 2 and a tenth of the endpoints (LIMIT); falls up to 3 s after the loss of all hosts are left out. EndpointFaultsCheckerTest covers the bound.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
@@ -27,14 +27,25 @@
   }
 
   /**
-   * A time in which all hosts were killed.
+   * A time in which hosts were killed.
    *
    * @param beginMillis milliseconds since the epoch
    * @param endMillis when all of them were ready again
+   * @param isOfAllHosts whether all hosts were killed at once
    */
-  record Outage(long beginMillis, long endMillis) {}
+  record Outage(long beginMillis, long endMillis, boolean isOfAllHosts) {}
 
   private static final int RUN_MILLIS_WORD = 4;
+  private static final int FALL_MILLIS_WORD = 7;
+
+  /** Falls of brittle endpoints that are permitted, and endpoints for which one more is. */
+  private static final int MAX_FALLS = 2;
+
+  private static final int ENDPOINTS_PER_FALL = 10;
+
+  /** Time for which a host runs before it counts as in touch. */
+  private static final long IN_TOUCH_MILLIS = 3_000;
+
   private static final Set<Integer> REJECTION_STATUSES = Set.of(400, 401, 403, 404, 413, 431);
 
   private final Observations observations;
@@ -49,7 +60,7 @@
   /**
    * Returns the broken promises.
    *
-   * @param outages when all hosts were killed
+   * @param outages when hosts were killed
    */
   static List<Finding> check(
       Observations observations, Collection<CallerOutcome> outcomes, List<Outage> outages) {
@@ -59,6 +70,7 @@
         .collect(Collectors.groupingBy(CallerOutcome::id))
         .values()
         .forEach(checker::checkExecutions);
+    observations.endpointActions().forEach(checker::checkFalls);
     return checker.findings;
   }
 
@@ -120,6 +132,30 @@
     }
   }
 
+  /**
+   * Checks that endpoints fall over at most twice and a tenth of their number in a time in which
+   * they are brittle, beside the times in which all hosts were killed.
+   */
+  private void checkFalls(String phase, List<String> actions) {
+    long endpoints = actions.stream().filter(action -> action.startsWith("brittle ")).count();
+    long falls =
+        actions.stream().filter(action -> action.startsWith("fell ") && !isExcused(action)).count();
+    if (falls > MAX_FALLS + endpoints / ENDPOINTS_PER_FALL) {
+      findings.add(new Finding("LIMIT falls of brittle endpoints", phase, actions));
+    }
+  }
+
+  private boolean isExcused(String fall) {
+    String[] words = fall.split(" ");
+    long millis = Long.parseLong(words[FALL_MILLIS_WORD]);
+    return outages.stream()
+        .anyMatch(
+            outage ->
+                outage.isOfAllHosts()
+                    && millis >= outage.beginMillis()
+                    && millis <= outage.endMillis() + IN_TOUCH_MILLIS);
+  }
+
   /** Returns when endpoints ran a request, in milliseconds since the epoch. */
   private List<Long> runs(String id) {
     return observations.endpointActions(id).stream()
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
@@ -17,6 +17,9 @@
   private final Map<String, Integer> actions = new TreeMap<>();
   private final Map<String, Integer> outcomes = new TreeMap<>();
 
+  private long usedMillis;
+  private long roomMillis;
+
   EndpointFaultsResult(
       SoakOptions options,
       Observations observations,
@@ -24,14 +27,20 @@
       List<EndpointFaultsChecker.Finding> findings) {
     this.options = options;
     this.findings = findings;
-    observations
-        .endpointActions()
-        .values()
-        .forEach(lines -> lines.forEach(line -> actions.merge(kindOf(line), 1, Integer::sum)));
+    observations.endpointActions().values().forEach(lines -> lines.forEach(this::add));
     received.forEach(
         outcome -> outcomes.merge(typeOf(outcome) + " " + outcome.summary(), 1, Integer::sum));
   }
 
+  private void add(String action) {
+    actions.merge(kindOf(action), 1, Integer::sum);
+    String[] words = action.split(" ");
+    if (words[0].equals("used")) {
+      usedMillis += Long.parseLong(words[1]);
+      roomMillis += Long.parseLong(words[3]);
+    }
+  }
+
   private static String typeOf(CallerOutcome outcome) {
     if (outcome.lastEventBefore() > 0) {
       return "take-up";
@@ -42,7 +51,7 @@
   private static String kindOf(String action) {
     String[] words = action.split(" ");
     return switch (words[0]) {
-      case "ran", "again", "spliced", "closed" -> words[0];
+      case "ran", "again", "spliced", "closed", "brittle", "fell", "used" -> words[0];
       case "copy" -> String.join(" ", words[0], words[1], words[2].replaceAll("-.*", ""), words[3]);
       default -> words[0] + " " + words[1];
     };
@@ -77,6 +86,9 @@
             + (findings.isEmpty() ? "green" : findings.size() + " findings"));
     lines.add("  endpoints: " + actions);
     lines.add("  callers: " + outcomes);
+    if (roomMillis > 0) {
+      lines.add("  reduced room used: " + 100 * usedMillis / roomMillis + " of 100");
+    }
     Map<String, List<EndpointFaultsChecker.Finding>> byKind = new TreeMap<>();
     findings.forEach(
         finding -> byKind.computeIfAbsent(finding.kind(), kind -> new ArrayList<>()).add(finding));
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -87,7 +87,7 @@
       new Operator(http, fleet.storeAddress()).writeConfiguration();
       fleet.start();
       probe.awaitReady(fleet);
-      boolean sendsAgain = has(EndpointFault.REFUSAL_COPIES);
+      boolean sendsAgain = has(EndpointFault.REFUSAL_COPIES) || has(EndpointFault.BRITTLE);
       List<KeptCaller> callers = new ArrayList<>();
       List<Thread> threads = new ArrayList<>();
       for (int i = 0; i < options.callers(); i++) {
@@ -97,7 +97,7 @@
         threads.add(new Thread(caller, "caller-" + i));
       }
       threads.forEach(Thread::start);
-      kill(fleet);
+      injectFaults(fleet);
       callers.forEach(KeptCaller::stop);
       for (Thread thread : threads) {
         thread.join(END_MILLIS);
@@ -111,28 +111,44 @@
     return List.of(options.endpointFaults().split(",")).contains(fault.name());
   }
 
-  /** Kills endpoints and hosts until the end of the run. */
-  private void kill(Fleet fleet) throws InterruptedException {
-    boolean killsEndpoints = has(EndpointFault.KILLS);
-    boolean killsHosts = has(EndpointFault.HOSTS);
-    long end = System.currentTimeMillis() + TimeUnit.SECONDS.toMillis(options.seconds());
+  /** Kills endpoints and hosts, and makes endpoints brittle, until the end of the run. */
+  private void injectFaults(Fleet fleet) throws InterruptedException {
+    long begin = System.currentTimeMillis();
+    long end = begin + TimeUnit.SECONDS.toMillis(options.seconds());
     long killMillis = ENDPOINT_KILL_MILLIS / options.endpoints();
-    long nextEndpoint = System.currentTimeMillis() + killMillis;
-    long nextHosts = System.currentTimeMillis() + HOSTS_KILL_MILLIS / 2;
-    for (long now = System.currentTimeMillis(); now < end; now = System.currentTimeMillis()) {
-      if (killsEndpoints && now > nextEndpoint) {
+    long nextEndpoint = begin + killMillis;
+    long nextHosts = begin + HOSTS_KILL_MILLIS / 2;
+    BrittlePhases phases = new BrittlePhases(fleet, random.split(), begin);
+    for (long now = begin; now < end; now = System.currentTimeMillis()) {
+      if (has(EndpointFault.BRITTLE)) {
+        phases.advance(now);
+      }
+      if (has(EndpointFault.KILLS) && now > nextEndpoint) {
         replace(fleet.endpoint(random.nextInt(options.endpoints())));
         nextEndpoint = now + killMillis;
       }
-      if (killsHosts && now > nextHosts) {
-        fleet.hosts().forEach(host -> host.process().signal("KILL"));
-        fleet.hosts().forEach(Fleet.Host::restart);
-        probe.awaitReady(fleet);
-        outages.add(new EndpointFaultsChecker.Outage(now, System.currentTimeMillis()));
+      if (has(EndpointFault.HOSTS) && now > nextHosts) {
+        killHosts(fleet, fleet.hosts());
+        nextHosts = now + HOSTS_KILL_MILLIS;
+      } else if (has(EndpointFault.ONE_HOST) && now > nextHosts) {
+        killHosts(fleet, List.of(fleet.host(random.nextInt(options.hosts()))));
         nextHosts = now + HOSTS_KILL_MILLIS;
       }
       Thread.sleep(POLL_MILLIS);
     }
+    if (has(EndpointFault.BRITTLE)) {
+      phases.end(end);
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+
+  private void killHosts(Fleet fleet, List<Fleet.Host> hosts) {
+    long begin = System.currentTimeMillis();
+    hosts.forEach(host -> host.process().signal("KILL"));
+    hosts.forEach(Fleet.Host::restart);
+    probe.awaitReady(fleet);
+    boolean isOfAll = hosts.size() == options.hosts();
+    outages.add(new EndpointFaultsChecker.Outage(begin, System.currentTimeMillis(), isOfAll));
   }
 
   /** Kills an endpoint, reads its output to the end and starts another one. */
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
@@ -157,6 +157,10 @@
       return link;
     }
 
+    String service() {
+      return isStream ? "model" : "plain";
+    }
+
     synchronized ChildProcess process() {
       return process;
     }
@@ -214,7 +218,7 @@
   }
 
   private ChildProcess startEndpoint(Endpoint endpoint) {
-    String service = endpoint.isStream ? "model" : "plain";
+    String service = endpoint.service();
     int number = instanceCount.incrementAndGet();
     String id = service.charAt(0) + "-" + number;
     List<String> arguments = new ArrayList<>();
@@ -279,6 +283,10 @@
     return hosts.get(target % hosts.size());
   }
 
+  List<Endpoint> endpoints() {
+    return endpoints;
+  }
+
   Endpoint endpoint(int target) {
     return endpoints.get(target % endpoints.size());
   }
--- a/samphiredyke-soak/src/test/java/io/samphiredyke/soak/EndpointFaultsCheckerTest.java
+++ b/samphiredyke-soak/src/test/java/io/samphiredyke/soak/EndpointFaultsCheckerTest.java
@@ -72,4 +72,16 @@
     assertThat(kinds(outcome(503, 10, 20), outcome(200, 20, 50)))
         .containsExactly("TWICE, copy met its own id");
   }
+
+  @Test
+  void brittleEndpointsMayFallTwice() {
+    observations.recordEndpointAction("p-1", "brittle plain-1 3 1000");
+    observations.recordEndpointAction("p-2", "brittle plain-1 3 1000");
+    String fall = "fell plain-1 4 refusals, tolerated 3, room 1 ";
+    observations.recordEndpointAction("p-1", fall + 4_000);
+    observations.recordEndpointAction("p-2", fall + 4_100);
+    assertThat(kinds()).isEmpty();
+    observations.recordEndpointAction("p-1", fall + 9_000);
+    assertThat(kinds()).containsExactly("LIMIT falls of brittle endpoints");
+  }
 }
