Soak: hosts that are stopped for some hundred milliseconds

HOST_PAUSES stops a random host for 80 to 600 ms about once a second, so that its requesters turn to another scheduler while it still decides for the others; on a busy machine this happens by itself, but not by seed.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -27,6 +27,12 @@
 
   private static final long HOSTS_KILL_MILLIS = 9_000;
   private static final int KILL_SECONDS = 10;
+  private static final int MIN_PAUSE_MILLIS = 80;
+  private static final int MAX_PAUSE_MILLIS = 600;
+
+  /** Polls for each pause of a host, on average. */
+  private static final int PAUSE_ONE_IN = 8;
+
   private static final long POLL_MILLIS = 100;
   private static final long END_MILLIS = 8_000;
 
@@ -134,6 +140,9 @@
         killHosts(fleet, List.of(fleet.host(random.nextInt(options.hosts()))));
         nextHosts = now + HOSTS_KILL_MILLIS;
       }
+      if (has(EndpointFault.HOST_PAUSES) && random.nextInt(PAUSE_ONE_IN) == 0) {
+        pause(fleet.host(random.nextInt(options.hosts())));
+      }
       Thread.sleep(POLL_MILLIS);
     }
     if (has(EndpointFault.BRITTLE)) {
@@ -142,6 +151,12 @@
     }
   }
 
+  private void pause(Fleet.Host host) throws InterruptedException {
+    host.process().signal("STOP");
+    Thread.sleep(MIN_PAUSE_MILLIS + random.nextInt(MAX_PAUSE_MILLIS - MIN_PAUSE_MILLIS));
+    host.process().signal("CONT");
+  }
+
   private void killHosts(Fleet fleet, List<Fleet.Host> hosts) {
     long begin = System.currentTimeMillis();
     hosts.forEach(host -> host.process().signal("KILL"));
