Schedulers share the refusals of brittle endpoints

Callers saw brittle endpoints fall over one after the other, with 502 and 503, whenever two hosts scheduled their service at once. An endpoint bears N refusals a second in all, but each scheduler knew only of the refusals of its own grants, and one that took over granted N more at once. A host that started knew nothing of the statements before the first response to its own requests.

Now the requester states each refusal of a brittle endpoint to the scheduler of the service and the next one as well (EndpointFull, two messages a refusal at most, counted once by the id of the slot request). A scheduler that receives a service's first request in 2 s waits 150 ms, the time after which a request counts as accepted, before it grants at brittle endpoints, and uses half of N for 1.2 s. Two hosts, the same ones for all, tell a host that starts what endpoints state.

Not bounded: requests that two schedulers have granted at the same time and that are undecided, up to half of N more.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLimits.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLimits.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ObjDoubleConsumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -101,6 +102,16 @@
     return ended;
   }
 
+  /** Calls an action for each endpoint with a limit, and its limit. */
+  public void forEach(ObjDoubleConsumer<String> action) {
+    limits.forEach(
+        (id, limit) -> {
+          if (limit.perSecond() != NONE) {
+            action.accept(id, limit.perSecond());
+          }
+        });
+  }
+
   /** Returns the number of endpoints with a limit. */
   public int size() {
     int limited = 0;
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointLoad.java
@@ -283,7 +283,7 @@
       }
       case FAILED, BROKEN_OFF ->
           failures.failed(requester, path == RequesterPath.SOUND, runsForOthers(requester), now);
-      case FULL -> room.refused(running.size(), now);
+      case FULL -> room.refused(requestId, running.size(), now);
       default -> {}
     }
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointRoom.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/EndpointRoom.java
@@ -1,8 +1,6 @@
 package io.samphiredyke.core.pool;
 
-import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -14,6 +12,9 @@
  * requests a second, while its room shrinks without notice. Each request that it has neither
  * refused nor accepted yet may be refused. As long as an endpoint is brittle, these and the
  * refusals of the last second together stay within the stated number.
+ *
+ * <p>The number holds for all schedulers together. Refusals are stated to all that may decide, and
+ * a new one first waits for what the one before it granted.
  */
 final class EndpointRoom {
 
@@ -31,16 +32,20 @@
   /** Time without refusals after which a brittle endpoint is tried with one more request. */
   private static final long GROWTH_NANOS = 1_000 * NANOS_PER_MILLI;
 
+  /** Part of the refusals that a new scheduler may cause while the one before may still grant. */
+  private static final double SHARE_AFTER_TAKEOVER = 0.5;
+
   /** Larger numbers of refusals are not reached within a second. */
   private static final int MAX_TOLERATED = 100;
 
   private final Map<Long, Long> undecided = new HashMap<>();
-  private final Deque<Long> refusals = new ArrayDeque<>();
+  private final Map<Long, Long> refusals = new HashMap<>();
   private double tolerated = ANY;
   private double share = 1;
   private int room = Integer.MAX_VALUE;
   private long changedAt;
   private long nextGrantAt = Long.MIN_VALUE;
+  private long takenOverAt = Long.MIN_VALUE;
 
   /**
    * Sets the refusals a second that the endpoint bears.
@@ -101,35 +106,59 @@
   }
 
   /** Records a refusal for want of room. */
-  void refused(int running, long now) {
+  void refused(long requestId, int running, long now) {
     room = Math.max(1, running);
     changedAt = now;
+    countRefusal(requestId, now);
+  }
+
+  /** Records the refusal of a request that another scheduler granted. */
+  void refusedElsewhere(long requestId, long now) {
+    countRefusal(requestId, now);
+  }
+
+  private void countRefusal(long requestId, long now) {
     if (isBrittle()) {
-      refusals.addLast(now + REFUSAL_NANOS);
+      refusals.putIfAbsent(requestId, now + REFUSAL_NANOS);
       update(now);
     }
   }
 
+  /** Records that this scheduler decides from now on, after one whose grants it does not know. */
+  void takeOver(long now) {
+    takenOverAt = now;
+    update(now);
+  }
+
   /** Computes when refusals and undecided requests together leave room for another request. */
   private void update(long now) {
     undecided.values().removeIf(end -> end <= now);
-    while (!refusals.isEmpty() && refusals.peekFirst() <= now) {
-      refusals.removeFirst();
+    refusals.values().removeIf(end -> end <= now);
+    nextGrantAt = Long.MIN_VALUE;
+    if (!isBrittle()) {
+      return;
+    }
+    if (isWithin(ACCEPTANCE_NANOS, now)) {
+      nextGrantAt = takenOverAt + ACCEPTANCE_NANOS;
     }
-    int permitted = (int) Math.max(1, Math.min(tolerated, MAX_TOLERATED) * share);
+    double usable = isWithin(REFUSAL_NANOS, now) ? share * SHARE_AFTER_TAKEOVER : share;
+    int permitted = (int) Math.max(1, Math.min(tolerated, MAX_TOLERATED) * usable);
     int counted = undecided.size() + refusals.size();
-    nextGrantAt = Long.MIN_VALUE;
-    if (isBrittle() && counted >= permitted) {
+    if (counted >= permitted) {
       long[] ends = new long[counted];
       int i = 0;
       for (long end : undecided.values()) {
         ends[i++] = end;
       }
-      for (long end : refusals) {
+      for (long end : refusals.values()) {
         ends[i++] = end;
       }
       Arrays.sort(ends);
-      nextGrantAt = ends[counted - permitted];
+      nextGrantAt = Math.max(nextGrantAt, ends[counted - permitted]);
     }
   }
+
+  private boolean isWithin(long nanos, long now) {
+    return takenOverAt != Long.MIN_VALUE && now - takenOverAt < nanos;
+  }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -48,6 +48,7 @@
   private final Map<String, QuotaBucket> quotas = new HashMap<>();
   private final PartQuarantine quarantine = new PartQuarantine();
   private final CrashGuard.Factory crashGuards = new CrashGuard.Factory(quarantine);
+  private final BrittleEndpoints brittle = new BrittleEndpoints();
   private @Nullable ServingConfiguration configuration;
   private double capacityShare = 1;
   private boolean hasReceivedRequest;
@@ -126,9 +127,20 @@
    * @param perSecond the number, {@link EndpointLimits#NONE} for an endpoint that is not brittle
    */
   public void tolerateRefusals(String endpointId, double perSecond, long now) {
+    brittle.stated(endpointId, perSecond);
     stated(endpointId, load -> load.room().setTolerated(perSecond, now), now);
   }
 
+  /** Records that an endpoint refused a request for want of room that another host granted. */
+  public void refusedElsewhere(String endpointId, long requestId, long now) {
+    stated(endpointId, load -> load.room().refusedElsewhere(requestId, now), now);
+  }
+
+  /** Returns whether an endpoint fails if it has to refuse too many requests for want of room. */
+  public boolean isBrittle(String endpointId) {
+    return brittle.contains(endpointId);
+  }
+
   private void stated(String endpointId, Consumer<EndpointLoad> statement, long now) {
     ServicePool pool = poolOf(endpointId);
     if (pool != null) {
@@ -179,7 +191,11 @@
     if (!request.isRetry() && !tryTakeQuota(request, now)) {
       return;
     }
-    pool(request.service()).submit(request, now);
+    ServicePool pool = pool(request.service());
+    for (String id : brittle.requested(request.service(), TAKEOVER_IDLE_NANOS, now)) {
+      pool.stated(id, load -> load.room().takeOver(now));
+    }
+    pool.submit(request, now);
   }
 
   private boolean tryTakeQuota(SlotRequest request, long now) {
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerBrittleTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerBrittleTest.java
@@ -6,9 +6,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -26,12 +27,16 @@
 
   private static final long SERVICE_TIME = 60 * MILLI;
 
-  private record Running(long id, String endpoint, long endsAt, Outcome outcome) {}
+  private record Running(
+      PoolScheduler scheduler, long id, String endpoint, long endsAt, Outcome outcome) {}
 
   private final Deque<Running> running = new ArrayDeque<>();
   private final Map<String, List<Long>> refusedAt = new HashMap<>();
   private int room = SLOTS;
   private int served;
+  private @Nullable PoolScheduler successor;
+  private PoolScheduler current = scheduler;
+  private boolean isFirstAlive = true;
   private long now;
 
   @Override
@@ -42,27 +47,38 @@
             .filter(each -> each.endpoint().equals(endpointId) && each.outcome() == Outcome.SERVED)
             .count();
     if (inUse < room) {
-      running.add(new Running(request.id(), endpointId, now + SERVICE_TIME, Outcome.SERVED));
+      running.add(
+          new Running(current, request.id(), endpointId, now + SERVICE_TIME, Outcome.SERVED));
       return;
     }
     refusedAt.computeIfAbsent(endpointId, id -> new ArrayList<>()).add(now + DELAY);
-    running.add(new Running(request.id(), endpointId, now + 2 * DELAY, Outcome.FULL));
+    running.add(new Running(current, request.id(), endpointId, now + 2 * DELAY, Outcome.FULL));
   }
 
   private void load(long until) {
     for (; now < until; now += STEP) {
       for (int i = 0; i < 4; i++) {
-        scheduler.submit(request(now / STEP * 4 + i, 0, now, 300), now);
+        current.submit(request(now / STEP * 4 + i, 0, now, 300), now);
       }
-      for (Iterator<Running> i = running.iterator(); i.hasNext(); ) {
-        Running each = i.next();
+      for (Running each : List.copyOf(running)) {
         if (each.endsAt() <= now) {
-          i.remove();
+          running.remove(each);
           served += each.outcome() == Outcome.SERVED ? 1 : 0;
-          scheduler.release("s", each.endpoint(), each.id(), each.outcome(), 60, now);
+          release(each);
         }
       }
-      scheduler.tick(now);
+      current.tick(now);
+    }
+  }
+
+  /** Tells the scheduler of a request, and the present one what it has to know of others. */
+  private void release(Running ended) {
+    if (isFirstAlive || ended.scheduler() != scheduler) {
+      ended.scheduler().release("s", ended.endpoint(), ended.id(), ended.outcome(), 60, now);
+    }
+    PoolScheduler told = ended.scheduler() == current ? successor : current;
+    if (ended.outcome() == Outcome.FULL && told != null) {
+      told.refusedElsewhere(ended.endpoint(), ended.id(), now);
     }
   }
 
@@ -96,6 +112,30 @@
     assertThat(mostRefusedInASecond()).isLessThanOrEqualTo(tolerated);
   }
 
+  /** The number holds for all schedulers; grants of one that has failed are not known. */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, 8})
+  void refusalsStayWithinItWhenAnotherSchedulerTakesOver(int tolerated) {
+    PoolScheduler second =
+        new PoolScheduler(new PoolOptions(0.2, 10, 0, 0, 300), this, new SplittableRandom(8));
+    successor = second;
+    start(tolerated);
+    for (int i = 0; i < ENDPOINTS; i++) {
+      second.put(endpoint("e-" + i, SLOTS), 0);
+      second.tolerateRefusals("e-" + i, tolerated, 0);
+    }
+    load(3 * SECOND);
+    room = 2;
+    load(now + 4 * STEP);
+    isFirstAlive = false;
+    current = second;
+    load(now + 3 * SECOND);
+    assertThat(mostRefusedInASecond()).isLessThanOrEqualTo(tolerated);
+    served = 0;
+    load(now + 5 * SECOND);
+    assertThat(served).isGreaterThan((int) (0.5 * ENDPOINTS * 2 * 5 * SECOND / SERVICE_TIME));
+  }
+
   @Test
   void endpointIsUsedFullyAfterItsBrittleness() {
     start(2);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/EndpointStatements.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/EndpointStatements.java
@@ -131,6 +131,14 @@
     leavingListener.leaving(message.endpointId(), message.startedAtMillis());
   }
 
+  /** Tells a new host what endpoints state; of all hosts, only the two assigned to it do. */
+  void memberReturned(String host, SchedulerSelector selector) {
+    if (selector.candidates(host, loop.nanoTime()).contains(self)) {
+      limits.tell(host);
+      refusals.tell(host);
+    }
+  }
+
   /** Ends figures that no response has confirmed for long. */
   void expire() {
     limits.expire();
@@ -206,6 +214,10 @@
       onChange.accept(endpointId, perSecond);
     }
 
+    void tell(String host) {
+      known.forEach((id, perSecond) -> transport.accept(host, message.apply(id, perSecond)));
+    }
+
     void expire() {
       for (String endpointId : known.expire(loop.nanoTime())) {
         logChange(endpointId, EndpointLimits.NONE, "expired");
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -224,6 +224,7 @@
     boolean isReachable = change.current() == MemberState.ALIVE;
     if (isReachable && change.old() != MemberState.ALIVE && !isSelf(change.member())) {
       crashes.memberReturned(change.member().address());
+      statements.memberReturned(change.member().address(), slotClient.selector());
     }
     if (!change.current().isLive()) {
       slotClient.hostGone(change.member().address());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulerSelector.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulerSelector.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Selects the host that schedules a service. All hosts that see the same members select the same
@@ -41,10 +42,26 @@
    * Returns the peer address of the scheduler of a service, or this host's if there is no other.
    */
   String select(String service, long now) {
+    return brokers(service, now).map(brokers -> brokers.primary().address()).orElse(self);
+  }
+
+  /** Returns the peer addresses of the scheduler of a service and of the next one after it. */
+  List<String> candidates(String service, long now) {
+    List<String> addresses = new ArrayList<>();
+    brokers(service, now)
+        .ifPresent(
+            brokers -> {
+              addresses.add(brokers.primary().address());
+              brokers.secondary().ifPresent(member -> addresses.add(member.address()));
+            });
+    return addresses;
+  }
+
+  private Optional<BrokerAssignment.Brokers> brokers(String service, long now) {
     if (validUntil == Long.MIN_VALUE || now - validUntil >= 0) {
       rebuild(now);
     }
-    return assignment.brokers(service, "").map(brokers -> brokers.primary().address()).orElse(self);
+    return assignment.brokers(service, "");
   }
 
   private void rebuild(long now) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulerService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulerService.java
@@ -7,6 +7,7 @@
 import io.samphiredyke.core.pool.SlotRequest;
 import io.samphiredyke.core.pool.WorkEstimate;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
@@ -77,6 +78,8 @@
           released.outcome(),
           released.millis(),
           now);
+    } else if (message instanceof SchedulingMessage.EndpointFull full) {
+      scheduler.refusedElsewhere(full.endpointId(), full.slotRequestId(), now);
     } else if (message instanceof SchedulingMessage.HeldSlotsReport report) {
       reconcile(from, report, now);
     }
@@ -116,6 +119,30 @@
         now + (long) (acquire.startDeadlineMillis() * NANOS_PER_MILLI));
   }
 
+  /**
+   * Tells the hosts that may schedule a service besides the one that granted a request that a
+   * brittle endpoint refused the request.
+   *
+   * @param schedulers the hosts, which may include the one that granted it
+   */
+  void stateRefusal(LocalSlotRequest refused, Collection<String> schedulers, long now) {
+    String endpointId = refused.endpointId();
+    if (!scheduler.isBrittle(endpointId)) {
+      return;
+    }
+    long id = refused.request.id();
+    for (String host : schedulers) {
+      if (host.equals(refused.scheduler)) {
+        continue;
+      }
+      if (host.equals(self)) {
+        scheduler.refusedElsewhere(endpointId, id, now);
+      } else {
+        transport.accept(host, new SchedulingMessage.EndpointFull(endpointId, id));
+      }
+    }
+  }
+
   private void reconcile(String from, SchedulingMessage.HeldSlotsReport report, long now) {
     Set<Long> ids = new HashSet<>();
     report.slots().forEach(held -> ids.add(held.slotRequestId()));
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
@@ -112,6 +112,9 @@
   record EndpointBrittle(String endpointId, double refusalsPerSecond)
       implements SchedulingMessage {}
 
+  /** A brittle endpoint refused a request of the sender, which another host granted. */
+  record EndpointFull(String endpointId, long slotRequestId) implements SchedulingMessage {}
+
   /** An instance of an endpoint stated in a response to the sender that it leaves. */
   record EndpointLeaving(String endpointId, long startedAtMillis) implements SchedulingMessage {}
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
@@ -51,6 +51,7 @@
   private static final int STREAM_ORIGIN_RESPONSE = 21;
   private static final int ROLLOUT_STAGED = 22;
   private static final int ENDPOINT_BRITTLE = 23;
+  private static final int ENDPOINT_FULL = 24;
 
   private SchedulingMessageCodec() {}
 
@@ -92,6 +93,8 @@
     } else if (message instanceof SchedulingMessage.EndpointBrittle brittle) {
       packer.packInt(ENDPOINT_BRITTLE).packString(brittle.endpointId());
       packer.packDouble(brittle.refusalsPerSecond());
+    } else if (message instanceof SchedulingMessage.EndpointFull full) {
+      packer.packInt(ENDPOINT_FULL).packString(full.endpointId()).packLong(full.slotRequestId());
     } else if (message instanceof SchedulingMessage.EndpointLeaving leaving) {
       packer.packInt(ENDPOINT_LEAVING).packString(leaving.endpointId());
       packer.packLong(leaving.startedAtMillis());
@@ -279,6 +282,7 @@
           new SchedulingMessage.EndpointLimit(in.unpackString(), in.unpackDouble());
       case ENDPOINT_BRITTLE ->
           new SchedulingMessage.EndpointBrittle(in.unpackString(), in.unpackDouble());
+      case ENDPOINT_FULL -> new SchedulingMessage.EndpointFull(in.unpackString(), in.unpackLong());
       case ENDPOINT_LEAVING ->
           new SchedulingMessage.EndpointLeaving(in.unpackString(), in.unpackLong());
       case CONFIGURATION_POSITION ->
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
@@ -179,6 +179,10 @@
     requests.remove(pending.request.id());
     double millis = (loop.nanoTime() - pending.grantedAt) / NANOS_PER_MILLI;
     sendRelease(pending, pending.endpointId(), outcome, millis);
+    if (outcome == Outcome.FULL) {
+      List<String> schedulers = selector.candidates(pending.request.service(), loop.nanoTime());
+      schedulerService.stateRefusal(pending, schedulers, loop.nanoTime());
+    }
   }
 
   private void sendRelease(
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndpointLimitTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndpointLimitTest.java
@@ -141,4 +141,15 @@
     postConcurrently(first, "/unsafe/x");
     await(() -> second.gateway().peers().statements().brittleEndpoints() == 0);
   }
+
+  /** A host that starts may schedule at once, before an endpoint has answered it. */
+  @Test
+  void brittlenessIsToldToHostThatStarts() {
+    RunningGateway first = startConfiguredGateway();
+    plainEndpoints.get(0).setStatements(Map.of("Server-Brittle", "3"));
+    postConcurrently(first, "/unsafe/x");
+    await(() -> first.gateway().peers().statements().brittleEndpoints() == 1);
+    RunningGateway second = startGateway("host-2", List.of(first.peerAddress()));
+    await(() -> second.gateway().peers().statements().brittleEndpoints() == 1);
+  }
 }
