--- a/samphiredyke-soak/src/test/java/io/samphiredyke/soak/EndpointFaultsTest.java
+++ b/samphiredyke-soak/src/test/java/io/samphiredyke/soak/EndpointFaultsTest.java
@@ -50,4 +50,9 @@
   void copyOfRefusalIsNotTheAnswerToTheSameIdSentAgain() {
     assertNoFindings(run(6, 2, 4, 8, "REFUSAL_COPIES"));
   }
+
+  @Test
+  void brittleEndpointsDoNotFallOver() {
+    assertNoFindings(run(7, 3, 5, 20, "BRITTLE"));
+  }
 }
