Gateway: a stream stays at an endpoint that is silent for a second

Callers of resumable streams saw streams cut, or continued at a second endpoint while the first one still worked on them, when a sound endpoint was silent for 0.8 to 1.5 s. Cause: InactivityTimeout ended a stream after four of its gaps or objectives, 150 ms at least. The first check came after four objectives, so that most pauses that covered it were cut.

A longer limit for safe requests: they may run twice.

Conclusion: no stream is cut for a pause of up to 1.5 s. A stream on an endpoint that hangs is resumed later, and too late for callers that wait 2 s if it has not begun. The failures of safe requests in a pause still count against the endpoint.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -269,7 +269,7 @@
       return;
     }
     attempts.possiblyRun();
-    Duration limit = Duration.ofMillis(InactivityTimeout.betweenChunks(route));
+    Duration limit = Duration.ofMillis(InactivityTimeout.untilContinued(route));
     unconfirmedEnd.begin(serving, context.loop().schedule(this::stopConfirming, limit));
     retry(serving, "the stream ended with its connection");
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/InactivityTimeout.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/InactivityTimeout.java
@@ -8,7 +8,9 @@
  * endpoint.
  *
  * <p>It detects endpoints that hang or have become unreachable. Their connections stay open, so
- * that without it the caller would wait until its own timeout.
+ * that without it the caller would wait until its own timeout. A sound endpoint may be silent for
+ * about a second and go on with what it runs, so only a request that may run twice is repeated
+ * sooner.
  */
 final class InactivityTimeout {
 
@@ -31,6 +33,12 @@
   /** Minimum timeout; shorter pauses are common on busy hosts. */
   private static final long MIN_MILLIS = 150;
 
+  /**
+   * Longest silence of a sound endpoint, 1.5 s, with a reserve for busy hosts. It adds to the time
+   * that an event takes without it. Callers wait at least 2 s for an event.
+   */
+  private static final long MAX_SILENCE_MILLIS = 1_750;
+
   private InactivityTimeout() {}
 
   /** Returns the timeout before the first event or the plain response, in milliseconds. */
@@ -40,12 +48,25 @@
     }
     long objectives = (long) OBJECTIVES_TO_FIRST_EVENT * route.objectiveMillis();
     return Math.max(
-        MIN_MILLIS, objectives + estimate.promptTokens() / SLOW_PREFILL_TOKENS_PER_MILLI);
+        MAX_SILENCE_MILLIS + route.objectiveMillis(),
+        objectives + estimate.promptTokens() / SLOW_PREFILL_TOKENS_PER_MILLI);
   }
 
   /** Returns the timeout between two chunks of a response, in milliseconds. */
   static long betweenChunks(Route route) {
-    long gap = route.eventGapMillis() > 0 ? route.eventGapMillis() : route.objectiveMillis();
-    return Math.max(MIN_MILLIS, MAX_GAPS * gap);
+    return Math.max(MAX_SILENCE_MILLIS + gap(route), MAX_GAPS * gap(route));
+  }
+
+  /**
+   * Returns how long an attempt to continue a stream that has ended regularly may take, in
+   * milliseconds.
+   */
+  static long untilContinued(Route route) {
+    return Math.max(MIN_MILLIS, MAX_GAPS * gap(route));
+  }
+
+  /** Returns the longest gap between events that are on time. */
+  private static long gap(Route route) {
+    return route.eventGapMillis() > 0 ? route.eventGapMillis() : route.objectiveMillis();
   }
 }
