--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerBrittleTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerBrittleTest.java
@@ -76,9 +76,9 @@
     if (isFirstAlive || ended.scheduler() != scheduler) {
       ended.scheduler().release("s", ended.endpoint(), ended.id(), ended.outcome(), 60, now);
     }
-    PoolScheduler told = ended.scheduler() == current ? successor : current;
-    if (ended.outcome() == Outcome.FULL && told != null) {
-      told.refusedElsewhere(ended.endpoint(), ended.id(), now);
+    PoolScheduler other = ended.scheduler() == current ? successor : current;
+    if (ended.outcome() == Outcome.FULL && other != null) {
+      other.refusedElsewhere(ended.endpoint(), ended.id(), now);
     }
   }
 
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/BrittlePhases.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/BrittlePhases.java
@@ -24,7 +24,7 @@
   private static final int CHANGE_MILLIS = 2_500;
   private static final int PAUSE_MILLIS = 3_000;
 
-  /** Time after which endpoints are told again, as they may have been replaced. */
+  /** Time after which the state is sent again, as endpoints may have been replaced. */
   private static final long REPEAT_MILLIS = 500;
 
   private final SplittableRandom random;
@@ -39,15 +39,15 @@
     private int tolerated;
     private long changesAt;
     private long endsAt;
-    private long toldAt;
+    private long sentAt;
 
     Service(List<Fleet.Endpoint> endpoints, long changesAt) {
       this.endpoints = endpoints;
       this.changesAt = changesAt;
     }
 
-    void tell(long now) {
-      toldAt = now;
+    void send(long now) {
+      sentAt = now;
       for (Fleet.Endpoint endpoint : endpoints) {
         int room = rooms.getOrDefault(endpoint, FULL_ROOM);
         endpoint.process().sendCommand("brittle " + phase + " " + tolerated + " " + room);
@@ -70,9 +70,9 @@
         (name, service) -> {
           if (now >= service.changesAt) {
             change(name, service, now);
-            service.tell(now);
-          } else if (now - service.toldAt >= REPEAT_MILLIS) {
-            service.tell(now);
+            service.send(now);
+          } else if (now - service.sentAt >= REPEAT_MILLIS) {
+            service.send(now);
           }
         });
   }
@@ -104,7 +104,7 @@
   void end(long now) {
     for (Service service : services.values()) {
       end(service);
-      service.tell(now);
+      service.send(now);
     }
   }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
@@ -43,7 +43,7 @@
 
   private static final int ENDPOINTS_PER_FALL = 10;
 
-  /** Time for which a host runs before it counts as in touch. */
+  /** Time for which a host runs before falls count. */
   private static final long IN_TOUCH_MILLIS = 3_000;
 
   private static final Set<Integer> REJECTION_STATUSES = Set.of(400, 401, 403, 404, 413, 431);
