HttpClientTest: the action that occupies the loop is added before its response can arrive

Cause, in the test: the response to /ok could arrive before the test's thread had added the action, which then ran on that thread. A trial with 50 ms between both fails in the same way. The product is not concerned.

--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/HttpClientTest.java
@@ -291,8 +291,12 @@
     Duration timeout = TIMEOUT.multipliedBy(5);
     CompletableFuture<HttpResponse> response = get("/while-busy", true, timeout);
     step.await();
+    // Sent by the loop, so that the response can't arrive before its action is added.
     CompletableFuture<Boolean> wasBusy =
-        get("/ok", true, LONG_TIMEOUT).thenApply(it -> occupyLoop(timeout));
+        CompletableFuture.supplyAsync(
+                () -> get("/ok", true, LONG_TIMEOUT).thenApply(it -> occupyLoop(timeout)),
+                group.next())
+            .thenCompose(busy -> busy);
     assertThat(response.join().status()).isEqualTo(200);
     assertThat(wasBusy.join()).isTrue();
   }
