Gateway: the log states through which host a response came

Whether a response without length that looks complete was cut by a host that passes bytes for another could not be read from the log: answered named the endpoint only, and sent_through is a line of its own that a busy host may drop. answered has the field peer now, empty for a direct connection.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -7,7 +7,6 @@
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.stream.EventDecision;
-import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.SlotHandle;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
 import io.samphiredyke.gateway.upstream.EndpointTarget;
@@ -43,6 +42,7 @@
   private final ActiveRequest request;
   private final EndpointRecord endpoint;
   private final SlotHandle slot;
+  private final AttemptStatements statements;
   private @Nullable EndpointExchange exchange;
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
@@ -64,6 +64,7 @@
     this.request = request;
     this.endpoint = endpoint;
     this.slot = slot;
+    this.statements = new AttemptStatements(request.context(), endpoint, slot);
   }
 
   /** Returns the outcome to report for an attempt whose response was relayed as a whole. */
@@ -114,6 +115,12 @@
     return endsWithConnection;
   }
 
+  /** Returns the host through which the response came, empty if it came directly. */
+  String peer() {
+    EndpointExchange open = exchange;
+    return open == null ? "" : open.peer();
+  }
+
   /** Returns the status of the response, 0 before its head. */
   int status() {
     return status;
@@ -195,55 +202,6 @@
     }
   }
 
-  /** Passes on what the endpoint states about itself, whatever becomes of the response. */
-  private void passOnStatements(EndpointResponseHead head) {
-    request
-        .context()
-        .statements()
-        .limitStated(
-            endpoint.id(), head.limitPerSecond(), head.requestId(), sentAt, slot.grantedBy());
-    request
-        .context()
-        .statements()
-        .brittlenessStated(
-            endpoint.id(), head.toleratedRefusals(), head.requestId(), sentAt, slot.grantedBy());
-    if (head.isLeaving()) {
-      request.context().statements().leavingStated(endpoint);
-    }
-    if (head.pauseMillis() > 0) {
-      pauseEndpoint(head);
-    }
-  }
-
-  private void passOnAvailability(EndpointResponseHead head) {
-    CrashWatch crashes = request.context().crashes();
-    if (crashes.isEmpty()) {
-      return;
-    }
-    if (head.status() == ErrorResponses.MISDIRECTED) {
-      crashes.unreachable(endpoint);
-    } else {
-      crashes.responded(endpoint, sentAt);
-    }
-  }
-
-  private void pauseEndpoint(EndpointResponseHead head) {
-    long until = request.context().loop().nanoTime() + head.pauseMillis() * NANOS_PER_MILLI;
-    if (request.context().pauses().pause(endpoint, until)) {
-      request
-          .context()
-          .log()
-          .event(
-              "endpoint_paused",
-              "endpoint",
-              endpoint.id(),
-              "millis",
-              head.pauseMillis(),
-              "source",
-              head.requestId());
-    }
-  }
-
   @Override
   public boolean isStillWanted() {
     return !isDone && request.context().accepts(endpoint);
@@ -256,8 +214,7 @@
 
   @Override
   public void onHead(EndpointResponseHead head, HttpResponse response) {
-    passOnStatements(head);
-    passOnAvailability(head);
+    statements.passOn(head, sentAt);
     if (isDone) {
       return;
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -171,7 +171,9 @@
         "ms",
         millis,
         "end",
-        serving.endsWithConnection() ? "connection" : "framed");
+        serving.endsWithConnection() ? "connection" : "framed",
+        "peer",
+        serving.peer());
     metrics.completed(route, millis);
     if (serving.endsWithConnection()) {
       metrics.endedWithConnection(route);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -149,6 +149,13 @@
     return isTunnelled || connections.isPathLost(target.address());
   }
 
+  /** Returns the host through which the request goes, empty if it goes directly. */
+  public String peer() {
+    Channel open = channel;
+    String peer = open == null ? null : EndpointConnectionPool.peerOf(open);
+    return peer == null ? "" : peer;
+  }
+
   /** Cancels the exchange by closing the connection, which the endpoint detects. */
   public void cancel() {
     if (finished) {
