Gateway: a response that ends with its connection is complete only if its endpoint still runs

Cause: the end of the connection is such a response's only sign of completeness, and the operating system of a killed process closes its connections regularly. Only streams that may be resumed were confirmed, and only while the retry budget lasted.

Change: before such a response is completed to its caller, the endpoint is asked for its report, which a killed process can't answer. Any response means that it runs, a refusal as another instance or another start time that it has gone; so does a refused connection, or five that end without a byte, unless other connections live that were open before the end. A failure on a kept connection proves nothing. Nothing within 1.75 s, more than a sound endpoint is silent, or no path: not known. Gone counts as broken off, also as evidence of a crash; not known as a failure that says nothing of the endpoint. One question at a time to an endpoint, for all ends before it was sent; the slot is returned with the end as before. Responses to HEAD and with 304 no longer count as ended by their connection.

Ruled out: an exchange with EndpointExchange (a copy of an earlier response on a kept connection is skipped by its id, but a refusal without id would be counted as a response without id).

Evidence: UnsizedResponseTest on the logic of: 13 of 19 tests failed, one of them by an error of the test, since corrected (a body sent with HEAD); the 6 that passed are those of sound responses. After: all pass.

Each question costs a connection.

The servers of StreamOrderTest, RawServer, EndpointStandIn and FaultyEndpoint answer questions for the report, which count as no run; what the tests expect is unchanged.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -24,6 +24,7 @@
   private final Counter failures;
   private final Counter retries;
   private final Counter endedWithConnection;
+  private final Counter endChecks;
   private final Counter retriesBeforeFirstEvent;
   private final Counter faultyStreams;
   private final Histogram latencies;
@@ -53,6 +54,12 @@
             .help("Complete responses whose only sign of the end was that of the connection.")
             .labelNames("route")
             .register(registry);
+    endChecks =
+        Counter.builder()
+            .name("samphiredyke_end_checks_total")
+            .help("Responses that ended with their connection, by whether their endpoint lived.")
+            .labelNames("verdict")
+            .register(registry);
     retriesBeforeFirstEvent =
         Counter.builder()
             .name("samphiredyke_repeated_before_first_event_total")
@@ -112,6 +119,11 @@
     endedWithConnection.labelValues(route).inc();
   }
 
+  /** Counts a response that ended with its connection, after which its endpoint was asked. */
+  public void endChecked(String verdict) {
+    endChecks.labelValues(verdict).inc();
+  }
+
   /** Counts a stream that is retried after a head of success without an event. */
   public void retriedBeforeFirstEvent() {
     retriesBeforeFirstEvent.inc();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -45,6 +45,7 @@
   private final AttemptCounter attempts;
   private final StreamContinuity continuity;
   private final UnconfirmedEnd unconfirmedEnd;
+  private final EndCheck endCheck;
   private final RequestOutcome outcome;
   private @Nullable Future<?> timer;
   private @Nullable EndpointAttempt attempt;
@@ -77,8 +78,9 @@
             context.responseMemory().shareOf(head.requestId()),
             this::streamBegins);
     this.continuity = new StreamContinuity(context, head, route, acquisition.eligibility(), log);
-    this.unconfirmedEnd = new UnconfirmedEnd(relay);
+    this.endCheck = new EndCheck(context, log);
     this.outcome = new RequestOutcome(context, request, content, relay, log, this::end);
+    this.unconfirmedEnd = new UnconfirmedEnd(relay, outcome);
   }
 
   RequestService.Context context() {
@@ -119,7 +121,7 @@
 
   private void originUnknown() {
     if (!ended) {
-      finishNotRun(
+      outcome.refused(
           ErrorResponses.SERVICE_UNAVAILABLE,
           "the software version that began the stream is not known",
           UNKNOWN_ORIGIN_RETRY_MILLIS);
@@ -189,11 +191,7 @@
       finishFailed(ErrorResponses.BAD_GATEWAY, reason);
       return;
     }
-    int status =
-        refusal.reason() == SlotRefusal.Reason.OVER_QUOTA
-            ? ErrorResponses.TOO_MANY_REQUESTS
-            : ErrorResponses.SERVICE_UNAVAILABLE;
-    finishNotRun(status, reason, refusal.retryAfterMillis());
+    outcome.refused(ErrorResponses.statusOf(refusal), reason, refusal.retryAfterMillis());
   }
 
   /** Called when the endpoint stated that it did not run the request. */
@@ -223,13 +221,13 @@
     if (attempts.mayHaveRun()) {
       finishFailed(ErrorResponses.BAD_GATEWAY, reason);
     } else {
-      finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
+      outcome.refused(ErrorResponses.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
     }
   }
 
   /** Called when the endpoint may have run the request but its response can't be used. */
   void failed(EndpointAttempt failed, String reason) {
-    if (completeUnconfirmed()) {
+    if (unconfirmedEnd.complete()) {
       releaseSlot(failed, Outcome.WITHDRAWN);
       return;
     }
@@ -258,14 +256,23 @@
   }
 
   /** Called at the regular end of a response. */
-  void responseEnded(EndpointAttempt serving, int status) {
+  void responseEnded(EndpointAttempt serving) {
     boolean isConfirming = unconfirmedEnd.pending() != null;
     if (!isConfirming) {
       context.inProgress().ran(route.name(), context.loop().nanoTime() - serving.sentAt());
     }
-    releaseSlot(serving, isConfirming ? Outcome.WITHDRAWN : serving.successOutcome());
+    serving.releaseSlot(isConfirming ? Outcome.WITHDRAWN : serving.successOutcome());
+    if (isConfirming || !serving.endsWithConnection()) {
+      outcome.completed(serving);
+    } else {
+      endCheck.begin(serving, () -> endedRegularly(serving), reason -> failed(serving, reason));
+    }
+  }
+
+  private void endedRegularly(EndpointAttempt serving) {
+    attempt = null;
     if (!mayRetry() || !unconfirmedEnd.isNeededFor(serving)) {
-      outcome.completed(serving, status);
+      outcome.completed(serving);
       return;
     }
     attempts.possiblyRun();
@@ -277,33 +284,19 @@
   private void stopConfirming() {
     if (!ended && unconfirmedEnd.pending() != null) {
       withdraw();
-      completeUnconfirmed();
+      unconfirmedEnd.complete();
     }
   }
 
-  /** Completes a stream that ended regularly, if no attempt to continue it brought an event. */
-  private boolean completeUnconfirmed() {
-    EndpointAttempt last = unconfirmedEnd.pending();
-    if (last == null) {
-      return false;
-    }
-    outcome.completed(last, last.status());
-    return true;
-  }
-
   private void releaseSlot(EndpointAttempt released, Outcome outcome) {
-    released.slot().release(outcome);
+    released.releaseSlot(outcome);
     if (attempt == released) {
       attempt = null;
     }
   }
 
-  private void finishNotRun(int status, String reason, long retryAfterMillis) {
-    outcome.refused(status, reason, retryAfterMillis);
-  }
-
   private void finishFailed(int status, String reason) {
-    if (completeUnconfirmed()) {
+    if (unconfirmedEnd.complete()) {
       return;
     }
     outcome.failed(status, reason, attempts.possibleExecutions(), lastEndpointId);
@@ -345,7 +338,7 @@
       if (attempts.mayHaveRun()) {
         finishFailed(ErrorResponses.GATEWAY_TIMEOUT, "no time left for another endpoint");
       } else {
-        finishNotRun(ErrorResponses.SERVICE_UNAVAILABLE, "no place before the time limit", -1);
+        outcome.refused(ErrorResponses.SERVICE_UNAVAILABLE, "no place before the time limit", -1);
       }
       return;
     }
@@ -389,6 +382,7 @@
     context.inProgress().remove(this);
     acquisition.close();
     unconfirmedEnd.close();
+    endCheck.close();
     Future<?> pending = timer;
     if (pending != null) {
       pending.cancel(false);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway.request;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
@@ -59,6 +60,8 @@
   private int status;
   private boolean isSuccess;
   private boolean endsWithConnection;
+  private boolean isSlotReleased;
+  private HttpMethod method = HttpMethod.GET;
 
   EndpointAttempt(ActiveRequest request, EndpointRecord endpoint, SlotHandle slot) {
     this.request = request;
@@ -135,13 +138,23 @@
     return endpoint;
   }
 
-  SlotHandle slot() {
-    return slot;
+  /** Releases the slot, unless it is released already. */
+  void releaseSlot(Outcome outcome) {
+    if (!isSlotReleased) {
+      isSlotReleased = true;
+      slot.release(outcome);
+    }
+  }
+
+  /** Records that the process of the endpoint ended, which ended the response too. */
+  void processEnded() {
+    wasBrokenOff = true;
   }
 
   /** Sends the request. */
   void start(OutgoingRequest outgoing) {
     lastEventIdBefore = request.relay().lastEventId();
+    method = outgoing.method();
     sentAt = request.context().loop().nanoTime();
     lastProgressAt = sentAt;
     EndpointTarget target = new EndpointTarget(endpoint.id(), endpoint.address());
@@ -224,7 +237,9 @@
     status = head.status();
     isSuccess = head.isSuccess();
     endsWithConnection =
-        status != ErrorResponses.NO_CONTENT
+        !method.equals(HttpMethod.HEAD)
+            && status != ErrorResponses.NO_CONTENT
+            && status != ErrorResponses.NOT_MODIFIED
             && !HttpUtil.isContentLengthSet(response)
             && !HttpUtil.isTransferEncodingChunked(response);
     isNotRun = head.isNotRun();
@@ -325,7 +340,7 @@
       wasBrokenOff = true;
       request.failed(this, "the stream ended with its connection before its first event");
     } else {
-      request.responseEnded(this, status);
+      request.responseEnded(this);
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
 import io.samphiredyke.net.codec.Json;
 import java.util.Locale;
@@ -13,6 +14,7 @@
 final class ErrorResponses {
 
   static final int NO_CONTENT = 204;
+  static final int NOT_MODIFIED = 304;
   static final int UNAUTHORIZED = 401;
   static final int NOT_FOUND = 404;
   static final int MISDIRECTED = 421;
@@ -26,6 +28,13 @@
 
   private ErrorResponses() {}
 
+  /** Returns the status of the response to a request that gets no slot. */
+  static int statusOf(SlotRefusal refusal) {
+    return refusal.reason() == SlotRefusal.Reason.OVER_QUOTA
+        ? TOO_MANY_REQUESTS
+        : SERVICE_UNAVAILABLE;
+  }
+
   /**
    * Sends an error response.
    *
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.gateway.request;
 
+import io.samphiredyke.core.liveness.LivenessVerdict;
 import io.samphiredyke.core.pool.PromptPart;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.EndpointRecord;
@@ -180,6 +181,23 @@
     }
   }
 
+  /** Logs whether an endpoint lived after a response that ended with its connection. */
+  void endChecked(String endpointId, LivenessVerdict verdict, long millis) {
+    log.event(
+        "end_checked",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "verdict",
+        verdict.liveness(),
+        "ms",
+        millis,
+        "reason",
+        verdict.reason());
+    metrics.endChecked(verdict.liveness().name());
+  }
+
   void refused(int status, String reason, long millis, long retryAfterMillis) {
     log.event(
         "refused",
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestOutcome.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestOutcome.java
@@ -40,10 +40,10 @@
   }
 
   /** Ends the response, which has been relayed as a whole. */
-  void completed(EndpointAttempt serving, int status) {
+  void completed(EndpointAttempt serving) {
     relay.end();
     content.served();
-    log.completed(status, serving, millisSinceArrival());
+    log.completed(serving.status(), serving, millisSinceArrival());
     onEnd.run();
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/UnconfirmedEnd.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/UnconfirmedEnd.java
@@ -4,19 +4,21 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Regular end of a stream whose only sign of completeness is the end of its connection. A killed
- * endpoint closes its connections too, so an attempt to continue the stream shows whether it was
- * complete.
+ * Regular end of a stream whose only sign of completeness is the end of its connection. An endpoint
+ * may close a connection early though its process lives, so an attempt to continue the stream shows
+ * whether it was complete.
  */
 final class UnconfirmedEnd {
 
   private final ResponseRelay relay;
+  private final RequestOutcome outcome;
   private @Nullable EndpointAttempt endedAttempt;
   private @Nullable Future<?> limit;
   private long bytesAtEnd;
 
-  UnconfirmedEnd(ResponseRelay relay) {
+  UnconfirmedEnd(ResponseRelay relay, RequestOutcome outcome) {
     this.relay = relay;
+    this.outcome = outcome;
   }
 
   /** Returns whether the end of an attempt has to be confirmed, if another one is permitted. */
@@ -40,6 +42,16 @@
     return relay.receivedBytes() == bytesAtEnd ? endedAttempt : null;
   }
 
+  /** Completes the stream if no later byte refutes its end; returns whether it did. */
+  boolean complete() {
+    EndpointAttempt last = pending();
+    if (last == null) {
+      return false;
+    }
+    outcome.completed(last);
+    return true;
+  }
+
   /** Ends the wait. */
   void close() {
     Future<?> running = limit;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelRefusal.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelRefusal.java
@@ -8,6 +8,14 @@
  */
 public record TunnelRefusal(Kind kind, String reason) {
 
+  /** Begin of the operating system's reason for a connection to an address where none listens. */
+  private static final String CONNECTION_REFUSED = "Connection refused";
+
+  /** Returns whether a failed connection was refused, so that nothing listens at its address. */
+  public static boolean isConnectionRefused(String reason) {
+    return reason.startsWith(CONNECTION_REFUSED);
+  }
+
   /** What a refusal tells. */
   public enum Kind {
     /** The peer is not reached, or it opens no tunnel to any endpoint. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ConnectionAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ConnectionAttempt.java
@@ -31,12 +31,8 @@
     /** Called when a connection is established and ready for exchanges. */
     void connected(Channel channel);
 
-    /**
-     * Called when no connection could be established.
-     *
-     * @param isPathSuspect whether the path may be lost rather than the endpoint
-     */
-    void failed(String reason, boolean isPathSuspect);
+    /** Called when no connection could be established. */
+    void failed(ConnectFailure failure);
   }
 
   /** Prepares connections and learns what direct ones tell. */
@@ -83,6 +79,9 @@
   private final Set<String> pendingPeers = new LinkedHashSet<>();
   private Direct direct = Direct.NOT_TRIED;
   private boolean isHung;
+  private boolean isRefused;
+  private boolean isRefusedToPeer;
+  private boolean isPathLostAtPeer;
   private @Nullable String reason;
   private @Nullable List<String> peers;
   private int askedPeers;
@@ -141,6 +140,7 @@
     Throwable cause = connecting.cause();
     isHung |= cause instanceof ConnectTimeoutException;
     reason = String.valueOf(cause.getMessage());
+    isRefused = TunnelRefusal.isConnectionRefused(reason);
     confirmLoss();
     askPeers();
     failIfOver();
@@ -217,7 +217,9 @@
   private void fail(String cause) {
     if (!done) {
       done = true;
-      listener.failed(cause, isPathSuspect);
+      boolean isRefusedToAll =
+          !isPathLostAtPeer && (isRefusedToPeer || isRefused && !isPathSuspect);
+      listener.failed(new ConnectFailure(cause, isPathSuspect, isRefusedToAll));
     }
   }
 
@@ -251,7 +253,9 @@
     public void refused(TunnelRefusal refusal) {
       pendingPeers.remove(peer);
       paths.peerRefused(target, requestId, peer, refusal);
-      isPathSuspect |= refusal.kind() == TunnelRefusal.Kind.PATH_LOST;
+      isPathLostAtPeer |= refusal.kind() == TunnelRefusal.Kind.PATH_LOST;
+      isPathSuspect |= isPathLostAtPeer;
+      isRefusedToPeer |= TunnelRefusal.isConnectionRefused(refusal.reason());
       if (reason == null) {
         reason = peer + ": " + refusal.reason();
       }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -62,6 +62,8 @@
   private final HostPaths paths;
   private final SilenceMonitor silence;
   private final EndpointConnector connector;
+  private final LivenessProbes liveness;
+  private final OpenConnections open = new OpenConnections();
   private final Map<String, Deque<Channel>> idle = new HashMap<>();
   private long surplusResponses;
   private long responsesWithoutId;
@@ -94,6 +96,7 @@
     this.paths = paths;
     this.silence = new SilenceMonitor(loop);
     this.connector = new EndpointConnector(loop, resolver, paths, silence, this);
+    this.liveness = new LivenessProbes(loop, this, connector);
   }
 
   /** Sends a request, on an idle connection if there is one that may carry it. */
@@ -110,6 +113,16 @@
     return exchange;
   }
 
+  /** Returns the questions whether the processes of endpoints still run. */
+  public LivenessProbes liveness() {
+    return liveness;
+  }
+
+  /** Returns whether a direct connection to an endpoint is open that was open before a time. */
+  boolean hasOpenSince(String address, long time) {
+    return open.hasOpenSince(address, time);
+  }
+
   /** Prepares a new connection for exchanges. */
   void initialize(Channel channel, String address) {
     channel.attr(IDLE_STATE).set(new IdleState(address, 0));
@@ -132,7 +145,8 @@
     channel.attr(CARRIED).get().add(requestId);
   }
 
-  private @Nullable Channel takeIdle(String address, String requestId) {
+  /** Takes an idle connection that may carry a request with an id, null if there is none. */
+  @Nullable Channel takeIdle(String address, String requestId) {
     Deque<Channel> connections = idle.get(address);
     if (connections == null) {
       return null;
@@ -302,9 +316,15 @@
     return responsesWithoutId;
   }
 
-  /** Removes an idle connection that ends. */
+  /** Records an open connection and removes an idle one that ends. */
   private final class IdleGuard extends ChannelDuplexHandler {
 
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      open.add(ctx.channel(), ctx.channel().attr(IDLE_STATE).get().address(), now());
+      ctx.fireChannelActive();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       IdleState state = ctx.channel().attr(IDLE_STATE).get();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnector.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnector.java
@@ -146,7 +146,7 @@
     }
 
     @Override
-    public void failed(String reason, boolean isPathSuspect) {
+    public void failed(ConnectFailure failure) {
       probeEnded(address);
     }
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -128,7 +128,11 @@
   }
 
   @Override
-  public void failed(String reason, boolean isPathSuspect) {
+  public void failed(ConnectFailure failure) {
+    failed(failure.reason(), failure.isPathSuspect());
+  }
+
+  private void failed(String reason, boolean isPathSuspect) {
     if (!finished) {
       finished = true;
       listener.onFailure(new ExchangeFailure(true, false, false, isPathSuspect, reason));
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamOrderTest.java
@@ -88,10 +88,17 @@
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
       String id = "";
       String after = "";
+      boolean isReport = false;
       for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
         String value = line.substring(line.indexOf(':') + 1).strip();
         id = line.toLowerCase(Locale.ROOT).startsWith("x-samphiredyke-request-id") ? value : id;
         after = line.toLowerCase(Locale.ROOT).startsWith("last-event-id") ? value : after;
+        isReport |= line.startsWith("GET /samphiredyke/report ");
+      }
+      if (isReport) {
+        String report = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        socket.getOutputStream().write(report.getBytes(StandardCharsets.US_ASCII));
+        return;
       }
       received.add(after);
       String body = bodies.remove();
