Gateway: a passing host states the end of a response without length

Cause: the operating system of the passing host closes both of its connections regularly, and the asking host took the end of its connection for that of the endpoint's.

Change: the bytes from the passing host to the asking one are framed, and an empty frame states that the endpoint closed its connection regularly. It is sent only on the endpoint's own end, not when the passing host closes that connection, as it does when it stops. An end without it fails the connection as a reset does. The frames are negotiated by a header that both decoders of earlier versions ignore: an earlier asking host gets none; through an earlier passing host an end of a response without length never counts as whole. Bytes or an end before the first request count as the endpoint's, no longer as a fault of the peer.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/HeadReader.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/HeadReader.java
@@ -35,6 +35,11 @@
   /** Called once when the head is complete and nothing follows it. */
   abstract void onHead(ChannelHandlerContext ctx, String received);
 
+  /** Called once when bytes follow the head; the connection is still to be closed. */
+  void onSurplus(ChannelHandlerContext ctx, String reason) {
+    onMalformed(ctx, reason);
+  }
+
   /** Called once when no head can be read any more; the connection is still to be closed. */
   abstract void onMalformed(ChannelHandlerContext ctx, String reason);
 
@@ -66,7 +71,8 @@
     } else if (head.length() > MAX_BYTES) {
       end(ctx, "a head of more than " + MAX_BYTES + " bytes");
     } else if (end >= 0 && end + END.length() < head.length()) {
-      end(ctx, "bytes after the head");
+      finish();
+      onSurplus(ctx, "bytes after the head");
     } else if (end >= 0) {
       finish();
       onHead(ctx, head.toString());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/RelayHandler.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/RelayHandler.java
@@ -6,19 +6,31 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 
 /**
  * Passes the bytes of one connection to another one, which has such a handler too.
  *
  * <p>A connection is read only while the other one takes bytes. A regular end is passed on after
- * the bytes before it, and a reset as a reset, since a response may end with its connection.
+ * the bytes before it, and a reset as a reset, since a response may end with its connection. For
+ * the same reason the end of a connection to an endpoint counts as regular only if the endpoint
+ * ended it, which {@link ChannelOption#ALLOW_HALF_CLOSURE} shows.
  */
 final class RelayHandler extends ChannelInboundHandlerAdapter {
 
   private final Channel other;
+  private final boolean isOfEndpoint;
+  private boolean isEndStated;
 
-  RelayHandler(Channel other) {
+  /**
+   * Creates a handler.
+   *
+   * @param other receives the bytes
+   * @param isOfEndpoint whether the connection is that to the endpoint
+   */
+  RelayHandler(Channel other, boolean isOfEndpoint) {
     this.other = other;
+    this.isOfEndpoint = isOfEndpoint;
   }
 
   @Override
@@ -40,14 +52,34 @@
     ctx.fireChannelWritabilityChanged();
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      endOther();
+      ctx.close();
+      return;
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    if (!isOfEndpoint) {
+      endOther();
+    } else if (!isEndStated) {
+      reset(other);
+    }
+    ctx.fireChannelInactive();
+  }
+
+  /** Ends the other connection regularly; with framing the empty buffer is the frame of the end. */
+  private void endOther() {
+    isEndStated = true;
     if (other.isActive()) {
       // The other end's bytes have no reader any more, but its close still has to be noticed.
       other.config().setAutoRead(true);
       other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
-    ctx.fireChannelInactive();
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelClient.java
@@ -22,7 +22,8 @@
     /**
      * Called when the tunnel is open.
      *
-     * @param channel connection whose bytes are the endpoint's from now on, with an empty pipeline
+     * @param channel connection whose bytes are the endpoint's from now on; its end is passed on as
+     *     one only if the endpoint ended it regularly, else as a failure
      */
     void opened(Channel channel);
 
@@ -55,7 +56,7 @@
    */
   public void open(
       String peer, String address, String endpointId, String requestId, Listener listener) {
-    TunnelRequest request = new TunnelRequest(address, endpointId, requestId, self);
+    TunnelRequest request = new TunnelRequest(address, endpointId, requestId, self, true);
     ResponseReader reader = new ResponseReader(request, listener);
     Bootstrap bootstrap =
         new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(reader);
@@ -104,10 +105,18 @@
         return;
       }
       answered = true;
+      TunnelFraming.addDecoder(ctx.pipeline(), TunnelResponse.isFramed(received));
       ctx.pipeline().remove(this);
       listener.opened(ctx.channel());
     }
 
+    @Override
+    void onSurplus(ChannelHandlerContext ctx, String reason) {
+      // What precedes the first request is the endpoint's, which may have ended the connection.
+      ctx.close();
+      refuse(TunnelRefusal.Kind.ENDPOINT_UNREACHABLE, reason);
+    }
+
     @Override
     void onMalformed(ChannelHandlerContext ctx, String reason) {
       ctx.close();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelRequest.java
@@ -15,8 +15,10 @@
  * @param endpointId id of the endpoint
  * @param requestId id of the caller's request that needs the connection, for the log
  * @param from peer address of the host that asks
+ * @param wantsFrames whether the endpoint's bytes are to be framed, see {@link TunnelFraming}
  */
-record TunnelRequest(String address, String endpointId, String requestId, String from) {
+record TunnelRequest(
+    String address, String endpointId, String requestId, String from, boolean wantsFrames) {
 
   private static final String METHOD = "CONNECT ";
   private static final String VERSION = " HTTP/1.1";
@@ -39,6 +41,7 @@
         + header(ENDPOINT_HEADER, escape(endpointId))
         + header(REQUEST_HEADER, escape(id))
         + header(FROM_HEADER, escape(from))
+        + (wantsFrames ? header(TunnelFraming.HEADER, TunnelFraming.STATED) : "")
         + END_OF_LINE;
   }
 
@@ -83,7 +86,8 @@
           address,
           unescape(headers.get(ENDPOINT_HEADER)),
           unescape(headers.get(REQUEST_HEADER)),
-          unescape(headers.get(FROM_HEADER)));
+          unescape(headers.get(FROM_HEADER)),
+          TunnelFraming.STATED.equals(headers.get(TunnelFraming.HEADER)));
     } catch (IllegalArgumentException e) {
       return null;
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelResponse.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelResponse.java
@@ -13,7 +13,10 @@
 
   private static final String VERSION = "HTTP/1.1 ";
   private static final String OPENED = VERSION + "200 ";
-  private static final String END = "\r\n\r\n";
+  private static final String END_OF_LINE = "\r\n";
+  private static final String END = END_OF_LINE + END_OF_LINE;
+  private static final String FRAMED =
+      END_OF_LINE + TunnelFraming.HEADER + ": " + TunnelFraming.STATED;
 
   /** Maximum length of a reason, so that the head is never longer than a head may be. */
   private static final int MAX_REASON = 256;
@@ -26,8 +29,18 @@
 
   private TunnelResponse() {}
 
-  static String opened() {
-    return OPENED + "tunnel opened" + END;
+  /**
+   * Returns the head of an open tunnel.
+   *
+   * @param isFramed whether the endpoint's bytes are framed, see {@link TunnelFraming}
+   */
+  static String opened(boolean isFramed) {
+    return OPENED + "tunnel opened" + (isFramed ? FRAMED : "") + END;
+  }
+
+  /** Returns whether the endpoint's bytes are framed in the tunnel that a head opens. */
+  static boolean isFramed(String head) {
+    return head.contains(FRAMED + END_OF_LINE);
   }
 
   static String refused(String reason) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelServer.java
@@ -209,18 +209,22 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.AUTO_READ, false)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
             .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
-            .handler(new RelayHandler(caller)),
+            .handler(new RelayHandler(caller, true)),
         Duration.ofMillis(CONNECT_TIMEOUT_MILLIS));
   }
 
   private void relay(Channel caller, Channel target, Tunnel tunnel) {
     opened++;
     logDecision("tunnel_opened", tunnel.request, "ms", millisSince(tunnel.startedAt));
-    caller.pipeline().replace(RequestReader.class, "relay", new RelayHandler(target));
-    write(caller, TunnelResponse.opened());
+    caller.pipeline().replace(RequestReader.class, "relay", new RelayHandler(target, false));
+    write(caller, TunnelResponse.opened(tunnel.request.wantsFrames()));
+    if (tunnel.request.wantsFrames()) {
+      TunnelFraming.addEncoder(caller.pipeline());
+    }
     target.config().setAutoRead(true);
   }
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathFixture.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/LostPathFixture.java
@@ -58,9 +58,12 @@
   final List<Closeable> backlog = new ArrayList<>();
   RawServer endpoint;
   volatile boolean isEndpointSilent;
+  volatile RawServer.Script script =
+      (id, socket) -> RawServer.write(socket, RESPONSE_START + id + RESPONSE_END);
   volatile InetSocketAddress directAddress;
   volatile InetSocketAddress peerSideAddress;
   volatile List<String> peers;
+  String tunnelServer;
   EndpointPaths peerPaths;
   TunnelServer tunnels;
   HostPaths paths;
@@ -73,7 +76,7 @@
         RawServer.start(
             (id, socket) -> {
               if (!isEndpointSilent) {
-                RawServer.write(socket, RESPONSE_START + id + RESPONSE_END);
+                script.respond(id, socket);
               }
             });
     directAddress = SocketAddresses.parse(endpoint.address());
@@ -91,7 +94,8 @@
             (event, fields) -> events.add("peer_" + event));
     InetSocketAddress bound =
         (InetSocketAddress) tunnels.start(SocketAddresses.parse("127.0.0.1:0")).join();
-    peers = List.of("127.0.0.1:" + bound.getPort());
+    tunnelServer = "127.0.0.1:" + bound.getPort();
+    peers = List.of(tunnelServer);
     paths =
         new HostPaths(
             loop,
