--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -1,13 +1,13 @@
 package io.samphiredyke.gateway.request;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.stream.EventDecision;
-import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.SlotHandle;
 import io.samphiredyke.gateway.upstream.EndpointExchange;
 import io.samphiredyke.gateway.upstream.EndpointTarget;
@@ -43,6 +43,7 @@
   private final ActiveRequest request;
   private final EndpointRecord endpoint;
   private final SlotHandle slot;
+  private final AttemptStatements statements;
   private @Nullable EndpointExchange exchange;
   private @Nullable String defect;
   private @Nullable Future<?> inactivityTimer;
@@ -59,11 +60,14 @@
   private int status;
   private boolean isSuccess;
   private boolean endsWithConnection;
+  private boolean isSlotReleased;
+  private HttpMethod method = HttpMethod.GET;
 
   EndpointAttempt(ActiveRequest request, EndpointRecord endpoint, SlotHandle slot) {
     this.request = request;
     this.endpoint = endpoint;
     this.slot = slot;
+    this.statements = new AttemptStatements(request.context(), endpoint, slot);
   }
 
   /** Returns the outcome to report for an attempt whose response was relayed as a whole. */
@@ -114,6 +118,12 @@
     return endsWithConnection;
   }
 
+  /** Returns the host through which the response came, empty if it came directly. */
+  String peer() {
+    EndpointExchange open = exchange;
+    return open == null ? "" : open.peer();
+  }
+
   /** Returns the status of the response, 0 before its head. */
   int status() {
     return status;
@@ -128,13 +138,23 @@
     return endpoint;
   }
 
-  SlotHandle slot() {
-    return slot;
+  /** Releases the slot, unless it is released already. */
+  void releaseSlot(Outcome outcome) {
+    if (!isSlotReleased) {
+      isSlotReleased = true;
+      slot.release(outcome);
+    }
+  }
+
+  /** Records that the process of the endpoint ended, which ended the response too. */
+  void processEnded() {
+    wasBrokenOff = true;
   }
 
   /** Sends the request. */
   void start(OutgoingRequest outgoing) {
     lastEventIdBefore = request.relay().lastEventId();
+    method = outgoing.method();
     sentAt = request.context().loop().nanoTime();
     lastProgressAt = sentAt;
     EndpointTarget target = new EndpointTarget(endpoint.id(), endpoint.address());
@@ -195,55 +215,6 @@
     }
   }
 
-  /** Passes on what the endpoint states about itself, whatever becomes of the response. */
-  private void passOnStatements(EndpointResponseHead head) {
-    request
-        .context()
-        .statements()
-        .limitStated(
-            endpoint.id(), head.limitPerSecond(), head.requestId(), sentAt, slot.grantedBy());
-    request
-        .context()
-        .statements()
-        .brittlenessStated(
-            endpoint.id(), head.toleratedRefusals(), head.requestId(), sentAt, slot.grantedBy());
-    if (head.isLeaving()) {
-      request.context().statements().leavingStated(endpoint);
-    }
-    if (head.pauseMillis() > 0) {
-      pauseEndpoint(head);
-    }
-  }
-
-  private void passOnAvailability(EndpointResponseHead head) {
-    CrashWatch crashes = request.context().crashes();
-    if (crashes.isEmpty()) {
-      return;
-    }
-    if (head.status() == ErrorResponses.MISDIRECTED) {
-      crashes.unreachable(endpoint);
-    } else {
-      crashes.responded(endpoint, sentAt);
-    }
-  }
-
-  private void pauseEndpoint(EndpointResponseHead head) {
-    long until = request.context().loop().nanoTime() + head.pauseMillis() * NANOS_PER_MILLI;
-    if (request.context().pauses().pause(endpoint, until)) {
-      request
-          .context()
-          .log()
-          .event(
-              "endpoint_paused",
-              "endpoint",
-              endpoint.id(),
-              "millis",
-              head.pauseMillis(),
-              "source",
-              head.requestId());
-    }
-  }
-
   @Override
   public boolean isStillWanted() {
     return !isDone && request.context().accepts(endpoint);
@@ -256,8 +227,7 @@
 
   @Override
   public void onHead(EndpointResponseHead head, HttpResponse response) {
-    passOnStatements(head);
-    passOnAvailability(head);
+    statements.passOn(head, sentAt);
     if (isDone) {
       return;
     }
@@ -267,7 +237,9 @@
     status = head.status();
     isSuccess = head.isSuccess();
     endsWithConnection =
-        status != ErrorResponses.NO_CONTENT
+        !method.equals(HttpMethod.HEAD)
+            && status != ErrorResponses.NO_CONTENT
+            && status != ErrorResponses.NOT_MODIFIED
             && !HttpUtil.isContentLengthSet(response)
             && !HttpUtil.isTransferEncodingChunked(response);
     isNotRun = head.isNotRun();
@@ -368,7 +340,7 @@
       wasBrokenOff = true;
       request.failed(this, "the stream ended with its connection before its first event");
     } else {
-      request.responseEnded(this, status);
+      request.responseEnded(this);
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.gateway.request;
 
+import io.samphiredyke.core.liveness.LivenessVerdict;
 import io.samphiredyke.core.pool.PromptPart;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.EndpointRecord;
@@ -171,13 +172,32 @@
         "ms",
         millis,
         "end",
-        serving.endsWithConnection() ? "connection" : "framed");
+        serving.endsWithConnection() ? "connection" : "framed",
+        "peer",
+        serving.peer());
     metrics.completed(route, millis);
     if (serving.endsWithConnection()) {
       metrics.endedWithConnection(route);
     }
   }
 
+  /** Logs whether an endpoint lived after a response that ended with its connection. */
+  void endChecked(String endpointId, LivenessVerdict verdict, long millis) {
+    log.event(
+        "end_checked",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "verdict",
+        verdict.liveness(),
+        "ms",
+        millis,
+        "reason",
+        verdict.reason());
+    metrics.endChecked(verdict.liveness().name());
+  }
+
   void refused(int status, String reason, long millis, long retryAfterMillis) {
     log.event(
         "refused",
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -128,7 +128,11 @@
   }
 
   @Override
-  public void failed(String reason, boolean isPathSuspect) {
+  public void failed(ConnectFailure failure) {
+    failed(failure.reason(), failure.isPathSuspect());
+  }
+
+  private void failed(String reason, boolean isPathSuspect) {
     if (!finished) {
       finished = true;
       listener.onFailure(new ExchangeFailure(true, false, false, isPathSuspect, reason));
@@ -149,6 +153,13 @@
     return isTunnelled || connections.isPathLost(target.address());
   }
 
+  /** Returns the host through which the request goes, empty if it goes directly. */
+  public String peer() {
+    Channel open = channel;
+    String peer = open == null ? null : EndpointConnectionPool.peerOf(open);
+    return peer == null ? "" : peer;
+  }
+
   /** Cancels the exchange by closing the connection, which the endpoint detects. */
   public void cancel() {
     if (finished) {
