Fail bodies that contain the head of another response

Callers got bodies that ended with their own second copy, with a late copy of an earlier response of the connection, or, framed, truncated bodies that were filled with one. Cause: a body without length takes up all bytes up to the close, and a framed one all bytes up to its length; only streams were searched for heads.

Every body of a response that is no stream is now searched, across reads and chunks, for a status line and header lines at any position. A head that states the id of a request that the connection has carried, or a body that ends within a head with the status line and the header names of one that the connection has received, fails the attempt: safe requests are retried, others end with 502, and a response that has begun breaks off. A head without such an id passes.

Ruled out: delivering the part before the head, as nothing states that it is whole; a search for any status line, which fails sound text; a search for the protocol alone at the end (bodies that end with "HTTP/1.0").

Why it works: a copy is a response that the connection has carried, so that its head states a carried id, or agrees with a received one as far as it goes. Not seen: a copy cut to four bytes or less; one cut before its id that is followed by more of the body.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -26,6 +26,7 @@
   private final Counter endedWithConnection;
   private final Counter retriesBeforeFirstEvent;
   private final Counter faultyStreams;
+  private final Counter foreignBytes;
   private final Histogram latencies;
 
   /** Creates metrics with all values at zero. */
@@ -64,6 +65,12 @@
             .help("Attempts ended because their events do not continue the stream, by reason.")
             .labelNames("reason")
             .register(registry);
+    foreignBytes =
+        Counter.builder()
+            .name("samphiredyke_foreign_bytes_total")
+            .help("Bodies that contain the head of another response, by what it is.")
+            .labelNames("reason")
+            .register(registry);
     latencies =
         Histogram.builder()
             .name("samphiredyke_answer_seconds")
@@ -122,6 +129,11 @@
     faultyStreams.labelValues(reason).inc();
   }
 
+  /** Counts a body that contains the head of another response. */
+  public void foreignBytes(String reason) {
+    foreignBytes.labelValues(reason).inc();
+  }
+
   /** Records the latency of a complete response. */
   public void completed(String route, long millis) {
     latencies.labelValues(route).observe(millis / MILLIS_PER_SECOND);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -63,7 +63,7 @@
     this.route = route;
     this.attempts = new AttemptCounter(route);
     long waitedMillis = context.waitEstimator().waitedMillis(route.name(), head.remainingMillis());
-    this.content = new RequestContent(context.crashes(), request, customer);
+    this.content = new RequestContent(context.crashes(), request, customer, route);
     this.deadlines =
         new RequestDeadlines(route, head.remainingMillis(), waitedMillis, request.arrivedAt());
     this.acquisition =
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -29,14 +29,6 @@
    */
   private static final long MIN_CHECK_MILLIS = 50;
 
-  /**
-   * Returns whether a status tells callers that the request did not run. It may be relayed only if
-   * the endpoint states explicitly that it did not run the request.
-   */
-  private static boolean impliesNotRun(int status) {
-    return status == 429 || status == 503 || status == 408 || status == 421;
-  }
-
   /** Size of a body that is not relayed after which the connection is given up. */
   private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
@@ -288,7 +280,7 @@
     if (head.isSuccess()) {
       return "a success without digest";
     }
-    if (impliesNotRun(head.status())) {
+    if (ErrorResponses.implyNotRun(head.status())) {
       return "status " + head.status() + " without a statement that it did not run";
     }
     boolean isFailure = head.status() >= ErrorResponses.INTERNAL_SERVER_ERROR;
@@ -353,6 +345,11 @@
     }
   }
 
+  @Override
+  public void onForeignBytes(long position, String statedId) {
+    request.log().foreignBytes(endpoint.id(), position, statedId);
+  }
+
   @Override
   public void onEnd() {
     if (isDone) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
@@ -15,6 +15,7 @@
   static final int NO_CONTENT = 204;
   static final int UNAUTHORIZED = 401;
   static final int NOT_FOUND = 404;
+  static final int REQUEST_TIMEOUT = 408;
   static final int MISDIRECTED = 421;
   static final int TOO_MANY_REQUESTS = 429;
   static final int INTERNAL_SERVER_ERROR = 500;
@@ -26,6 +27,17 @@
 
   private ErrorResponses() {}
 
+  /**
+   * Returns whether a status tells callers that the request did not run. It may be relayed only if
+   * the endpoint states explicitly that it did not run the request.
+   */
+  static boolean implyNotRun(int status) {
+    return status == TOO_MANY_REQUESTS
+        || status == SERVICE_UNAVAILABLE
+        || status == REQUEST_TIMEOUT
+        || status == MISDIRECTED;
+  }
+
   /**
    * Sends an error response.
    *
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.CustomerSpec;
+import io.samphiredyke.core.serving.Route;
 import io.samphiredyke.gateway.frontend.CallerRequest;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.upstream.OutgoingRequest;
@@ -19,13 +20,16 @@
   private final CrashWatch crashes;
   private final CallerRequest request;
   private final String caller;
+  private final boolean expectsEvents;
   private @Nullable RequestFingerprint fingerprint;
 
   /** Creates the content of a request whose body is still available. */
-  RequestContent(CrashWatch crashes, CallerRequest request, @Nullable CustomerSpec customer) {
+  RequestContent(
+      CrashWatch crashes, CallerRequest request, @Nullable CustomerSpec customer, Route route) {
     this.crashes = crashes;
     this.request = request;
     this.caller = customer == null ? "" : customer.name();
+    this.expectsEvents = route.kind().isStream();
   }
 
   /**
@@ -40,7 +44,12 @@
         EndpointRequestHead.create(
             request.head().headers(), caller, endpointId, remainingMillis, lastEventId);
     return new OutgoingRequest(
-        requestId, request.head().method(), request.head().uri(), headers, request.body());
+        requestId,
+        request.head().method(),
+        request.head().uri(),
+        headers,
+        request.body(),
+        expectsEvents);
   }
 
   RequestFingerprint fingerprint() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -127,6 +127,33 @@
         status);
   }
 
+  /**
+   * Logs that a body contains the head of another response.
+   *
+   * @param position where in the body the head begins
+   * @param statedId id that the head states, empty if it is cut before it
+   */
+  void foreignBytes(String endpointId, long position, String statedId) {
+    log.event(
+        "foreign_bytes",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "position",
+        position,
+        "stated_id",
+        statedId);
+    metrics.foreignBytes(foreignBytesReason(statedId));
+  }
+
+  private String foreignBytesReason(String statedId) {
+    if (statedId.isEmpty()) {
+      return "a head that is cut off";
+    }
+    return statedId.equals(requestId) ? "a copy of itself" : "another response";
+  }
+
   /** Logs that an endpoint responded without stating the id of the request. */
   void responseWithoutId(String endpointId, int status) {
     log.event("response_without_id", "id", requestId, "endpoint", endpointId, "status", status);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnectionPool.java
@@ -127,9 +127,11 @@
     return loop.ticker().nanoTime();
   }
 
-  /** Records that a connection carries a request. */
-  void carries(Channel channel, String requestId) {
-    channel.attr(CARRIED).get().add(requestId);
+  /** Records that a connection carries a request, and returns what it has carried. */
+  CarriedIds carries(Channel channel, String requestId) {
+    CarriedIds carried = channel.attr(CARRIED).get();
+    carried.add(requestId);
+    return carried;
   }
 
   private @Nullable Channel takeIdle(String address, String requestId) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -53,6 +53,8 @@
   private final ExchangeListener listener;
   private final boolean isReused;
   private @Nullable Channel channel;
+  private CarriedIds carried = new CarriedIds();
+  private @Nullable ForeignBytesFilter filter;
   private long sentAt;
   private final long createdAt;
   private boolean requestSent;
@@ -91,7 +93,7 @@
       return;
     }
     channel = connected;
-    connections.carries(connected, request.requestId());
+    carried = connections.carries(connected, request.requestId());
     sentAt = connected.eventLoop().ticker().nanoTime();
     connections.sent(this, target, request.requestId(), connected);
     connected.pipeline().get(ResponseDecoder.class).requestStarted(request.method());
@@ -197,6 +199,7 @@
 
   private void readHead(HttpResponse response) {
     EndpointResponseHead head = EndpointResponseHead.decode(response);
+    carried.add(response);
     if (head.hasSeveralIds()) {
       fail("the answer states several ids");
       return;
@@ -224,6 +227,8 @@
     boolean endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     reusable = !head.requestId().isEmpty() && HttpUtil.isKeepAlive(response) && !endsWithConnection;
+    boolean hasEvents = request.expectsEvents() && head.isSuccess();
+    filter = hasEvents ? null : new ForeignBytesFilter(carried, listener::onContent);
     listener.onHead(head, response);
   }
 
@@ -251,7 +256,11 @@
       return;
     }
     if (content.content().isReadable()) {
-      listener.onContent(content.content());
+      passOn(content.content());
+    }
+    ForeignBytesFilter scanned = filter;
+    if (isLast && !finished && scanned != null && scanned.end()) {
+      failForeign(scanned);
     }
     if (isLast && !finished) {
       finished = true;
@@ -266,6 +275,20 @@
     }
   }
 
+  private void passOn(ByteBuf content) {
+    ForeignBytesFilter scanned = filter;
+    if (scanned == null) {
+      listener.onContent(content);
+    } else if (scanned.accept(content) && !finished) {
+      failForeign(scanned);
+    }
+  }
+
+  private void failForeign(ForeignBytesFilter scanned) {
+    listener.onForeignBytes(scanned.position(), scanned.statedId());
+    fail("the body contains the head of another response");
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (returnPending) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
@@ -24,6 +24,14 @@
   /** Called when a chunk of the body has arrived; the buffer is released after the call. */
   void onContent(ByteBuf content);
 
+  /**
+   * Called when a body contains the head of another response, before the exchange fails.
+   *
+   * @param position where in the body the head begins
+   * @param statedId id that the head states, empty if it is cut before it
+   */
+  default void onForeignBytes(long position, String statedId) {}
+
   /** Called when the response is complete. */
   void onEnd();
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/OutgoingRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/OutgoingRequest.java
@@ -12,6 +12,19 @@
  * @param uri path and query as the caller sent them
  * @param headers headers without connection-specific ones
  * @param body complete body; the exchange retains its own reference
+ * @param expectsEvents whether a success is a stream of events, which are checked one by one
  */
 public record OutgoingRequest(
-    String requestId, HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) {}
+    String requestId,
+    HttpMethod method,
+    String uri,
+    HttpHeaders headers,
+    ByteBuf body,
+    boolean expectsEvents) {
+
+  /** Creates a request for a response that is no stream of events. */
+  public OutgoingRequest(
+      String requestId, HttpMethod method, String uri, HttpHeaders headers, ByteBuf body) {
+    this(requestId, method, uri, headers, body, false);
+  }
+}
