Streams: accept the version of the weights as the first line of an event

Callers of streams whose weights' version changes got a stream that broke off, or that was continued elsewhere, at the event that states the new version.

Evidence: SseFramerTest.eventMayStateTheVersionOfTheWeights failed before (RESPONSE_HEAD in place of event 4). The line is accepted only in lower case, with a number, as the first line of an event; within a head it follows a status line, which is still a fault.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -41,6 +41,10 @@
     Headers.PREFIX.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.US_ASCII)
   };
 
+  /** Field with which an event may begin although heads have it as well. */
+  private static final byte[] WEIGHT_VERSIONS =
+      (Headers.WEIGHT_VERSIONS.toLowerCase(Locale.ROOT) + ":").getBytes(StandardCharsets.US_ASCII);
+
   private static final StreamEvent RESPONSE_HEAD = StreamEvent.of(StreamEvent.Kind.RESPONSE_HEAD);
   private static final StreamEvent NO_EVENT = StreamEvent.of(StreamEvent.Kind.NO_EVENT);
   private static final StreamEvent OVERSIZED = StreamEvent.of(StreamEvent.Kind.OVERSIZED);
@@ -88,6 +92,9 @@
   }
 
   private void readField(int lineEnd) {
+    if (lineStart == eventEnd && isWeightVersion(lineEnd)) {
+      return;
+    }
     if (event.kind() == StreamEvent.Kind.RESPONSE_HEAD || startsWithAny(HEAD_FIELDS, lineEnd)) {
       event = RESPONSE_HEAD;
     } else if (startsWith(ID_FIELD, lineEnd, false)) {
@@ -109,6 +116,15 @@
     return startsWithAny(SILENT_FIELDS, lineEnd) ? event : NO_EVENT;
   }
 
+  private boolean isWeightVersion(int lineEnd) {
+    if (!startsWith(WEIGHT_VERSIONS, lineEnd, false)) {
+      return false;
+    }
+    int valueStart = lineStart + WEIGHT_VERSIONS.length;
+    String value = pending.toString(valueStart, lineEnd - valueStart, StandardCharsets.US_ASCII);
+    return !value.isBlank() && value.strip().chars().allMatch(c -> c >= '0' && c <= '9');
+  }
+
   private boolean startsWithAny(byte[][] names, int lineEnd) {
     for (byte[] name : names) {
       if (startsWith(name, lineEnd, true)) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
@@ -80,4 +80,30 @@
     assertThat(events.get(0).kind()).isEqualTo(StreamEvent.Kind.OVERSIZED);
     assertThat(new SseFramerTest().add("id: 1\n" + line.repeat(60) + "\n")).isNotEmpty();
   }
+
+  private static StreamEvent only(String event) {
+    SseFramerTest test = new SseFramerTest();
+    test.add(event + "\n\n");
+    assertThat(test.events).hasSize(1);
+    return test.events.get(0);
+  }
+
+  /** Guards against a change of the weights' version that breaks a sound stream off. */
+  @Test
+  void eventMayStateTheVersionOfTheWeights() {
+    for (String line :
+        List.of("x-samphiredyke-weight-versions: 7", "x-samphiredyke-weight-versions:7")) {
+      assertThat(only(line + "\nid: 4\ndata: x")).isEqualTo(StreamEvent.numbered(4));
+      assertThat(only("id: 4\n" + line).kind()).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+    }
+    for (String line :
+        List.of(
+            "X-Samphiredyke-Weight-Versions: 7",
+            "x-samphiredyke-weight-versions: 7\nContent-Length: 3",
+            "x-samphiredyke-weight-versions: a",
+            "x-samphiredyke-weight-versions:",
+            "x-samphiredyke-request-id: 7")) {
+      assertThat(only(line + "\nid: 4").kind()).as(line).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+    }
+  }
 }
