Streams: an event behind the begin of a copy on its line is a fault

Callers got events without their id, or with a part of another response in a line, from an endpoint that sends a response once more within a stream and cuts the copy in its first line or within a line. Cause: only lines that begin with "HTTP/1." or with a known header were faults, so that "HTTPid: 7" was an unknown field and its event one without id.

A line that begins with a part of a status line directly followed by a known field is a fault; so is a line that is no field of an event, behind a line that ends with a status line and CRLF.

Ruled out, as sound text has the same bytes: a status line cut within a data line and followed by an event on that line; an unknown field in general.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SseFramer.java
@@ -41,6 +41,19 @@
     Headers.PREFIX.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.US_ASCII)
   };
 
+  /** Begin of a status line, which a body that was cut off may go on with. */
+  private static final byte[] PROTOCOL = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
+  /** Characters of a status line from its begin to the code, all of which are looked at. */
+  private static final int STATUS_LENGTH = "HTTP/1.1 200".length();
+
+  private static final byte[][] FIELDS = {
+    ID_FIELD,
+    "data:".getBytes(StandardCharsets.US_ASCII),
+    "event:".getBytes(StandardCharsets.US_ASCII),
+    "retry:".getBytes(StandardCharsets.US_ASCII)
+  };
+
   /** Field with which an event may begin although heads have it as well. */
   private static final byte[] WEIGHT_VERSIONS =
       (Headers.WEIGHT_VERSIONS.toLowerCase(Locale.ROOT) + ":").getBytes(StandardCharsets.US_ASCII);
@@ -55,6 +68,7 @@
   private int acceptedEnd;
   private int eventEnd;
   private int lineStart;
+  private int previousLineStart;
   private int scanned;
   private StreamEvent event = COMMENT;
 
@@ -76,6 +90,7 @@
       if (!isEndOfEvent) {
         readField(lineEnd);
       }
+      previousLineStart = lineStart;
       lineStart = feed + 1;
       scanned = lineStart;
       if (isEndOfEvent) {
@@ -95,7 +110,7 @@
     if (lineStart == eventEnd && isWeightVersion(lineEnd)) {
       return;
     }
-    if (event.kind() == StreamEvent.Kind.RESPONSE_HEAD || startsWithAny(HEAD_FIELDS, lineEnd)) {
+    if (event.kind() == StreamEvent.Kind.RESPONSE_HEAD || isPartOfHead(lineEnd)) {
       event = RESPONSE_HEAD;
     } else if (startsWith(ID_FIELD, lineEnd, false)) {
       int valueStart = lineStart + ID_FIELD.length;
@@ -108,6 +123,55 @@
     }
   }
 
+  private boolean isPartOfHead(int lineEnd) {
+    return startsWithAny(HEAD_FIELDS, lineEnd)
+        || hasFieldBehindProtocol(lineEnd)
+        || isHeaderBehindStatusLine(lineEnd);
+  }
+
+  /** Returns whether a line is the begin of a status line that goes on with a field of an event. */
+  private boolean hasFieldBehindProtocol(int lineEnd) {
+    int position = lineStart;
+    while (position < lineEnd
+        && position - lineStart < PROTOCOL.length
+        && pending.getByte(position) == PROTOCOL[position - lineStart]) {
+      position++;
+    }
+    return position > lineStart && startsWithAny(FIELDS, position, lineEnd, false);
+  }
+
+  /**
+   * Returns whether a line is no field of an event and follows one that ends, as in a head, with a
+   * status line. Where the event itself states these bytes, only a known field may follow.
+   */
+  private boolean isHeaderBehindStatusLine(int lineEnd) {
+    int end = lineStart - 2;
+    boolean isKnown =
+        lineStart == eventEnd
+            || end < previousLineStart
+            || pending.getByte(end) != '\r'
+            || startsWith(DATA_FIELD, lineEnd, false)
+            || startsWith(ID_FIELD, lineEnd, false)
+            || startsWithAny(SILENT_FIELDS, lineEnd);
+    return !isKnown && containsStatusLine(previousLineStart, end);
+  }
+
+  private boolean containsStatusLine(int start, int end) {
+    for (int i = start; i <= end - STATUS_LENGTH; i++) {
+      int code = i + STATUS_LENGTH - 1;
+      if (startsWith(PROTOCOL, i, end, false)
+          && pending.getByte(code - 3) == ' '
+          && isDigit(pending.getByte(code))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isDigit(int read) {
+    return read >= '0' && read <= '9';
+  }
+
   /** Returns what a line makes of an event that has neither id nor data before it. */
   private StreamEvent withoutId(int lineEnd) {
     if (startsWith(DATA_FIELD, lineEnd, false)) {
@@ -122,12 +186,16 @@
     }
     int valueStart = lineStart + WEIGHT_VERSIONS.length;
     String value = pending.toString(valueStart, lineEnd - valueStart, StandardCharsets.US_ASCII);
-    return !value.isBlank() && value.strip().chars().allMatch(c -> c >= '0' && c <= '9');
+    return !value.isBlank() && value.strip().chars().allMatch(SseFramer::isDigit);
   }
 
   private boolean startsWithAny(byte[][] names, int lineEnd) {
+    return startsWithAny(names, lineStart, lineEnd, true);
+  }
+
+  private boolean startsWithAny(byte[][] names, int start, int lineEnd, boolean ignoresCase) {
     for (byte[] name : names) {
-      if (startsWith(name, lineEnd, true)) {
+      if (startsWith(name, start, lineEnd, ignoresCase)) {
         return true;
       }
     }
@@ -135,11 +203,15 @@
   }
 
   private boolean startsWith(byte[] name, int lineEnd, boolean ignoresCase) {
-    if (lineEnd - lineStart < name.length) {
+    return startsWith(name, lineStart, lineEnd, ignoresCase);
+  }
+
+  private boolean startsWith(byte[] name, int start, int lineEnd, boolean ignoresCase) {
+    if (lineEnd - start < name.length) {
       return false;
     }
     for (int i = 0; i < name.length; i++) {
-      int read = pending.getByte(lineStart + i);
+      int read = pending.getByte(start + i);
       boolean isEqual = read == name[i];
       if (!isEqual && !(ignoresCase && Character.toLowerCase(read) == name[i])) {
         return false;
@@ -165,6 +237,7 @@
     acceptedEnd -= length;
     eventEnd -= length;
     lineStart -= length;
+    previousLineStart -= length;
     scanned -= length;
     return taken;
   }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/StreamContinuationTest.java
@@ -218,6 +218,16 @@
     }
   }
 
+  /** Guards against an event whose id is lost to the begin of a copy on the same line. */
+  @ParameterizedTest
+  @ValueSource(strings = {"H", "HTTP", "HTTP/1", "HTTP/1.1 20"})
+  void eventBehindTheBeginOfACopyReachesNoCaller(String cut) throws IOException {
+    String joined = STREAM + CHUNKED + chunk(events(1, 2) + cut + events(3)) + LAST_CHUNK;
+    assertThat(body("/resumable/x", joined, STREAM + sized(events(3))))
+        .isEqualTo(chunk(events(1, 2)) + chunk(events(3)) + LAST_CHUNK);
+    assertThat(body("/stream/x", joined)).isEqualTo(chunk(events(1, 2)));
+  }
+
   /** A continuation may have another charset, or comments before its first event or its end. */
   @Test
   void continuationWithoutErrorCompletesAStream() throws IOException {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
@@ -106,4 +106,36 @@
       assertThat(only(line + "\nid: 4").kind()).as(line).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
     }
   }
+
+  /** Guards against an event that follows the begin of a copy on the same line. */
+  @Test
+  void fieldBehindTheBeginOfAStatusLineIsAFault() {
+    String statusLine = "HTTP/1.1 200 OK";
+    for (int length = 1; length <= statusLine.length(); length++) {
+      for (String field : List.of("id: 7", "data: x", "event: x", "retry: 1", "id:7\r")) {
+        String event = statusLine.substring(0, length) + field + "\ndata: x";
+        assertThat(only(event).kind()).as(event).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+      }
+    }
+    for (String sound : List.of("Hdata", "Huid: 7", "Hid", "HTTPS: x", "hdata: x", "TTPid: 7")) {
+      assertThat(only(sound + "\nid: 4")).as(sound).isEqualTo(StreamEvent.numbered(4));
+    }
+  }
+
+  /** Guards against a head that begins within a line and is cut before a known header. */
+  @Test
+  void headerBehindAStatusLineWithinALineIsAFault() {
+    for (String line : List.of("data: to", "da", "id: 4", "")) {
+      String event = line + "HTTP/1.1 200 OK\r\nDate: noid: 7\ndata: x";
+      assertThat(only(event).kind()).as(event).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+    }
+    for (String sound :
+        List.of(
+            "data: HTTP/1.1 200 OK\nmeta: x\nid: 4",
+            "data: HTTP/1.1 is spoken\r\nmeta: x\r\nid: 4",
+            "data: HTTP/1.1 200 OK\r\ndata: x\r\n: x\r\nid: 4",
+            "data: x\r\nmeta: x\r\nid: 4")) {
+      assertThat(only(sound)).as(sound).isEqualTo(StreamEvent.numbered(4));
+    }
+  }
 }
