Serve a body without length that a whole copy of its response follows

A body without length that its own second copy follows failed altogether, so that callers of unsafe requests got 502 although nothing of the body is missing. A copy that is shorter, longer or different, that has another status line, header names or framing, or that is not the only one, fails as before.

Evidence: ForeignBytesTest.bodyWithoutLengthBeforeAWholeCopyIsComplete and ForeignBytesInBodiesTest.bodyBeforeAWholeCopyIsServed (502 before).

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/ResponseHeadScan.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/ResponseHeadScan.java
@@ -40,6 +40,7 @@
   private int nameEnd;
   private long position;
   private String statedId = "";
+  private boolean isWhole;
 
   /**
    * Creates a search at the begin of a body.
@@ -95,6 +96,7 @@
   private void beginHead() {
     isInHead = true;
     isInName = false;
+    isWhole = false;
     head.setLength(0);
     head.append(statusLine);
     outline.setLength(0);
@@ -149,6 +151,7 @@
   /** Ends a line and returns whether another one may follow. */
   private boolean endsLine() {
     if (isInName) {
+      isWhole = true;
       return false;
     }
     String line = head.substring(lineStart).stripTrailing();
@@ -188,6 +191,16 @@
     return position - (statedId.isEmpty() ? undecidedBytes() : head.length());
   }
 
+  /** Returns the outline of the head that was found, empty if it is not whole. */
+  public String foundOutline() {
+    return isWhole ? outline.toString() : "";
+  }
+
+  /** Returns the length of the head that was found, as far as it has been read. */
+  public int foundBytes() {
+    return head.length();
+  }
+
   /** Returns the id that the head which was found states, empty if it was cut before it. */
   public String statedId() {
     return statedId;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -346,8 +346,8 @@
   }
 
   @Override
-  public void onForeignBytes(long position, String statedId) {
-    request.log().foreignBytes(endpoint.id(), position, statedId);
+  public void onForeignBytes(long position, String statedId, boolean isWholeCopy) {
+    request.log().foreignBytes(endpoint.id(), position, statedId, isWholeCopy);
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -132,8 +132,10 @@
    *
    * @param position where in the body the head begins
    * @param statedId id that the head states, empty if it is cut before it
+   * @param isWholeCopy whether a whole copy follows the body, which is complete without it
    */
-  void foreignBytes(String endpointId, long position, String statedId) {
+  void foreignBytes(String endpointId, long position, String statedId, boolean isWholeCopy) {
+    String reason = isWholeCopy ? "a whole copy of itself" : foreignBytesReason(statedId);
     log.event(
         "foreign_bytes",
         "id",
@@ -143,8 +145,10 @@
         "position",
         position,
         "stated_id",
-        statedId);
-    metrics.foreignBytes(foreignBytesReason(statedId));
+        statedId,
+        "reason",
+        reason);
+    metrics.foreignBytes(reason);
   }
 
   private String foreignBytesReason(String statedId) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/CarriedIds.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/CarriedIds.java
@@ -57,15 +57,17 @@
     return false;
   }
 
-  /** Adds the head of a response. */
-  void add(HttpResponse response) {
+  /** Adds the head of a response and returns its outline. */
+  String add(HttpResponse response) {
     List<String> names = new ArrayList<>();
     for (Map.Entry<String, String> header : response.headers()) {
       names.add(header.getKey());
     }
-    heads.add(
+    String outline =
         ResponseHeadScan.outlineOf(
-            response.protocolVersion().text() + " " + response.status(), names));
+            response.protocolVersion().text() + " " + response.status(), names);
+    heads.add(outline);
+    return outline;
   }
 
   /** Returns the outlines of the heads, without repetitions. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -199,7 +199,7 @@
 
   private void readHead(HttpResponse response) {
     EndpointResponseHead head = EndpointResponseHead.decode(response);
-    carried.add(response);
+    String outline = carried.add(response);
     if (head.hasSeveralIds()) {
       fail("the answer states several ids");
       return;
@@ -228,7 +228,12 @@
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     reusable = !head.requestId().isEmpty() && HttpUtil.isKeepAlive(response) && !endsWithConnection;
     boolean hasEvents = request.expectsEvents() && head.isSuccess();
-    filter = hasEvents ? null : new ForeignBytesFilter(carried, listener::onContent);
+    String unsizedOutline = endsWithConnection ? outline : "";
+    filter =
+        hasEvents
+            ? null
+            : new ForeignBytesFilter(
+                carried, request.requestId(), unsizedOutline, listener::onContent);
     listener.onHead(head, response);
   }
 
@@ -258,9 +263,8 @@
     if (content.content().isReadable()) {
       passOn(content.content());
     }
-    ForeignBytesFilter scanned = filter;
-    if (isLast && !finished && scanned != null && scanned.end()) {
-      failForeign(scanned);
+    if (isLast && !finished) {
+      endBody();
     }
     if (isLast && !finished) {
       finished = true;
@@ -284,8 +288,20 @@
     }
   }
 
+  private void endBody() {
+    ForeignBytesFilter scanned = filter;
+    if (scanned == null) {
+      return;
+    }
+    if (scanned.end()) {
+      failForeign(scanned);
+    } else if (scanned.hasWholeCopy()) {
+      listener.onForeignBytes(scanned.position(), scanned.statedId(), true);
+    }
+  }
+
   private void failForeign(ForeignBytesFilter scanned) {
-    listener.onForeignBytes(scanned.position(), scanned.statedId());
+    listener.onForeignBytes(scanned.position(), scanned.statedId(), false);
     fail("the body contains the head of another response");
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ExchangeListener.java
@@ -25,12 +25,13 @@
   void onContent(ByteBuf content);
 
   /**
-   * Called when a body contains the head of another response, before the exchange fails.
+   * Called when a body contains the head of another response, before the exchange ends or fails.
    *
    * @param position where in the body the head begins
    * @param statedId id that the head states, empty if it is cut before it
+   * @param isWholeCopy whether a whole copy follows the body, which is complete without it
    */
-  default void onForeignBytes(long position, String statedId) {}
+  default void onForeignBytes(long position, String statedId, boolean isWholeCopy) {}
 
   /** Called when the response is complete. */
   void onEnd();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ForeignBytesFilter.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ForeignBytesFilter.java
@@ -5,31 +5,44 @@
 import io.samphiredyke.core.stream.ResponseHeadScan;
 import io.samphiredyke.platform.Headers;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Passes on the body of a response as long as it contains no bytes of another response.
  *
  * <p>Holds back the bytes that may be the begin of another head, {@link
- * ResponseHeadScan#MAX_HEAD_BYTES} at most. The body is wrong as a whole if there is one: nothing
- * states that the part before it is complete.
+ * ResponseHeadScan#MAX_HEAD_BYTES} at most. The body is wrong as a whole if there is one, as
+ * nothing states that the part before it is complete, unless a whole copy of the response follows
+ * it.
  */
 final class ForeignBytesFilter {
 
   private final CarriedIds carried;
+  private final String ownOutline;
+  private final String ownId;
   private final Consumer<ByteBuf> receiver;
   private final ResponseHeadScan scan;
+  private final @Nullable CopyComparison comparison;
   private ByteBuf held = Unpooled.EMPTY_BUFFER;
+  private boolean isInCopy;
+  private boolean hasWholeCopy;
 
   /**
    * Creates a filter at the begin of a body.
    *
    * @param carried what the connection has carried, the response included
+   * @param ownId id of the request
+   * @param ownOutline outline of the head of a response without length or chunks, empty for others
    * @param receiver receives what is passed on
    */
-  ForeignBytesFilter(CarriedIds carried, Consumer<ByteBuf> receiver) {
+  ForeignBytesFilter(
+      CarriedIds carried, String ownId, String ownOutline, Consumer<ByteBuf> receiver) {
     this.carried = carried;
+    this.ownId = ownId;
+    this.ownOutline = ownOutline;
     this.receiver = receiver;
     this.scan = new ResponseHeadScan(Headers.REQUEST_ID, carried::contains);
+    this.comparison = ownOutline.isEmpty() ? null : new CopyComparison();
   }
 
   /**
@@ -38,6 +51,9 @@
    * @return whether they contain the head of another response; nothing more is passed on then
    */
   boolean accept(ByteBuf content) {
+    if (isInCopy) {
+      return !continuesCopy(content);
+    }
     int position = content.readerIndex();
     int end = content.writerIndex();
     while (position < end) {
@@ -47,42 +63,79 @@
         position = first < 0 ? end : first;
       }
       if (position < end && scan.accept(content.getByte(position++))) {
-        return true;
+        return !beginsCopy(content, position);
       }
     }
-    passOn(content);
+    passOn(content, scan.undecidedBytes());
     return false;
   }
 
-  private void passOn(ByteBuf content) {
-    int undecided = scan.undecidedBytes();
+  /** Begins to compare the rest with the body before it, if the head that was found permits. */
+  private boolean beginsCopy(ByteBuf content, int headEnd) {
+    boolean isOwn = scan.statedId().equals(ownId) && scan.foundOutline().equals(ownOutline);
+    if (comparison == null || !isOwn) {
+      return false;
+    }
+    isInCopy = true;
+    passOn(
+        content.slice(content.readerIndex(), headEnd - content.readerIndex()), scan.foundBytes());
+    held = Unpooled.EMPTY_BUFFER;
+    return continuesCopy(content.slice(headEnd, content.writerIndex() - headEnd));
+  }
+
+  private boolean continuesCopy(ByteBuf content) {
+    CopyComparison running = comparison;
+    if (running == null) {
+      return false;
+    }
+    running.addToCopy(content);
+    return !running.isLonger();
+  }
+
+  /** Passes on what was held back and more, without the last bytes, which are held back. */
+  private void passOn(ByteBuf content, int undecided) {
     if (!held.isReadable() && undecided == 0) {
-      receiver.accept(content);
+      give(content);
       return;
     }
     ByteBuf all = Unpooled.wrappedBuffer(held, content.slice());
-    held = Unpooled.copiedBuffer(all.slice(all.readableBytes() - undecided, undecided));
-    ByteBuf decided = all.slice(0, all.readableBytes() - undecided);
-    if (decided.isReadable()) {
-      receiver.accept(decided);
+    int decided = all.readableBytes() - undecided;
+    held = Unpooled.copiedBuffer(all.slice(decided, undecided));
+    give(all.slice(0, decided));
+  }
+
+  private void give(ByteBuf bytes) {
+    if (!bytes.isReadable()) {
+      return;
     }
+    if (comparison != null) {
+      comparison.addToBody(bytes);
+    }
+    receiver.accept(bytes);
   }
 
   /**
    * Ends the body and passes on what was held back.
    *
-   * @return whether the body ends within the head of another response
+   * @return whether the body ends within another response
    */
   boolean end() {
+    if (isInCopy) {
+      hasWholeCopy = comparison != null && comparison.isEqual();
+      return !hasWholeCopy;
+    }
     if (scan.endsWithin(carried.heads())) {
       return true;
     }
-    if (held.isReadable()) {
-      receiver.accept(held);
-    }
+    give(held);
     return false;
   }
 
+  /** Returns whether a whole copy of the response followed the body, and was not passed on. */
+  boolean hasWholeCopy() {
+    return hasWholeCopy;
+  }
+
   /** Returns where in the body the head of another response begins. */
   long position() {
     return scan.headPosition();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/ForeignBytesInBodiesTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/ForeignBytesInBodiesTest.java
@@ -93,6 +93,13 @@
     assertThat(sent).hasValue(3);
   }
 
+  @Test
+  void bodyBeforeAWholeCopyIsServed() {
+    String whole = UNSIZED + BODY;
+    assertThat(outcome("/unsafe/x", whole + whole + CLOSE)).isEqualTo(BODY);
+    await(() -> logged("\"reason\":\"a whole copy of itself\""));
+  }
+
   /** Guards against the copy of an earlier response that a later body takes up. */
   @Test
   void bodyWithALateCopyReachesNoCaller() {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/ForeignBytesTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/upstream/ForeignBytesTest.java
@@ -145,6 +145,30 @@
     assertThat(wrong).isEmpty();
   }
 
+  /** Guards against a failure where the copy proves the body. */
+  @Test
+  void bodyWithoutLengthBeforeAWholeCopyIsComplete() {
+    for (String body : List.of(BODY, "", "x", BODY.repeat(100))) {
+      String own = response("r", body, Framing.CONNECTION);
+      assertThat(read(own + own)).isEqualTo(body);
+    }
+    String own = response("r", BODY, Framing.CONNECTION);
+    List<String> others = new ArrayList<>();
+    for (String copy :
+        List.of(
+            own + "x",
+            own.replace("some", "same"),
+            own.replace("200 OK", "500 Failed"),
+            own.replace("Date: now\r\n", ""),
+            response("r", BODY, Framing.LENGTH),
+            response("r", BODY, Framing.CHUNKS),
+            response("q", BODY, Framing.CONNECTION),
+            own + own)) {
+      others.add(read(own + copy));
+    }
+    assertThat(others).containsOnly(FAILED);
+  }
+
   /** Guards against a late copy of an earlier response within the body of the next one. */
   @Test
   void bodyWithoutLengthTakesUpNoCopyOfAnEarlierResponse() {
