--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -53,6 +53,8 @@
   private final ExchangeListener listener;
   private final boolean isReused;
   private @Nullable Channel channel;
+  private CarriedIds carried = new CarriedIds();
+  private @Nullable ForeignBytesFilter filter;
   private long sentAt;
   private final long createdAt;
   private boolean requestSent;
@@ -91,7 +93,7 @@
       return;
     }
     channel = connected;
-    connections.carries(connected, request.requestId());
+    carried = connections.carries(connected, request.requestId());
     sentAt = connected.eventLoop().ticker().nanoTime();
     connections.sent(this, target, request.requestId(), connected);
     connected.pipeline().get(ResponseDecoder.class).requestStarted(request.method());
@@ -208,6 +210,7 @@
 
   private void readHead(HttpResponse response) {
     EndpointResponseHead head = EndpointResponseHead.decode(response);
+    String outline = carried.add(response);
     if (head.hasSeveralIds()) {
       fail("the answer states several ids");
       return;
@@ -235,6 +238,13 @@
     boolean endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     reusable = !head.requestId().isEmpty() && HttpUtil.isKeepAlive(response) && !endsWithConnection;
+    boolean hasEvents = request.expectsEvents() && head.isSuccess();
+    String unsizedOutline = endsWithConnection ? outline : "";
+    filter =
+        hasEvents
+            ? null
+            : new ForeignBytesFilter(
+                carried, request.requestId(), unsizedOutline, listener::onContent);
     listener.onHead(head, response);
   }
 
@@ -262,7 +272,10 @@
       return;
     }
     if (content.content().isReadable()) {
-      listener.onContent(content.content());
+      passOn(content.content());
+    }
+    if (isLast && !finished) {
+      endBody();
     }
     if (isLast && !finished) {
       finished = true;
@@ -277,6 +290,32 @@
     }
   }
 
+  private void passOn(ByteBuf content) {
+    ForeignBytesFilter scanned = filter;
+    if (scanned == null) {
+      listener.onContent(content);
+    } else if (scanned.accept(content) && !finished) {
+      failForeign(scanned);
+    }
+  }
+
+  private void endBody() {
+    ForeignBytesFilter scanned = filter;
+    if (scanned == null) {
+      return;
+    }
+    if (scanned.end()) {
+      failForeign(scanned);
+    } else if (scanned.hasWholeCopy()) {
+      listener.onForeignBytes(scanned.position(), scanned.statedId(), true);
+    }
+  }
+
+  private void failForeign(ForeignBytesFilter scanned) {
+    listener.onForeignBytes(scanned.position(), scanned.statedId(), false);
+    fail("the body contains the head of another response");
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (returnPending) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/request/SseFramerTest.java
@@ -80,4 +80,62 @@
     assertThat(events.get(0).kind()).isEqualTo(StreamEvent.Kind.OVERSIZED);
     assertThat(new SseFramerTest().add("id: 1\n" + line.repeat(60) + "\n")).isNotEmpty();
   }
+
+  private static StreamEvent only(String event) {
+    SseFramerTest test = new SseFramerTest();
+    test.add(event + "\n\n");
+    assertThat(test.events).hasSize(1);
+    return test.events.get(0);
+  }
+
+  /** Guards against a change of the weights' version that breaks a sound stream off. */
+  @Test
+  void eventMayStateTheVersionOfTheWeights() {
+    for (String line :
+        List.of("x-samphiredyke-weight-versions: 7", "x-samphiredyke-weight-versions:7")) {
+      assertThat(only(line + "\nid: 4\ndata: x")).isEqualTo(StreamEvent.numbered(4));
+      assertThat(only("id: 4\n" + line).kind()).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+    }
+    for (String line :
+        List.of(
+            "X-Samphiredyke-Weight-Versions: 7",
+            "x-samphiredyke-weight-versions: 7\nContent-Length: 3",
+            "x-samphiredyke-weight-versions: a",
+            "x-samphiredyke-weight-versions:",
+            "x-samphiredyke-request-id: 7")) {
+      assertThat(only(line + "\nid: 4").kind()).as(line).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+    }
+  }
+
+  /** Guards against an event that follows the begin of a copy on the same line. */
+  @Test
+  void fieldBehindTheBeginOfAStatusLineIsAFault() {
+    String statusLine = "HTTP/1.1 200 OK";
+    for (int length = 1; length <= statusLine.length(); length++) {
+      for (String field : List.of("id: 7", "data: x", "event: x", "retry: 1", "id:7\r")) {
+        String event = statusLine.substring(0, length) + field + "\ndata: x";
+        assertThat(only(event).kind()).as(event).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+      }
+    }
+    for (String sound : List.of("Hdata", "Huid: 7", "Hid", "HTTPS: x", "hdata: x", "TTPid: 7")) {
+      assertThat(only(sound + "\nid: 4")).as(sound).isEqualTo(StreamEvent.numbered(4));
+    }
+  }
+
+  /** Guards against a head that begins within a line and is cut before a known header. */
+  @Test
+  void headerBehindAStatusLineWithinALineIsAFault() {
+    for (String line : List.of("data: to", "da", "id: 4", "")) {
+      String event = line + "HTTP/1.1 200 OK\r\nDate: noid: 7\ndata: x";
+      assertThat(only(event).kind()).as(event).isEqualTo(StreamEvent.Kind.RESPONSE_HEAD);
+    }
+    for (String sound :
+        List.of(
+            "data: HTTP/1.1 200 OK\nmeta: x\nid: 4",
+            "data: HTTP/1.1 is spoken\r\nmeta: x\r\nid: 4",
+            "data: HTTP/1.1 200 OK\r\ndata: x\r\n: x\r\nid: 4",
+            "data: x\r\nmeta: x\r\nid: 4")) {
+      assertThat(only(sound)).as(sound).isEqualTo(StreamEvent.numbered(4));
+    }
+  }
 }
