Roll-outs: log who decides and when stages are written; tests keep the hosts' logs

A host now logs when it begins or ceases to decide on a roll-out (rollout_decider) and each write of a stage with its time (rollout_written, rollout_not_written). The lines of roll-outs are in a class of their own. A test that runs gateways keeps their logs in target/failed-tests if it fails; each line names its host. No change of behaviour.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Carries out the roll-outs that the operator orders. The host that schedules a service decides on
@@ -43,7 +44,7 @@
   private final PoolScheduler scheduler;
   private final RolloutArchive archive;
   private final RolloutController controller;
-  private final DecisionLog log;
+  private final RolloutLog log;
   private final Map<String, ServiceRollout> rollouts = new HashMap<>();
   private boolean isTicking;
   private boolean isStoreRestored;
@@ -64,7 +65,7 @@
     this.scheduler = peers.slotClient().scheduler();
     this.archive = new RolloutArchive(loop, store);
     this.controller = new RolloutController(permittedExposure);
-    this.log = log;
+    this.log = new RolloutLog(log);
     peers.setRolloutListener(this::received);
   }
 
@@ -86,13 +87,13 @@
     try {
       ordered(RolloutCodec.decodeOrder(value, record.offset()));
     } catch (MalformedRecordException e) {
-      log.event("rollout_rejected", "key", record.key(), "reason", e.getMessage());
+      log.rejected(record.key(), e.getMessage());
     }
   }
 
   private void abandon(String service) {
     if (rollouts.remove(service) != null) {
-      log.event("rollout_abandoned", "service", service, "reason", "the order was deleted");
+      log.abandoned(service);
       scheduler.setSplit(service, null, loop.nanoTime());
     }
   }
@@ -102,16 +103,7 @@
     if (known != null && isKnown(order, known)) {
       return;
     }
-    log.event(
-        "rollout_ordered",
-        "service",
-        order.service(),
-        "version",
-        order.version(),
-        "duration_ms",
-        order.durationMillis(),
-        "offset",
-        order.offset());
+    log.ordered(order);
     begin(order);
   }
 
@@ -152,7 +144,7 @@
           }
         },
         failure -> {
-          log.event("rollout_not_read", "reason", String.valueOf(failure.getMessage()));
+          log.notRead(rollout.order().service(), failure);
           loop.schedule(() -> readStage(rollout), RETRY_INTERVAL);
         });
   }
@@ -188,24 +180,7 @@
   private void enter(ServiceRollout rollout, RolloutState next, String source) {
     RolloutState before = rollout.state();
     rollout.enter(next, loop.nanoTime());
-    log.event(
-        "rollout",
-        "service",
-        next.order().service(),
-        "version",
-        next.order().version(),
-        "stage",
-        next.stage(),
-        "before",
-        before == null ? "none" : before.stage(),
-        "elapsed_ms",
-        next.elapsedMillis(),
-        "exposure",
-        rollout.split.exposure(),
-        "reason",
-        next.reason(),
-        "source",
-        source);
+    log.entered(next, before, rollout.split.exposure(), source);
     applyStage(rollout, next.stage());
     startTicking();
   }
@@ -249,6 +224,9 @@
       }
       return false;
     }
+    if (wasScheduler != rollout.isScheduler) {
+      log.deciderChanged(rollout);
+    }
     if (!rollout.isScheduler) {
       if (state != null
           && !state.stage().isFinal()
@@ -317,25 +295,23 @@
       return;
     }
     rollout.isWriting = true;
+    long startedAt = loop.nanoTime();
     loop.whenDone(
         archive.write(state, previous, elapsedMillis),
-        other -> written(rollout, state, other),
+        other -> written(rollout, state, other, startedAt),
         failure -> {
-          log.event(
-              "rollout_not_written",
-              "service",
-              state.order().service(),
-              "stage",
-              state.stage(),
-              "reason",
-              String.valueOf(failure.getMessage()));
+          log.notWritten(state, failure, millisSince(startedAt));
           loop.schedule(() -> rollout.isWriting = false, RETRY_INTERVAL);
         });
   }
 
   private void written(
-      ServiceRollout rollout, RolloutState written, Optional<RolloutState> superseding) {
+      ServiceRollout rollout,
+      RolloutState written,
+      Optional<RolloutState> superseding,
+      long startedAt) {
     rollout.isWriting = false;
+    log.written(written, superseding, millisSince(startedAt));
     if (superseding.isPresent()) {
       adopt(rollout, superseding.get(), "store");
       return;
@@ -347,6 +323,10 @@
     }
   }
 
+  private long millisSince(long startedAt) {
+    return TimeUnit.NANOSECONDS.toMillis(loop.nanoTime() - startedAt);
+  }
+
   /** Writes the stages that this host decides on again, because an older copy was restored. */
   public void onStoreRestored() {
     isStoreRestored = true;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -32,6 +32,7 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Base class of tests that run gateways against stand-ins of the platform, over loopback. */
 abstract class GatewayHarness {
@@ -48,7 +49,8 @@
   final StoreStandIn store = new StoreStandIn();
   final List<EndpointStandIn> plainEndpoints = new ArrayList<>();
   final List<EndpointStandIn> modelEndpoints = new ArrayList<>();
-  final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
+  @RegisterExtension final HostLog hostLog = new HostLog();
+  final ByteArrayOutputStream logOutput = hostLog.output;
   final HttpClient client = HttpClient.newHttpClient();
   int requestCount;
   int graceMillis = 8_000;
@@ -150,7 +152,7 @@
             5,
             1,
             1_000);
-    DecisionLog log = new DecisionLog(logOutput, System::currentTimeMillis);
+    DecisionLog log = new DecisionLog(hostLog.of(name), System::currentTimeMillis);
     Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log, endpoints);
     gateway.start().join();
     return new RunningGateway(gateway, address, peer);
