Tests: hosts of the gateway's harness have different ids

Each host of the harness drew its id from the same seed, so all had one id. Failure detection looks members up by it: with three hosts a failed probe of the lost one made another host suspect, which refuted that at once. The lost host stayed alive in the others' view and was selected again each second for about 0.1 s, until it was silent again. Each time the next host began anew to decide, so that the minimum times of the stages (1.2 s) began anew, too. In production each process draws its seed from the system's random device.

Timeline of a failed run, ms since the order: canary 101, lost host silent 300, the deciding host ceases and begins to decide at 1329, 3455, 4559, 6672, 7777, 8797, 9901 (0.1 s each), expanding 7376, completing 11219 (bound 10200), succeeded 12552 (bound 12000).

Bounds as before; hosts that are told apart are what the test states.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -44,6 +44,9 @@
   private static final AtomicInteger NEXT_PORT =
       new AtomicInteger(12_000 + (int) (ProcessHandle.current().pid() % 1_500) * 8);
 
+  /** Seeds the hosts differently, as the group tells them apart by an id that they draw. */
+  private final SplittableRandom random = new SplittableRandom(3);
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   final StoreStandIn store = new StoreStandIn();
@@ -153,7 +156,7 @@
             1,
             1_000);
     DecisionLog log = new DecisionLog(hostLog.of(name), System::currentTimeMillis);
-    Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log, endpoints);
+    Gateway gateway = new Gateway(settings, group, random.split(), log, endpoints);
     gateway.start().join();
     return new RunningGateway(gateway, address, peer);
   }
