Roll-outs: delays of milliseconds are no slowness of a version

The endpoints answer within 1 ms, so that an answer after 2 ms counted as slow. What a host measures contains its own delays, and one delay meets a row of answers of the same version, as grants at half of the traffic alternate in rows of eight. Times below 10 ms now count as 10 ms, those observed as those expected.

Ruled out: a slow endpoint (three of three, and after 1 ms again at once); the change of the deciding host (two runs had none before the decision).

What it costs: a version whose answers take several times as long, but less than 20 ms, is not found any more. Services of 10 ms or more are judged as before.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/VersionTraffic.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/VersionTraffic.java
@@ -10,6 +10,9 @@
 /** Applies the split of a roll-out to the endpoints of a service; without one it does nothing. */
 final class VersionTraffic {
 
+  /** Shorter times count as this one, as a busy host delays what it measures by milliseconds. */
+  private static final double RESOLUTION_MILLIS = 10;
+
   private final EndpointIndex endpoints;
   private final ServiceLatency latency;
   private @Nullable VersionSplit split;
@@ -69,13 +72,18 @@
         || ended.request.isIsolated()) {
       return;
     }
-    boolean isComparable = ended.totalMillis > 0 && !endpoint.isWarmingUp(ended.grantedAt);
-    double expectedMillis = Math.max(1, latency.idleTotalMillis(ended.request.estimate()));
-    double ratio = isComparable ? observedMillis / expectedMillis : 0;
+    boolean isComparable =
+        ended.totalMillis > 0 && observedMillis > 0 && !endpoint.isWarmingUp(ended.grantedAt);
+    double expectedMillis = latency.idleTotalMillis(ended.request.estimate());
+    double ratio =
+        Math.max(RESOLUTION_MILLIS, observedMillis) / Math.max(RESOLUTION_MILLIS, expectedMillis);
     current.answered(
         endpoint.endpoint().version(),
         new Answer(
-            ended.request.route(), endpoint.endpoint().id(), outcome != Outcome.SERVED, ratio),
+            ended.request.route(),
+            endpoint.endpoint().id(),
+            outcome != Outcome.SERVED,
+            isComparable ? ratio : 0),
         endpoints.endpointsOf(current.order().version()),
         now);
   }
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerRolloutTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerRolloutTest.java
@@ -5,7 +5,9 @@
 import io.samphiredyke.core.rollout.RolloutOrder;
 import io.samphiredyke.core.rollout.VersionSplit;
 import io.samphiredyke.core.serving.EndpointRecord;
+import java.util.Objects;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -65,6 +67,30 @@
     assertThat(granted("new")).isBetween(18, 20);
   }
 
+  private @Nullable String findingAfter(double oldMillis, double newMillis) {
+    serve(50);
+    split.grantShare(0.5);
+    for (long id = 51; id <= 400; id++) {
+      long now = id * 10 * MILLI;
+      scheduler.submit(request(id, 0, now, 1_000), now);
+      String endpointId = grants.get(id);
+      double millis = "new".equals(endpointId) ? newMillis : oldMillis;
+      scheduler.release("s", endpointId, id, Outcome.SERVED, millis, now);
+    }
+    return Objects.requireNonNull(scheduler.rolloutEvidence("s", 4 * SECOND)).finding();
+  }
+
+  /** A busy host measures its own delays, too. */
+  @Test
+  void delaysOfMillisecondsAreNoSlownessOfTheNewVersion() {
+    assertThat(findingAfter(1, 9)).isNull();
+  }
+
+  @Test
+  void slowVersionOfAQuickServiceIsFound() {
+    assertThat(findingAfter(1, 40)).startsWith("is slower");
+  }
+
   @Test
   void noSlotStaysFreeThatTheSharePermits() {
     split.grantShare(0.5);
