Client library and host state: a response has to state its end

What callers saw: with a response without length, a plain service's body cut off by the close of a killed process was returned as complete by the client library, at each byte.

Cause: HttpClient took the end of the connection for the end of every response that states neither a length nor chunks. The operating system of a killed process closes its connections as regularly as a server does.

A request can now require framing. The client library does, and so does the loading of another host's state. A response that is not framed comes from no host and counts as interrupted; it is asked for again with the same id. Sound responses of hosts lose nothing.

Ruled out: framed responses; cut at any byte they fail (HttpClientTest).

SamphiredykeClientTest, HttpClientTest and TlsTest pass.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestExecution.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestExecution.java
@@ -129,6 +129,7 @@
             .header("authorization", "Bearer " + context.customerKey())
             .header("idempotency-key", requestId)
             .body(request.body())
+            .requireFraming()
             .timeout(context.options().inactivityTimeout());
     request.headers().forEach(builder::header);
     if (assembler.lastOffset() > 0) {
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/TicketLeaseCache.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/TicketLeaseCache.java
@@ -109,6 +109,7 @@
         HttpRequest.get(shuffledSeeds.get(next), "/v1/addresses?service=" + query)
             .header("authorization", "Bearer " + customerKey)
             .timeout(timeout)
+            .requireFraming()
             .build();
     http.send(request)
         .whenComplete(
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/acceptance/CallerSteps.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/acceptance/CallerSteps.java
@@ -106,7 +106,7 @@
     int status = Integer.parseInt(text.substring("HTTP/1.1 ".length()).substring(0, 3));
     int body = text.indexOf("\r\n\r\n") + 4;
     byte[] bytes = text.substring(body).getBytes(StandardCharsets.UTF_8);
-    return new HttpResponse(status, Map.of(), bytes);
+    return new HttpResponse(status, Map.of(), bytes, false);
   }
 
   /** Asserts the addresses in a problem document. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBootstrap.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBootstrap.java
@@ -106,7 +106,11 @@
     // Fetching is rare, and an idle connection to the host may be dead.
     loop.whenDone(
         http.send(
-            HttpRequest.get(metricsAddress, PATH).timeout(TIMEOUT).newConnection(true).build()),
+            HttpRequest.get(metricsAddress, PATH)
+                .timeout(TIMEOUT)
+                .newConnection(true)
+                .requireFraming()
+                .build()),
         response -> onResponse(member, response, onState),
         failure -> onFailure(member, failure));
   }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -165,10 +165,9 @@
         countInterimResponse();
         return;
       }
-      keepAlive = HttpUtil.isKeepAlive(response);
-      listener.onHeaders(response.status().code(), headers(response));
+      readHead(ctx, response);
     }
-    if (isInterim) {
+    if (isInterim || finished) {
       return;
     }
     if (message instanceof HttpContent content) {
@@ -179,6 +178,18 @@
     }
   }
 
+  private void readHead(ChannelHandlerContext ctx, HttpResponse response) {
+    keepAlive = HttpUtil.isKeepAlive(response);
+    if (ctx.pipeline().get(ResponseDecoder.class).endsWithConnection(response)) {
+      if (request.requiresFraming()) {
+        fail(new ConnectionLostException("a response without length and without chunks"));
+        return;
+      }
+      listener.onEndsWithConnection();
+    }
+    listener.onHeaders(response.status().code(), headers(response));
+  }
+
   private void countInterimResponse() {
     interimResponses++;
     if (interimResponses > MAX_INTERIM_RESPONSES) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpRequest.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpRequest.java
@@ -16,6 +16,7 @@
  * @param body the body, empty if there is none
  * @param timeout how long the connection may receive no data while a response is pending
  * @param newConnection whether a new connection must be opened for it
+ * @param requiresFraming whether a response fails that states neither a length nor chunks
  */
 public record HttpRequest(
     String method,
@@ -24,7 +25,8 @@
     Map<String, String> headers,
     byte[] body,
     Duration timeout,
-    boolean newConnection) {
+    boolean newConnection,
+    boolean requiresFraming) {
 
   /** Returns a builder with the method GET, the path {@code /} and no address. */
   public static Builder builder() {
@@ -58,6 +60,7 @@
     private byte[] body = new byte[0];
     private Duration timeout = DEFAULT_TIMEOUT;
     private boolean newConnection;
+    private boolean requiresFraming;
 
     private Builder() {}
 
@@ -103,6 +106,15 @@
       return this;
     }
 
+    /**
+     * Makes a response fail that states neither a length nor chunks. Its end can't be told from
+     * that of a server that is killed. Use this for servers that frame all responses.
+     */
+    public Builder requireFraming() {
+      requiresFraming = true;
+      return this;
+    }
+
     /**
      * Returns the request.
      *
@@ -114,7 +126,7 @@
         throw new IllegalStateException("address is not set");
       }
       return new HttpRequest(
-          method, target, path, Map.copyOf(headers), body, timeout, newConnection);
+          method, target, path, Map.copyOf(headers), body, timeout, newConnection, requiresFraming);
     }
   }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpResponse.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpResponse.java
@@ -11,8 +11,11 @@
  * @param status the HTTP status
  * @param headers the headers, with names in lower case
  * @param body the body
+ * @param endsWithConnection whether only the end of the connection ended the body, as neither a
+ *     length nor chunks were stated
  */
-public record HttpResponse(int status, Map<String, String> headers, byte[] body) {
+public record HttpResponse(
+    int status, Map<String, String> headers, byte[] body, boolean endsWithConnection) {
 
   /** Returns the body as UTF-8 text. */
   public String text() {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseCollector.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseCollector.java
@@ -13,6 +13,7 @@
   private final BodyBudget budget;
   private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private boolean isBodyReleased;
+  private boolean endsWithConnection;
   private int status;
   private Map<String, String> headers = Map.of();
 
@@ -40,6 +41,11 @@
     body = new ByteArrayOutputStream(0);
   }
 
+  @Override
+  public void onEndsWithConnection() {
+    endsWithConnection = true;
+  }
+
   @Override
   public void onHeaders(int status, Map<String, String> headers) {
     this.status = status;
@@ -70,7 +76,7 @@
     synchronized (this) {
       content = body.toByteArray();
     }
-    response.complete(new HttpResponse(status, headers, content));
+    response.complete(new HttpResponse(status, headers, content, endsWithConnection));
   }
 
   @Override
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
@@ -109,6 +110,16 @@
     }
   }
 
+  /**
+   * Returns whether the body of a response ends with the connection, as neither a length nor chunks
+   * state its end.
+   */
+  boolean endsWithConnection(HttpResponse response) {
+    return !isContentAlwaysEmpty(response)
+        && !HttpUtil.isContentLengthSet(response)
+        && !HttpUtil.isTransferEncodingChunked(response);
+  }
+
   private static DecoderResult failure(String reason) {
     return DecoderResult.failure(new IllegalArgumentException(reason));
   }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/StreamListener.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/StreamListener.java
@@ -11,6 +11,12 @@
    */
   default void onConnectionReused() {}
 
+  /**
+   * Called before {@link #onHeaders} if the response states neither a length nor chunks, so that
+   * its body ends with the connection, as that of a server that is killed does.
+   */
+  default void onEndsWithConnection() {}
+
   /** Called once with the status and the headers. Header names are in lower case. */
   void onHeaders(int status, Map<String, String> headers);
 
