Store: a page that ends before the stated end is not all there is

What callers saw: nothing known; found by going through the users of the HTTP client. A caller that takes up a stream waits until the endpoint entries have been read. A page of the log that was cut off between two records, or ended at the store's size limit, counted as that read, so the stream could be decided without the newest entries.

Cause: StoreClient dropped the end offset that each page states, and TopicFollower.hasReadSince took any page for the whole rest of the topic.

Why the fix works: the end precedes the records, so a page that is short of it shows it. hasReadSince is true after a read that reached it; EndpointRefresh reads on until then, within its 300 ms. Applied records and offsets are as before: what a cut page has is right, and the next read begins after it. A sound store states the end that its page reaches; a page below the size limit costs nothing.

Evidence: TopicFollowerTest.pageThatEndsBeforeTheStatedEndIsNotAllThereIs failed before (5 empty pages that state end 1 counted as read), passes now.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/TopicFollower.java
@@ -233,7 +233,7 @@
       scheduleStep(this::readSnapshot, RECHECK_INTERVAL);
       return;
     }
-    recordSuccess();
+    recordSuccess(batch);
     apply(() -> receiver.onSnapshot(batch.records(), batch.nextOffset()), batch);
     scheduleRead();
   }
@@ -295,7 +295,7 @@
     if (!cursor.acceptRecords(batch.era(), batch.nextOffset())) {
       return false;
     }
-    recordSuccess();
+    recordSuccess(batch);
     apply(() -> receiver.onRecords(batch.records(), batch.nextOffset()), batch);
     return true;
   }
@@ -318,13 +318,15 @@
     }
   }
 
-  private void recordSuccess() {
+  private void recordSuccess(StoreBatch batch) {
     if (failures > 0) {
       log.event("store_back", "topic", topic, "failures", failures, "silent_ms", silentMillis());
     }
     failures = 0;
     lastReadAt = loop.nanoTime();
-    lastReadBeganAt = callBeganAt;
+    if (batch.isUpToEnd()) {
+      lastReadBeganAt = callBeganAt;
+    }
   }
 
   private void scheduleRead() {
@@ -371,7 +373,7 @@
         cursor.needsSnapshot() ? this::readSnapshot : this::read, Duration.ofMillis(backoff));
   }
 
-  /** Returns whether a read that began at or after a time has succeeded. */
+  /** Returns whether a read that began at or after a time has reached the end of the topic. */
   public boolean hasReadSince(long nanoTime) {
     return lastReadBeganAt != Long.MIN_VALUE && lastReadBeganAt - nanoTime >= 0;
   }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/store/TopicFollowerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/store/TopicFollowerTest.java
@@ -14,6 +14,7 @@
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.StoreRecord;
 import io.samphiredyke.platform.standin.Link;
+import io.samphiredyke.platform.standin.RawServer;
 import io.samphiredyke.platform.standin.StoreStandIn;
 import java.io.OutputStream;
 import java.time.Clock;
@@ -21,6 +22,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -46,10 +49,13 @@
   }
 
   private TopicFollower follower() {
+    return follower("127.0.0.1:" + link.port());
+  }
+
+  private TopicFollower follower(String address) {
     StoreClient client =
         new StoreClient(
-            new HttpClient(group, HttpClientOptions.defaults()),
-            SocketAddresses.parse("127.0.0.1:" + link.port()));
+            new HttpClient(group, HttpClientOptions.defaults()), SocketAddresses.parse(address));
     return new TopicFollower(
         loop,
         client,
@@ -82,6 +88,43 @@
     assertThat(reaches(1, 5_000)).isTrue();
   }
 
+  /** Guards against a page that was cut off between two records and counts as all of them. */
+  @Test
+  void pageThatEndsBeforeTheStatedEndIsNotAllThereIs() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n\r\n";
+    AtomicInteger calls = new AtomicInteger();
+    AtomicBoolean cuts = new AtomicBoolean(true);
+    RawServer cutStore =
+        RawServer.start(
+            (id, socket) -> {
+              String page = "\0\0\0\0\0\0\0\1\0\0\0\0\0\0\0\0";
+              String record = cuts.get() ? "" : "\0\0\0\4\1abc";
+              boolean isFirst = calls.incrementAndGet() == 1;
+              RawServer.write(
+                  socket, head + (isFirst ? "{\"Items\":[],\"End\":0}" : page + record));
+              socket.close();
+            });
+    TopicFollower follower = follower(cutStore.address());
+    loop.execute(follower::start);
+    assertThat(reaches(0, 5_000)).isTrue();
+    long since = loop.nanoTime();
+    int callsBefore = calls.get();
+    while (calls.get() < callsBefore + 5) {
+      Thread.sleep(1);
+    }
+    assertThat(loop.supply(() -> follower.hasReadSince(since)).join()).isFalse();
+    cuts.set(false);
+    assertThat(reachesAtLeast(1)).isTrue();
+    assertThat(loop.supply(() -> follower.hasReadSince(since)).join()).isTrue();
+  }
+
+  private boolean reachesAtLeast(long offset) throws InterruptedException {
+    for (int i = 0; i < 5_000 && position.get() < offset; i++) {
+      Thread.sleep(1);
+    }
+    return position.get() >= offset;
+  }
+
   private final class PositionReceiver implements TopicFollower.Receiver {
 
     @Override
