Client library: a body that was filled with a copy is not complete

What callers saw: the body of a plain service's response was the begin of the right one followed by the begin of a second copy of the response itself, with status 200 and the right id.

Cause: a response that was cut off within its stated length goes on with the next bytes of the connection. The decoder rejects it only if bytes that begin no response follow in the same read; if the copy has just the missing length, or its rest arrives later, nothing followed.

Why the fix works: a response begins with a status line, so such a body contains one or ends within one. WholeResponseCheck finds it; the request is then sent again with its id on a new connection, where the host has the response ready. A JSON object or array that is whole proves itself: no line of a head fits into a JSON text. A sound text body that speaks of HTTP is accepted when it comes a second time, which costs one call; all others cost one search.

Ruled out: a copy behind a framed body, which ends the connection or fails the response; copies of responses with another id at the first attempt.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestExecution.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/RequestExecution.java
@@ -12,6 +12,7 @@
 import io.samphiredyke.client.ResponseUnavailableException;
 import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpStream;
+import io.samphiredyke.net.http.WholeResponseCheck;
 import io.samphiredyke.net.sse.SseEvent;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -40,6 +41,7 @@
   private @Nullable TicketLease lease;
   private AddressRotation addresses;
   private StreamAssembler assembler;
+  private WholeResponseCheck wholeResponseCheck = new WholeResponseCheck();
   private String requestId = "";
   private int failures;
   private int redirects;
@@ -104,6 +106,7 @@
     unknownOutcomes = 0;
     mayHaveBeenSent = false;
     assembler = new StreamAssembler(listener);
+    wholeResponseCheck = new WholeResponseCheck();
     listener.onRequestId(requestId);
     connect();
   }
@@ -139,7 +142,8 @@
     connectionsForId++;
     ConnectionPools pools = context.connectionPools();
     boolean firstAttempt = connectionsForId == 1;
-    ResponseReader newReader = new ResponseReader(loop, requestId, new Handler());
+    ResponseReader newReader =
+        new ResponseReader(loop, requestId, wholeResponseCheck, new Handler());
     mayHaveBeenSentBefore = mayHaveBeenSent;
     mayHaveBeenSent = true;
     reader = newReader;
--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.samphiredyke.net.http.ConnectFailedException;
 import io.samphiredyke.net.http.StreamListener;
+import io.samphiredyke.net.http.WholeResponseCheck;
 import io.samphiredyke.net.sse.SseDecoder;
 import io.samphiredyke.net.sse.SseEvent;
 import io.samphiredyke.net.sse.SseException;
@@ -27,6 +28,7 @@
 
   private final EventLoop loop;
   private final String requestId;
+  private final WholeResponseCheck wholeResponseCheck;
   private final Handler handler;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable SseDecoder decoder;
@@ -34,9 +36,16 @@
   private boolean isConnectionReused;
   private boolean cancelled;
 
-  ResponseReader(EventLoop loop, String requestId, Handler handler) {
+  /**
+   * Creates a reader.
+   *
+   * @param wholeResponseCheck check that is shared by the readers of one request
+   */
+  ResponseReader(
+      EventLoop loop, String requestId, WholeResponseCheck wholeResponseCheck, Handler handler) {
     this.loop = loop;
     this.requestId = requestId;
+    this.wholeResponseCheck = wholeResponseCheck;
     this.handler = handler;
   }
 
@@ -130,11 +139,12 @@
   }
 
   private void end() {
-    if (decoder != null) {
+    byte[] content = body.toByteArray();
+    if (decoder != null || !wholeResponseCheck.isWhole(head.status(), content, false)) {
       handler.onInterrupted();
       return;
     }
-    handler.onResponse(head, body.toByteArray());
+    handler.onResponse(head, content);
   }
 
   @Override
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/IncompleteResponseTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/IncompleteResponseTest.java
@@ -73,4 +73,31 @@
     }
     assertThat(wrongBodiesAfter(cut)).isEmpty();
   }
+
+  /** Guards against a body that was cut off and is filled with the copy of a response. */
+  @Test
+  void bodyFilledWithACopyIsNotComplete() throws IOException {
+    List<String> filled = new ArrayList<>();
+    int begin = SIZED.length() - BODY.length();
+    for (int cut = begin; cut < SIZED.length(); cut++) {
+      int missing = SIZED.length() - cut;
+      String head = SIZED.substring(0, cut);
+      filled.add(head + SIZED);
+      filled.add(head + SIZED.substring(0, missing));
+      filled.add(head + SIZED.substring(0, missing) + RawHost.LATER + SIZED.substring(missing));
+    }
+    assertThat(wrongBodiesAfter(filled)).isEmpty();
+  }
+
+  /** Guards against a sound body that is never accepted because it speaks of HTTP. */
+  @Test
+  void bodyThatContainsAResponseIsAccepted() throws IOException {
+    String body = "sent: HTTP/1.1 200 OK";
+    String response = "HTTP/1.1 200 OK\r\nIdempotency-Key: ID\r\nContent-Length: 21\r\n\r\n" + body;
+    try (RawHost host = RawHost.start(List.of(), response);
+        SamphiredykeClient client = client(host)) {
+      assertThat(client.call(call()).join().text()).isEqualTo(body);
+      assertThat(host.posts()).isLessThanOrEqualTo(2);
+    }
+  }
 }
--- a/samphiredyke-client/src/test/java/io/samphiredyke/client/internal/ResponseReaderTest.java
+++ b/samphiredyke-client/src/test/java/io/samphiredyke/client/internal/ResponseReaderTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import io.samphiredyke.net.http.WholeResponseCheck;
 import io.samphiredyke.net.sse.SseEvent;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -45,7 +46,8 @@
   /** Guards against a body without end that fills the memory of the caller. */
   @Test
   void bodyWithoutEndIsGivenUp() throws Exception {
-    ResponseReader reader = new ResponseReader(loop, "ticket.1", new Handler());
+    ResponseReader reader =
+        new ResponseReader(loop, "ticket.1", new WholeResponseCheck(), new Handler());
     reader.onHeaders(200, Map.of("content-type", "application/json"));
     for (int i = 0; i < 70; i++) {
       reader.onChunk(MEGABYTE);
