--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/WholeResponseCheck.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/WholeResponseCheck.java
@@ -37,6 +37,15 @@
    * Returns whether a response is known to be whole. If not, the request has to be repeated, or its
    * result read again.
    */
+  public boolean isWhole(HttpResponse response) {
+    return isWhole(response.status(), response.body(), response.endsWithConnection());
+  }
+
+  /**
+   * Returns whether a response is known to be whole.
+   *
+   * @param endsWithConnection whether only the end of the connection ended the body
+   */
   public boolean isWhole(int status, byte[] body, boolean endsWithConnection) {
     boolean isSuspect = endsWithConnection || containsResponse(body);
     if (!isSuspect || isJson(body)) {
