Daemon: the refusal to read a result is not the response

What callers saw: 429, 500 or 503 as the response to a request that a plain service had run.

Cause: after a broken connection the daemon reads the result, and took any status but 202 and 404 for that of the response, also of a service that was merely too busy to be read.

Evidence: IncompleteServiceResponseTest.refusalOfAResultIsNotTheResponse failed before for 429 and 503 (500 was added afterwards), passes now.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/PlainCall.java
@@ -22,6 +22,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int ACCEPTED = 202;
   private static final int NOT_FOUND = 404;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVER_ERROR = 500;
   private static final Duration INACTIVITY_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
 
@@ -77,7 +79,14 @@
   }
 
   private static boolean isResult(HttpResponse response) {
-    return response.status() != ACCEPTED && response.status() != NOT_FOUND;
+    return response.status() != ACCEPTED
+        && response.status() != NOT_FOUND
+        && !isRefusal(response.status());
+  }
+
+  /** Returns whether a status concerns the reading of a result, and says nothing of the result. */
+  private static boolean isRefusal(int status) {
+    return status == TOO_MANY_REQUESTS || status >= SERVER_ERROR;
   }
 
   private void logIncomplete(HttpResponse response) {
@@ -135,6 +144,8 @@
       loop.schedule(this::resume, POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     } else if (response.status() == NOT_FOUND) {
       handleUnknownRequest();
+    } else if (isRefusal(response.status())) {
+      scheduleResume();
     } else if (wholeResponseCheck.isWhole(response)) {
       storeResponse(response);
     } else {
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteServiceResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteServiceResponseTest.java
@@ -26,6 +26,8 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plain services whose responses are cut off, or filled with a copy of themselves. */
 class IncompleteServiceResponseTest {
@@ -44,6 +46,7 @@
   private static ServerSocket server;
   private static volatile List<String> onCall = List.of();
   private static volatile String onResult = "";
+  private static volatile String firstResult = "";
 
   @BeforeAll
   static void start() throws IOException {
@@ -80,6 +83,7 @@
     CALLS.set(0);
     RESULTS.set(0);
     onResult = SIZED;
+    firstResult = "";
   }
 
   private static String sized(String body) {
@@ -118,7 +122,7 @@
       }
       boolean isCall = request.startsWith("POST");
       (isCall ? CALLS : RESULTS).incrementAndGet();
-      for (String part : isCall ? onCall : List.of(onResult)) {
+      for (String part : isCall ? onCall : List.of(nextResult())) {
         socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
         Thread.sleep(PAUSE_MILLIS);
@@ -128,6 +132,12 @@
     }
   }
 
+  private static String nextResult() {
+    String next = firstResult.isEmpty() ? onResult : firstResult;
+    firstResult = "";
+    return next;
+  }
+
   private static HttpResponse call() {
     return cluster.send(
         HttpRequest.post(
@@ -187,6 +197,17 @@
     assertThat(CALLS).hasValue(1);
   }
 
+  /** Guards against the refusal to read a result that is delivered as the response. */
+  @ParameterizedTest
+  @ValueSource(strings = {"429 Too Many Requests", "500 Failed", "503 Service Unavailable"})
+  void refusalOfAResultIsNotTheResponse(String refusal) {
+    for (String first : List.of(UNSIZED + BODY.substring(0, 5), "HTTP/1.1 200")) {
+      firstResult = "HTTP/1.1 " + refusal + "\r\nContent-Length: 0\r\n\r\n";
+      assertThat(wrongAfter(List.of(List.of(first)))).isEmpty();
+      CALLS.set(0);
+    }
+  }
+
   /** Guards against a sound service without lengths that isn't served any more. */
   @Test
   void soundResponsesWithoutLengthAreServed() {
