Soak: endpoints whose responses without length meet copies, or end with their process

The soak's endpoints broke responses off and sent copies between responses, but a copy behind or within a response without length, and the end that the operating system of a killed endpoint gives it, were not among their faults.

New faults: OWN_COPIES, COPIES_WITHIN, DEATHS, SIZED_DEATHS and HTTP_BODIES (docs/SOAK.md). Each response is still compared byte for byte with what the endpoints state. An endpoint that is to die writes a part of its response, states so, and is killed with SIGKILL by the soak; Runtime.halt was tried first and kept the connections open for 0.3 s and more.

The result counts by kind of request and framing what became of sound responses, with the median time, so that a protection's cost shows.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/ChildProcess.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/ChildProcess.java
@@ -140,6 +140,12 @@
     isExitExpected = true;
   }
 
+  /** Kills the process; its output is read to the end. */
+  void killWithoutWait() {
+    isExitExpected = true;
+    process.toHandle().destroyForcibly();
+  }
+
   /** Kills the process and waits for its exit and the end of its output. */
   void kill() {
     isExitExpected = true;
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
@@ -86,7 +86,7 @@
       if (!defect.isEmpty()) {
         add("ORDER " + defect.replaceAll(", .*", "") + cause(outcome), outcome);
       }
-    } else if (outcome.isWhole() && !outcome.body().equals(CallerStandIn.plainBody(outcome.id()))) {
+    } else if (outcome.isWhole() && !outcome.body().equals(history(outcome).plainBody())) {
       add("MIXED body" + cause(outcome), outcome);
     }
   }
@@ -182,17 +182,11 @@
     if (isOwn && REJECTION_STATUSES.contains(outcome.status())) {
       add("DENIED", outcome);
     }
-    if (count(outcome, "surplus ") > 0) {
+    if (history(outcome).count("surplus ") > 0) {
       add("MIXED bytes with no request waiting", outcome);
     }
   }
 
-  private long count(CallerOutcome outcome, String event) {
-    return observations.endpointActions(outcome.id()).stream()
-        .filter(action -> action.startsWith(event))
-        .count();
-  }
-
   private void checkOrigin(CallerOutcome outcome) {
     String stated = CallerStandIn.requestId(outcome.headers());
     String signature = outcome.signature();
@@ -204,25 +198,17 @@
       add("MIXED another request's response" + cause(outcome), outcome);
     } else if (isSigned && !signature.endsWith("." + outcome.status())) {
       add("MIXED status" + cause(outcome), outcome);
-    } else if (isSigned && count(outcome, "answered " + outcome.status()) == 0) {
+    } else if (isSigned && history(outcome).count("answered " + outcome.status()) == 0) {
       add("MIXED response that no endpoint sent", outcome);
     }
   }
 
-  /** Returns how the endpoints broke off the response, empty if they did not. */
   private String cause(CallerOutcome outcome) {
-    String cause = "";
-    boolean isUnsized = false;
-    for (String action : observations.endpointActions(outcome.id())) {
-      String[] words = action.split(" ");
-      if (words[0].equals("broke") && !cause.equals(", again")) {
-        cause = ", broke " + words[1] + " " + words[2] + (words.length > 6 ? " " + words[3] : "");
-      } else if (words[0].equals("spliced") || words[0].equals("again")) {
-        cause = ", " + words[0];
-      }
-      isUnsized = words[0].equals("answered") ? action.contains(" unsized ") : isUnsized;
-    }
-    return cause.isEmpty() && isUnsized ? ", unsized and not broken off" : cause;
+    return history(outcome).cause();
+  }
+
+  private RequestHistory history(CallerOutcome outcome) {
+    return new RequestHistory(outcome, observations);
   }
 
   private void add(String kind, CallerOutcome outcome) {
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
@@ -17,6 +17,7 @@
   private final Map<String, Integer> actions = new TreeMap<>();
   private final Map<String, Integer> outcomes = new TreeMap<>();
 
+  private final FramingCosts costs;
   private long usedMillis;
   private long roomMillis;
 
@@ -27,6 +28,7 @@
       List<EndpointFaultsChecker.Finding> findings) {
     this.options = options;
     this.findings = findings;
+    costs = new FramingCosts(observations, received);
     observations.endpointActions().values().forEach(lines -> lines.forEach(this::add));
     received.forEach(
         outcome -> outcomes.merge(typeOf(outcome) + " " + outcome.summary(), 1, Integer::sum));
@@ -51,12 +53,17 @@
   private static String kindOf(String action) {
     String[] words = action.split(" ");
     return switch (words[0]) {
-      case "ran", "again", "spliced", "closed", "brittle", "fell", "used" -> words[0];
+      case "ran", "again", "spliced", "joined", "closed", "brittle", "fell", "used" -> words[0];
       case "copy" -> String.join(" ", words[0], words[1], words[2].replaceAll("-.*", ""), words[3]);
       default -> words[0] + " " + words[1];
     };
   }
 
+  /** Returns the number of sound responses that were not passed on whole. */
+  int soundLost() {
+    return costs.soundLost();
+  }
+
   List<EndpointFaultsChecker.Finding> findings() {
     return findings;
   }
@@ -86,6 +93,7 @@
             + (findings.isEmpty() ? "green" : findings.size() + " findings"));
     lines.add("  endpoints: " + actions);
     lines.add("  callers: " + outcomes);
+    lines.addAll(costs.lines());
     if (roomMillis > 0) {
       lines.add("  reduced room used: " + 100 * usedMillis / roomMillis + " of 100");
     }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -26,7 +26,6 @@
   private static final long ENDPOINT_KILL_MILLIS = 9_000;
 
   private static final long HOSTS_KILL_MILLIS = 9_000;
-  private static final int KILL_SECONDS = 10;
   private static final int MIN_PAUSE_MILLIS = 80;
   private static final int MAX_PAUSE_MILLIS = 600;
 
@@ -124,13 +123,16 @@
     long killMillis = ENDPOINT_KILL_MILLIS / options.endpoints();
     long nextEndpoint = begin + killMillis;
     long nextHosts = begin + HOSTS_KILL_MILLIS / 2;
+    EndpointDeaths deaths =
+        new EndpointDeaths(fleet, observations, options.endpointFaults(), options.seed());
     BrittlePhases phases = new BrittlePhases(fleet, random.split(), begin);
     for (long now = begin; now < end; now = System.currentTimeMillis()) {
       if (has(EndpointFault.BRITTLE)) {
         phases.advance(now);
       }
+      deaths.advance(now);
       if (has(EndpointFault.KILLS) && now > nextEndpoint) {
-        replace(fleet.endpoint(random.nextInt(options.endpoints())));
+        deaths.replace(fleet.endpoint(random.nextInt(options.endpoints())));
         nextEndpoint = now + killMillis;
       }
       if (has(EndpointFault.HOSTS) && now > nextHosts) {
@@ -165,11 +167,4 @@
     boolean isOfAll = hosts.size() == options.hosts();
     outages.add(new EndpointFaultsChecker.Outage(begin, System.currentTimeMillis(), isOfAll));
   }
-
-  /** Kills an endpoint, reads its output to the end and starts another one. */
-  private static void replace(Fleet.Endpoint endpoint) {
-    endpoint.process().signal("KILL");
-    endpoint.process().awaitExit(KILL_SECONDS);
-    endpoint.replace();
-  }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
@@ -138,7 +138,7 @@
     private final String address;
     private final String registeredAddress;
     private final Link link;
-    private ChildProcess process;
+    private volatile ChildProcess process;
 
     private Endpoint(int index, boolean isStream) {
       this.isStream = isStream;
@@ -161,7 +161,7 @@
       return isStream ? "model" : "plain";
     }
 
-    synchronized ChildProcess process() {
+    ChildProcess process() {
       return process;
     }
 
@@ -241,7 +241,9 @@
   }
 
   private void readOutput(Endpoint endpoint, String id, String service, String line) {
-    observations.recordEndpointAction(id, line);
+    if (observations.recordEndpointAction(id, line)) {
+      endpoint.process().killWithoutWait();
+    }
     if (observations.readEndpointOutput(service, line)) {
       group.schedule(endpoint::replace, CRASH_DOWN_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Observations.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Observations.java
@@ -27,6 +27,7 @@
   private final Queue<Execution> executions = new ConcurrentLinkedQueue<>();
   private final Queue<Crash> crashes = new ConcurrentLinkedQueue<>();
   private final Map<String, List<String>> endpointActions = new ConcurrentHashMap<>();
+  private final Map<String, Long> deaths = new ConcurrentHashMap<>();
   private final Map<String, String> takenUp = new ConcurrentHashMap<>();
 
   /** Records that a caller is about to send a request. */
@@ -73,14 +74,34 @@
     return isCrash;
   }
 
-  /** Records what an endpoint states that it does, by the second word, a request's id. */
-  void recordEndpointAction(String endpoint, String line) {
+  /**
+   * Records what an endpoint states that it does, by the second word, a request's id.
+   *
+   * @return whether the endpoint waits to be killed
+   */
+  boolean recordEndpointAction(String endpoint, String line) {
     String[] words = line.split(" ", 3);
     if (words.length == 3) {
       endpointActions
           .computeIfAbsent(words[1], id -> new CopyOnWriteArrayList<>())
           .add(words[0] + " " + words[2] + " at " + endpoint);
     }
+    boolean isDying = line.startsWith("broke ") && words[2].startsWith("death ");
+    if (isDying) {
+      recordDeath(endpoint, System.currentTimeMillis());
+    }
+    return isDying;
+  }
+
+  /** Records that an endpoint ended. */
+  void recordDeath(String endpoint, long millis) {
+    deaths.putIfAbsent(endpoint, millis);
+  }
+
+  /** Returns whether an endpoint ended within a time. */
+  boolean hasDied(String endpoint, long fromMillis, long toMillis) {
+    Long millis = deaths.get(endpoint);
+    return millis != null && millis >= fromMillis && millis <= toMillis;
   }
 
   /** Returns what endpoints did to a request, in the order of their output. */
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/StreamText.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/StreamText.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.soak;
 
+import io.samphiredyke.platform.standin.BodyKind;
 import io.samphiredyke.platform.standin.CallerStandIn;
 
 /** Compares the events that a caller received with the expected ones. */
@@ -40,7 +41,7 @@
   private void readEvent(String event) {
     String made = event.strip();
     made = made.substring(made.lastIndexOf(' ') + 1);
-    if (event.equals(CallerStandIn.event(outcome.streamId(), lastEvent + 1, made))) {
+    if (isEvent(event, lastEvent + 1, made)) {
       lastEvent++;
       if (!version.isEmpty() && !version.equals(made)) {
         defect = "joined from two versions";
@@ -49,7 +50,7 @@
       return;
     }
     for (int number = 1; number <= CallerStandIn.eventCount(outcome.streamId()); number++) {
-      if (event.equals(CallerStandIn.event(outcome.streamId(), number, made))) {
+      if (isEvent(event, number, made)) {
         defect = number <= lastEvent ? "event twice" : "event missing";
         return;
       }
@@ -57,6 +58,12 @@
     defect = "foreign event";
   }
 
+  private boolean isEvent(String text, int number, String made) {
+    String id = outcome.streamId();
+    return text.equals(CallerStandIn.event(id, number, made))
+        || text.equals(BodyKind.of(id).event(id, number, made));
+  }
+
   /** Returns the number of the last event that the caller has. */
   int lastEvent() {
     return lastEvent;
