Soak: responses without length are broken off by death, reset and silence, not by a living endpoint's FIN

Callers saw streams complete before their last event in the check that is KNOWN-RED 22. Its endpoints broke a response without length off by FIN while their process lived on and stayed healthy.

An endpoint that means bytes B and one that means B and C but sends B, FIN and lives on give a host the same bytes, the same end and the same reactions to every later call; a request that can't be resumed can't be asked again, and a safe one has no equal body promised. No decision can pass the one on and not the other, so that only failing all sound responses without length would have met the check (docs/SOAK.md, "What a regular end can't tell").

What is as strict now: the check itself is unchanged.

Not tested any more: a living endpoint that truncates such a response.

It stays known-red.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointDeaths.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointDeaths.java
@@ -24,7 +24,10 @@
     this.observations = observations;
     random = new SplittableRandom(seed);
     List<String> names = List.of(faults.split(","));
-    if (names.contains(EndpointFault.DEATHS.name())) {
+    boolean hasUnsized = names.contains(EndpointFault.UNSIZED.name());
+    if (hasUnsized
+        && (names.contains(EndpointFault.DEATHS.name())
+            || names.contains(EndpointFault.BREAKS.name()))) {
       places.add("unsized");
     }
     if (names.contains(EndpointFault.SIZED_DEATHS.name())) {
