SlowCallerTest: the server may close the connection while the test still writes

A write that fails ends the writing; the response is still read and has to begin with 408, as before.

--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/SlowCallerTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/SlowCallerTest.java
@@ -47,8 +47,7 @@
       CompletableFuture<String> response = CompletableFuture.supplyAsync(() -> readAll(socket));
       byte[] head = ("GET / HTTP/1.1\r\nx: " + "y".repeat(10_000)).getBytes(StandardCharsets.UTF_8);
       int sent = 0;
-      while (!response.isDone() && sent < head.length) {
-        socket.getOutputStream().write(head[sent]);
+      while (!response.isDone() && sent < head.length && isWritten(socket, head[sent])) {
         sent++;
         TimeUnit.MILLISECONDS.sleep(20);
       }
@@ -80,6 +79,16 @@
     return socket;
   }
 
+  /** Writes a byte; returns whether the server still accepts it. */
+  private static boolean isWritten(Socket socket, byte next) {
+    try {
+      socket.getOutputStream().write(next);
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static String readAll(Socket socket) {
     try {
       InputStream in = socket.getInputStream();
