Streams of the daemon and the client library: no head within an event

What callers saw: an event of a stream that contained the status line of a response in place of its text, where an engine broke off within an event and sent its response once more on the same connection.

Cause: SseDecoder skipped lines that are no field of an event. The begin of the copy was joined to the line that was cut off, its other lines were skipped, and the number of the event was the right one.

Why the fix works: a line that only the head of a response has makes the decoder fail; the daemon and the client library then resume after the last event, as after any malformed one. Sound streams have no such line; data lines may speak of HTTP.

Ruled out: streams cut at each byte by the end of the connection.

--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteServiceResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteServiceResponseTest.java
@@ -8,16 +8,11 @@
 import io.samphiredyke.core.config.EndpointKind;
 import io.samphiredyke.core.config.Service;
 import io.samphiredyke.core.config.ServiceKind;
+import io.samphiredyke.daemon.testing.RawEndpoint;
 import io.samphiredyke.daemon.testing.TestCluster;
 import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpResponse;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -38,20 +33,18 @@
   private static final String BODY = "filed under 4711";
   private static final String SIZED = sized(BODY);
   private static final String NOT_FOUND = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
-  private static final long PAUSE_MILLIS = 30;
 
   private static final AtomicInteger CALLS = new AtomicInteger();
   private static final AtomicInteger RESULTS = new AtomicInteger();
   private static TestCluster cluster;
-  private static ServerSocket server;
+  private static RawEndpoint server;
   private static volatile List<String> onCall = List.of();
   private static volatile String onResult = "";
   private static volatile String firstResult = "";
 
   @BeforeAll
   static void start() throws IOException {
-    server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
-    startThread(IncompleteServiceResponseTest::acceptAll);
+    server = RawEndpoint.start(IncompleteServiceResponseTest::respond);
     cluster = TestCluster.builder().host(HOST, "dc1").start();
     cluster.publish(
         List.of(
@@ -64,7 +57,7 @@
             Endpoint.builder()
                 .name("raw-1")
                 .kind(EndpointKind.PLAIN_SERVICE)
-                .address("127.0.0.1:" + server.getLocalPort())
+                .address(server.address())
                 .dataCentre("dc1")
                 .services(Set.of(SERVICE))
                 .build()));
@@ -93,43 +86,10 @@
         + body;
   }
 
-  private static void startThread(Runnable action) {
-    Thread thread = new Thread(action);
-    thread.setDaemon(true);
-    thread.start();
-  }
-
-  private static void acceptAll() {
-    try {
-      while (true) {
-        Socket socket = server.accept();
-        startThread(() -> serve(socket));
-      }
-    } catch (IOException e) {
-      // The tests have ended.
-    }
-  }
-
-  /** Reads one request and sends the parts of its response with pauses. */
-  private static void serve(Socket socket) {
-    try (socket) {
-      BufferedReader in =
-          new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-      String request = String.valueOf(in.readLine());
-      for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
-        // The bodies of the requests are empty.
-      }
-      boolean isCall = request.startsWith("POST");
-      (isCall ? CALLS : RESULTS).incrementAndGet();
-      for (String part : isCall ? onCall : List.of(nextResult())) {
-        socket.getOutputStream().write(part.getBytes(StandardCharsets.US_ASCII));
-        socket.getOutputStream().flush();
-        Thread.sleep(PAUSE_MILLIS);
-      }
-    } catch (IOException | InterruptedException e) {
-      // The host closed the connection.
-    }
+  private static List<String> respond(String request) {
+    boolean isCall = request.startsWith("POST");
+    (isCall ? CALLS : RESULTS).incrementAndGet();
+    return isCall ? onCall : List.of(nextResult());
   }
 
   private static String nextResult() {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/sse/SseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/sse/SseDecoder.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Set;
 import java.util.StringJoiner;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -10,10 +12,18 @@
  * Decodes a byte stream into server-sent events.
  *
  * <p>The input may be split at any byte. Lines end with LF or CR LF. Comments and unknown fields
- * are skipped. Not thread-safe.
+ * are skipped. A line that only the head of a response has shows that the body was cut off and goes
+ * on with another response. Not thread-safe.
  */
 public final class SseDecoder {
 
+  private static final String PROTOCOL = "HTTP/1.";
+
+  /** Lower-case names of lines in the head of a response that no event has. */
+  private static final Set<String> HEAD_FIELDS =
+      Set.of(
+          "connection", "content-length", "content-type", "idempotency-key", "transfer-encoding");
+
   private final int maxEventBytes;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private String id = "";
@@ -32,7 +42,7 @@
   /**
    * Decodes more bytes and passes on each event that they complete.
    *
-   * @throws SseException if an event is too long
+   * @throws SseException if an event is too long or contains a line of the head of a response
    */
   public void feed(byte[] bytes, Consumer<SseEvent> events) {
     for (byte b : bytes) {
@@ -71,6 +81,9 @@
       return;
     }
     String name = colon < 0 ? text : text.substring(0, colon);
+    if (name.startsWith(PROTOCOL) || HEAD_FIELDS.contains(name.toLowerCase(Locale.ROOT))) {
+      throw new SseException("the head of a response within a stream");
+    }
     String value = colon < 0 ? "" : text.substring(colon + 1);
     if (value.startsWith(" ")) {
       value = value.substring(1);
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/sse/SseDecoderTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/sse/SseDecoderTest.java
@@ -45,6 +45,17 @@
     assertThatThrownBy(() -> decode(stream, 100)).isInstanceOf(SseException.class);
   }
 
+  /** Guards against the head of another response that becomes part of an event. */
+  @Test
+  void rejectsTheHeadOfAResponse() {
+    for (String line : List.of("HTTP/1.1 200 OK", "Content-Length: 4", "transfer-encoding: a")) {
+      byte[] stream = ("id: 4\n" + line + "\ndata: b\n\n").getBytes(StandardCharsets.UTF_8);
+      assertThatThrownBy(() -> decode(stream, 3)).as(line).isInstanceOf(SseException.class);
+    }
+    byte[] sound = "id: 4\ndata: HTTP/1.1 200 OK\n\n".getBytes(StandardCharsets.UTF_8);
+    assertThat(decode(sound, 3)).containsExactly(new SseEvent("4", "HTTP/1.1 200 OK"));
+  }
+
   private static List<SseEvent> decode(byte[] stream, int chunk) {
     SseDecoder decoder = new SseDecoder(1000);
     List<SseEvent> events = new ArrayList<>();
