Daemon: an engine's failure without length is complete as whole JSON only

What callers saw: the begin of a failure's body, passed on as complete, where the engine was killed while it sent a failure without length.

Cause: as for plain services, the end of the connection was taken for the end of the response.

Why the fix works: engines send failures as JSON (FORMATS.md). A whole object proves itself and is passed on as before; else the response counts as broken off and is resumed, and the caller gets "unknown" if the engine doesn't know the request. Cost: a failure without length and in another form than JSON becomes "unknown".

Evidence: IncompleteEngineResponseTest.failureWithoutLengthIsCompleteAs- WholeJsonOnly failed before (400 with 20 bytes of its body), passes now. MalformedEngineResponseTest passes.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -7,6 +7,7 @@
 import io.samphiredyke.net.http.HttpRequest;
 import io.samphiredyke.net.http.HttpStream;
 import io.samphiredyke.net.http.StreamListener;
+import io.samphiredyke.net.http.WholeResponseCheck;
 import io.samphiredyke.net.sse.SseDecoder;
 import io.samphiredyke.net.sse.SseEvent;
 import io.samphiredyke.net.sse.SseException;
@@ -80,12 +81,18 @@
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private int status;
     private String contentType = "";
+    private boolean endsWithConnection;
     private boolean isFinished;
 
     StreamReader(boolean isResume) {
       this.isResume = isResume;
     }
 
+    @Override
+    public void onEndsWithConnection() {
+      endsWithConnection = true;
+    }
+
     @Override
     public void onHeaders(int status, Map<String, String> headers) {
       this.status = status;
@@ -235,8 +242,13 @@
         listener.onNotExecuted(true);
         return;
       }
+      byte[] body = errorBody.toByteArray();
+      if (!new WholeResponseCheck().isWhole(status, body, endsWithConnection)) {
+        handleConnectionLoss();
+        return;
+      }
       buffer.head(new ResponseHead(status, contentType, false));
-      buffer.add(1, errorBody.toByteArray());
+      buffer.add(1, body);
       buffer.complete();
       listener.onCompleted();
     }
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteEngineResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteEngineResponseTest.java
@@ -121,4 +121,22 @@
     }
     assertThat(wrongAfter(spliced)).isEmpty();
   }
+
+  private static String errorBody() {
+    return "{\"error\":{\"message\":\"no such model\"}}";
+  }
+
+  /** Guards against the failure of a killed engine that is cut off and looks complete. */
+  @Test
+  void failureWithoutLengthIsCompleteAsWholeJsonOnly() {
+    isKnown = false;
+    String head = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n\r\n";
+    onDispatch = List.of(head + errorBody().substring(0, 20));
+    assertThat(ask().text()).contains("\"ran\":\"unknown\"");
+    onDispatch = List.of(head + errorBody());
+    HttpResponse whole = ask();
+    assertThat(whole.status()).isEqualTo(400);
+    assertThat(whole.text()).isEqualTo(errorBody());
+    assertThat(DISPATCHES).hasValue(2);
+  }
 }
