Control loop: an exception costs a periodic task one run, and a log line

Cause: an event loop ends a periodic task at its first exception and keeps the exception in a future that nobody reads; so it does with delayed actions.

Why the fix works: ControlEventLoop, through which both processes schedule, reports the failure of each action that it runs by itself and goes on with the next run. The gateway logs "action_failed" with the reason and the place, the daemon the stack trace.

Ruled out: actions that run inline, whose failure their caller sees.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -104,7 +104,7 @@
     this.random = random;
     this.log = log;
     this.eventLoop = group.next();
-    this.loop = new ControlEventLoop(eventLoop, Clock.systemUTC());
+    this.loop = new ControlEventLoop(eventLoop, Clock.systemUTC(), log::actionFailed);
     this.access =
         new EndpointAccess(
             eventLoop, settings, resolver, this::directory, this::peers, random, log);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/log/DecisionLog.java
@@ -85,6 +85,13 @@
     }
   }
 
+  /** Logs the failure of an action of the control loop, with the place where it occurred. */
+  public void actionFailed(Throwable failure) {
+    StackTraceElement[] trace = failure.getStackTrace();
+    String place = trace.length == 0 ? "" : trace[0].toString();
+    event("action_failed", "reason", failure.toString(), "at", place);
+  }
+
   private boolean exceedsLimit(String event) {
     return ROUTINE_EVENTS.contains(event)
         ? ++routineLinesInSecond > ROUTINE_LINES_PER_SECOND
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlEventLoop.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlEventLoop.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.net.control;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.time.Clock;
@@ -13,18 +14,32 @@
 /** The single-threaded event loop that confines all control state of the process. */
 public final class ControlEventLoop {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final EventLoop loop;
   private final Clock clock;
+  private final Consumer<Throwable> onFailure;
+
+  /** Creates a control loop that logs the failures of its actions. */
+  public ControlEventLoop(EventLoop loop, Clock clock) {
+    this(
+        loop,
+        clock,
+        failure ->
+            logger.atSevere().withCause(failure).log("an action of the control loop failed"));
+  }
 
   /**
    * Creates a control loop on an event loop.
    *
    * @param loop the event loop, which runs on one thread
    * @param clock the wall clock, for timestamps that several processes compare
+   * @param onFailure receives the failures of scheduled actions, on the loop
    */
-  public ControlEventLoop(EventLoop loop, Clock clock) {
+  public ControlEventLoop(EventLoop loop, Clock clock, Consumer<Throwable> onFailure) {
     this.loop = loop;
     this.clock = clock;
+    this.onFailure = onFailure;
   }
 
   /** Runs an action on the loop; immediately if the caller is on the loop. */
@@ -32,7 +47,7 @@
     if (loop.inEventLoop()) {
       action.run();
     } else {
-      loop.execute(action);
+      loop.execute(reporting(action));
     }
   }
 
@@ -74,13 +89,27 @@
 
   /** Runs an action on the loop after a delay. */
   public Future<?> schedule(Runnable action, Duration delay) {
-    return loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    return loop.schedule(reporting(action), delay.toNanos(), TimeUnit.NANOSECONDS);
   }
 
-  /** Runs an action on the loop repeatedly, with a fixed delay between runs. */
+  /**
+   * Runs an action on the loop repeatedly, with a fixed delay between runs. A run that fails is
+   * reported, and the next one follows.
+   */
   public Future<?> scheduleWithFixedDelay(Runnable action, Duration interval) {
     long nanos = interval.toNanos();
-    return loop.scheduleWithFixedDelay(action, nanos, nanos, TimeUnit.NANOSECONDS);
+    return loop.scheduleWithFixedDelay(reporting(action), nanos, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns an action whose failure is reported; the event loop itself would drop it. */
+  private Runnable reporting(Runnable action) {
+    return () -> {
+      try {
+        action.run();
+      } catch (RuntimeException | Error e) {
+        onFailure.accept(e);
+      }
+    };
   }
 
   /** Returns the monotonic time in nanoseconds. */
