Daemon: an exception in one page or tick doesn't end the reading

What callers saw: nothing known. After an exception in a page of the orders stream the host never read that stream again, and kept to its leases and engines as they were.

Cause: tasks that schedule their own next run did so after their work.

Why the fix works: OrderService and MembershipService schedule the next run in any case; the failure itself is logged by the control loop. The reload of TLS files runs as a periodic task of a control loop too, so that an unexpected exception costs one reload; it used the event loop directly.

Ruled out: BrokerService, whose tick is armed again by each request.

Evidence: OrderServiceTest.failuresOfPagesDoNotEndTheReading waited its 60 s before, passes now; the other three tests and TlsTest pass. The change of MembershipService has no test of its own.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/Daemon.java
@@ -363,7 +363,7 @@
         HttpServerOptions.defaults()
             .withMaxBodyBytes((int) settings.bodyLimit())
             .withIdleTimeout(settings.callerIdleTimeout());
-    tls.start(trafficGroup.next());
+    tls.start(new ControlEventLoop(trafficGroup.next(), Clock.systemUTC()));
     return HttpServer.start(
             trafficGroup, settings.address(), tls.callerOptions(options), this::handleCaller)
         .thenAccept(
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/membership/MembershipService.java
@@ -149,7 +149,10 @@
   }
 
   private void tick() {
-    membership.tick(loop.nanoTime());
-    schedule();
+    try {
+      membership.tick(loop.nanoTime());
+    } finally {
+      schedule();
+    }
   }
 }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/orders/OrderService.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/orders/OrderService.java
@@ -158,17 +158,27 @@
     if (isStopped) {
       return;
     }
+    boolean isPollDue = false;
+    try {
+      apply(page);
+      isPollDue = page.entries().isEmpty() && !page.isOffsetOutOfRange();
+    } finally {
+      if (!isPollDue) {
+        loop.schedule(this::poll, Duration.ofNanos(settings.minAppendInterval()));
+      }
+    }
+    if (isPollDue) {
+      poll();
+    }
+  }
+
+  private void apply(OrderStream.Page page) {
     if (page.isOffsetOutOfRange()) {
       stateMachine.offsetOutOfRange(page.firstOffset(), loop.nanoTime());
     } else {
       stateMachine.read(page.entries(), loop.nanoTime());
     }
     advanceStateMachine();
-    if (page.entries().isEmpty() && !page.isOffsetOutOfRange()) {
-      poll();
-    } else {
-      loop.schedule(this::poll, Duration.ofNanos(settings.minAppendInterval()));
-    }
   }
 
   private void onPollFailed(Throwable cause) {
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/tls/TlsContexts.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/tls/TlsContexts.java
@@ -1,12 +1,11 @@
 package io.samphiredyke.daemon.tls;
 
-import io.netty.channel.EventLoop;
+import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.net.http.HttpServerOptions;
 import io.samphiredyke.net.peer.PeerOptions;
 import io.samphiredyke.schema.settings.DaemonSettings;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** The TLS contexts for connections with callers and peers, created from the settings. */
@@ -56,12 +55,11 @@
   }
 
   /** Starts reloading the files periodically. */
-  public void start(EventLoop loop) {
+  public void start(ControlEventLoop loop) {
     if (callers == null && peers == null) {
       return;
     }
-    long nanos = RELOAD_INTERVAL.toNanos();
-    loop.scheduleWithFixedDelay(this::reload, nanos, nanos, TimeUnit.NANOSECONDS);
+    loop.scheduleWithFixedDelay(this::reload, RELOAD_INTERVAL);
   }
 
   private void reload() {
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/orders/OrderServiceTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/orders/OrderServiceTest.java
@@ -30,10 +30,13 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -111,6 +114,10 @@
   }
 
   private OrderService start(String session) throws Exception {
+    return start(session, () -> configuration);
+  }
+
+  private OrderService start(String session, Supplier<Configuration> source) throws Exception {
     return loop.supply(
             () -> {
               OrderService service =
@@ -119,7 +126,7 @@
                       http,
                       session,
                       List.of(log.address()),
-                      () -> configuration,
+                      source,
                       endpoint -> true,
                       SETTINGS,
                       InvariantChecker.throwing(),
@@ -183,6 +190,30 @@
     await(() -> isServing(0, "3") && isServing(1, "3"));
   }
 
+  /** Guards against a stream that isn't read any more after an exception in one of its pages. */
+  @Test
+  void failuresOfPagesDoNotEndTheReading() throws Exception {
+    AtomicInteger failures = new AtomicInteger();
+    OrderService service =
+        start(
+            "a",
+            () -> {
+              boolean isInPage =
+                  Arrays.stream(Thread.currentThread().getStackTrace())
+                      .anyMatch(frame -> frame.getMethodName().equals("onPage"));
+              if (isInPage && failures.get() < 2) {
+                failures.incrementAndGet();
+                throw new IllegalStateException("a test");
+              }
+              return configuration;
+            });
+    await(() -> isServing(0, "1") && isServing(1, "1"));
+    setDesiredVersion("2");
+    await(() -> isServing(0, "2") && isServing(1, "2"));
+    assertThat(heldLeases(service)).hasSize(2);
+    assertThat(failures).hasPositiveValue();
+  }
+
   @Test
   void drainingHostReleasesItsLeases() throws Exception {
     OrderService first = start("a");
