Daemon: a stream that can't be continued doesn't end like a complete one

What callers saw: a response that was complete for HTTP, with an error as its last event and without [DONE]. The client library knows that event; a caller that reads to the end of the response could take it for all.

Cause: ResponseWriter sent the last chunk after the error event.

Why the fix works: the connection is closed without the last chunk, so that the response is incomplete for each HTTP client. The error event is sent before, for those that read it, as the client library does.

Ruled out: requests for a whole completion, which get a problem document.

--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/response/ResponseWriter.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/response/ResponseWriter.java
@@ -192,7 +192,8 @@
 
   /**
    * Ends the response with a problem. If a stream has already started, the problem is sent as an
-   * error event and the stream ends without its final event.
+   * error event and the connection is closed without the end of the stream, so that it looks
+   * complete to no caller.
    */
   public void fail(Problem problem) {
     failure = problem;
@@ -211,7 +212,7 @@
               }
               String error = new String(problem.json(), StandardCharsets.UTF_8);
               open.write(new SseEvent("", "{\"error\":" + error + "}").bytes());
-              open.end();
+              open.abort();
             });
   }
 
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteEngineResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteEngineResponseTest.java
@@ -8,6 +8,7 @@
 import io.samphiredyke.daemon.testing.RawEndpoint;
 import io.samphiredyke.daemon.testing.TestCluster;
 import io.samphiredyke.daemon.testing.TestConfiguration;
+import io.samphiredyke.net.http.ConnectionLostException;
 import io.samphiredyke.net.http.HttpResponse;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -122,6 +123,18 @@
     assertThat(wrongAfter(spliced)).isEmpty();
   }
 
+  /** Guards against a stream that its host gives up and that ends like a complete one. */
+  @Test
+  void streamThatCanNotBeContinuedIsNotComplete() {
+    isKnown = false;
+    onDispatch = List.of(UNSIZED + event(1, "a"));
+    assertThat(cluster.chat(HOST, ALPHA, SERVICE, chatBody("raw", 4, true), Map.of()))
+        .failsWithin(TestCluster.WAIT_LIMIT)
+        .withThrowableThat()
+        .withCauseInstanceOf(ConnectionLostException.class);
+    assertThat(DISPATCHES).hasValue(1);
+  }
+
   private static String errorBody() {
     return "{\"error\":{\"message\":\"no such model\"}}";
   }
