Roll-outs: a lasting scheduler awaits one report before success, not two

Timeline, ms since the order: canary 131, expanding 7434, completing 10512 (bound 10200), last decision possible at 11712, another host scheduled for a moment, the write of the outcome took 435, succeeded 12224 (bound 12000). The stages end at parts of the order's time, but the last one takes at least 1.2 s, which left 0.6 s of an order of 12 s to read it, to be late and to store.

The 1.2 s are there for a new scheduler, which learns from two reports of each host what still runs. One that has decided longer knows what it has granted; it now waits for 5% of the time, at least 0.6 s, in which each host reports once what another scheduler may have granted meanwhile. So 0.6 s more are left; orders from 24 s on are carried out as before.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/RolloutController.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/rollout/RolloutController.java
@@ -19,8 +19,11 @@
   private static final double MIN_EXPANDING = 0.1;
   private static final double MIN_COMPLETING = 0.05;
 
-  /** Hosts report twice a second which requests still run; a new scheduler awaits these reports. */
-  private static final long MIN_COMPLETING_MILLIS = 1_200;
+  /** Hosts report twice a second which requests still run. */
+  private static final long MIN_COMPLETING_MILLIS = 600;
+
+  /** A new scheduler awaits two reports of each host; one that lasts knows what it has granted. */
+  private static final long REPORTS_MILLIS = 1_200;
 
   /** Leaves time to store the outcome. */
   private static final double LATEST_DECISION = 0.93;
@@ -67,9 +70,14 @@
    *
    * @param elapsedMillis time since the order
    * @param inStageMillis time for which this host has decided in the stage
+   * @param decidingMillis time for which this host has decided in any stage
    */
   public @Nullable RolloutState decide(
-      RolloutState state, long elapsedMillis, long inStageMillis, RolloutEvidence evidence) {
+      RolloutState state,
+      long elapsedMillis,
+      long inStageMillis,
+      long decidingMillis,
+      RolloutEvidence evidence) {
     if (state.stage().isFinal()) {
       return null;
     }
@@ -81,7 +89,10 @@
     double elapsed = elapsedMillis / duration;
     double inStage = inStageMillis / duration;
     if (state.stage() == RolloutStage.COMPLETING) {
-      boolean isComplete = inStage >= MIN_COMPLETING && inStageMillis >= MIN_COMPLETING_MILLIS;
+      boolean isComplete =
+          inStage >= MIN_COMPLETING
+              && inStageMillis >= MIN_COMPLETING_MILLIS
+              && decidingMillis >= REPORTS_MILLIS;
       return isComplete && evidence.oldRunning() == 0
           ? state.next(RolloutStage.SUCCEEDED, elapsedMillis, "nothing runs at the old version")
           : null;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -263,7 +263,12 @@
     RolloutState next =
         evidence == null
             ? null
-            : controller.decide(state, elapsed, rollout.decidingMillis(now), evidence);
+            : controller.decide(
+                state,
+                elapsed,
+                rollout.decidingInStageMillis(now),
+                rollout.decidingMillis(now),
+                evidence);
     if (next != null && evidence != null && isStoredFirst(next, evidence)) {
       write(rollout, next, state, elapsed);
       next = null;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
@@ -66,10 +66,15 @@
   }
 
   /** Returns for how long this host has decided in the present stage, milliseconds. */
-  long decidingMillis(long now) {
+  long decidingInStageMillis(long now) {
     return TimeUnit.NANOSECONDS.toMillis(Math.min(now - stageSince, now - schedulerSince));
   }
 
+  /** Returns for how long this host has decided, milliseconds. */
+  long decidingMillis(long now) {
+    return TimeUnit.NANOSECONDS.toMillis(now - schedulerSince);
+  }
+
   long inStageNanos(long now) {
     return now - stageSince;
   }
