Roll-outs: the time until the store is read counts as time of the order

Timeline, ms: order known 0, canary 2155, as the stored stage had to be read first and the store answered late, expanding 9399, completing 12424, succeeded 13049. The clock of the roll-out started with the canary stage, so that all its stages were 2.1 s late. It now starts when the host learns the order. A roll-out whose store is away for most of the order's time gets a shorter canary stage; the number of answers that the stages need is the same.

ServiceRolloutTest, without a clock of its own, failed before (0 instead of 2000 ms) and is green.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -240,7 +240,7 @@
     }
     if (state == null) {
       if (rollout.isRead) {
-        enter(rollout, RolloutState.begin(rollout.order()), "order");
+        enter(rollout, rollout.begin(now), "order");
       }
       return true;
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/ServiceRollout.java
@@ -13,6 +13,7 @@
   final VersionSplit split;
   private RolloutOrder order;
   private @Nullable RolloutState state;
+  private final long orderedAt;
   private long stageSince;
   private long heardAt;
   boolean isScheduler;
@@ -25,6 +26,7 @@
   ServiceRollout(RolloutOrder order, long now) {
     this.order = order;
     this.split = new VersionSplit(order);
+    this.orderedAt = now;
     this.heardAt = now;
     this.nextBroadcastAt = now;
   }
@@ -42,6 +44,12 @@
     return state;
   }
 
+  /** Returns the first state; time before it, as until the store was read, counts. */
+  RolloutState begin(long now) {
+    RolloutState first = RolloutState.begin(order);
+    return first.next(first.stage(), millisBetween(orderedAt, now), first.reason());
+  }
+
   void enter(RolloutState next, long now) {
     RolloutState known = state;
     if (known == null || known.stage() != next.stage()) {
@@ -62,20 +70,24 @@
 
   /** Returns the time since the order, milliseconds. */
   long elapsedMillis(RolloutState known, long now) {
-    return known.elapsedMillis() + TimeUnit.NANOSECONDS.toMillis(now - stageSince);
+    return known.elapsedMillis() + millisBetween(stageSince, now);
   }
 
   /** Returns for how long this host has decided in the present stage, milliseconds. */
   long decidingInStageMillis(long now) {
-    return TimeUnit.NANOSECONDS.toMillis(Math.min(now - stageSince, now - schedulerSince));
+    return Math.min(millisBetween(stageSince, now), millisBetween(schedulerSince, now));
   }
 
   /** Returns for how long this host has decided, milliseconds. */
   long decidingMillis(long now) {
-    return TimeUnit.NANOSECONDS.toMillis(now - schedulerSince);
+    return millisBetween(schedulerSince, now);
   }
 
   long inStageNanos(long now) {
     return now - stageSince;
   }
+
+  private static long millisBetween(long start, long end) {
+    return TimeUnit.NANOSECONDS.toMillis(end - start);
+  }
 }
