--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -240,7 +240,7 @@
     }
     if (state == null) {
       if (rollout.isRead) {
-        enter(rollout, RolloutState.begin(rollout.order()), "order");
+        enter(rollout, rollout.begin(now), "order");
       }
       return true;
     }
@@ -263,7 +263,12 @@
     RolloutState next =
         evidence == null
             ? null
-            : controller.decide(state, elapsed, rollout.decidingMillis(now), evidence);
+            : controller.decide(
+                state,
+                elapsed,
+                rollout.decidingInStageMillis(now),
+                rollout.decidingMillis(now),
+                evidence);
     if (next != null && evidence != null && isStoredFirst(next, evidence)) {
       write(rollout, next, state, elapsed);
       next = null;
