--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/metrics/GatewayMetrics.java
@@ -24,8 +24,10 @@
   private final Counter failures;
   private final Counter retries;
   private final Counter endedWithConnection;
+  private final Counter endChecks;
   private final Counter retriesBeforeFirstEvent;
   private final Counter faultyStreams;
+  private final Counter foreignBytes;
   private final Histogram latencies;
 
   /** Creates metrics with all values at zero. */
@@ -53,6 +55,12 @@
             .help("Complete responses whose only sign of the end was that of the connection.")
             .labelNames("route")
             .register(registry);
+    endChecks =
+        Counter.builder()
+            .name("samphiredyke_end_checks_total")
+            .help("Responses that ended with their connection, by whether their endpoint lived.")
+            .labelNames("verdict")
+            .register(registry);
     retriesBeforeFirstEvent =
         Counter.builder()
             .name("samphiredyke_repeated_before_first_event_total")
@@ -64,6 +72,12 @@
             .help("Attempts ended because their events do not continue the stream, by reason.")
             .labelNames("reason")
             .register(registry);
+    foreignBytes =
+        Counter.builder()
+            .name("samphiredyke_foreign_bytes_total")
+            .help("Bodies that contain the head of another response, by what it is.")
+            .labelNames("reason")
+            .register(registry);
     latencies =
         Histogram.builder()
             .name("samphiredyke_answer_seconds")
@@ -112,6 +126,11 @@
     endedWithConnection.labelValues(route).inc();
   }
 
+  /** Counts a response that ended with its connection, after which its endpoint was asked. */
+  public void endChecked(String verdict) {
+    endChecks.labelValues(verdict).inc();
+  }
+
   /** Counts a stream that is retried after a head of success without an event. */
   public void retriedBeforeFirstEvent() {
     retriesBeforeFirstEvent.inc();
@@ -122,6 +141,11 @@
     faultyStreams.labelValues(reason).inc();
   }
 
+  /** Counts a body that contains the head of another response. */
+  public void foreignBytes(String reason) {
+    foreignBytes.labelValues(reason).inc();
+  }
+
   /** Records the latency of a complete response. */
   public void completed(String route, long millis) {
     latencies.labelValues(route).observe(millis / MILLIS_PER_SECOND);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ErrorResponses.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.gateway.frontend.ResponseWriter;
 import io.samphiredyke.net.codec.Json;
 import java.util.Locale;
@@ -13,8 +14,10 @@
 final class ErrorResponses {
 
   static final int NO_CONTENT = 204;
+  static final int NOT_MODIFIED = 304;
   static final int UNAUTHORIZED = 401;
   static final int NOT_FOUND = 404;
+  static final int REQUEST_TIMEOUT = 408;
   static final int MISDIRECTED = 421;
   static final int TOO_MANY_REQUESTS = 429;
   static final int INTERNAL_SERVER_ERROR = 500;
@@ -26,6 +29,24 @@
 
   private ErrorResponses() {}
 
+  /** Returns the status of the response to a request that gets no slot. */
+  static int statusOf(SlotRefusal refusal) {
+    return refusal.reason() == SlotRefusal.Reason.OVER_QUOTA
+        ? TOO_MANY_REQUESTS
+        : SERVICE_UNAVAILABLE;
+  }
+
+  /**
+   * Returns whether a status tells callers that the request did not run. It may be relayed only if
+   * the endpoint states explicitly that it did not run the request.
+   */
+  static boolean implyNotRun(int status) {
+    return status == TOO_MANY_REQUESTS
+        || status == SERVICE_UNAVAILABLE
+        || status == REQUEST_TIMEOUT
+        || status == MISDIRECTED;
+  }
+
   /**
    * Sends an error response.
    *
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestLog.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.gateway.request;
 
+import io.samphiredyke.core.liveness.LivenessVerdict;
 import io.samphiredyke.core.pool.PromptPart;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.EndpointRecord;
@@ -127,6 +128,37 @@
         status);
   }
 
+  /**
+   * Logs that a body contains the head of another response.
+   *
+   * @param position where in the body the head begins
+   * @param statedId id that the head states, empty if it is cut before it
+   * @param isWholeCopy whether a whole copy follows the body, which is complete without it
+   */
+  void foreignBytes(String endpointId, long position, String statedId, boolean isWholeCopy) {
+    String reason = isWholeCopy ? "a whole copy of itself" : foreignBytesReason(statedId);
+    log.event(
+        "foreign_bytes",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "position",
+        position,
+        "stated_id",
+        statedId,
+        "reason",
+        reason);
+    metrics.foreignBytes(reason);
+  }
+
+  private String foreignBytesReason(String statedId) {
+    if (statedId.isEmpty()) {
+      return "a head that is cut off";
+    }
+    return statedId.equals(requestId) ? "a copy of itself" : "another response";
+  }
+
   /** Logs that an endpoint responded without stating the id of the request. */
   void responseWithoutId(String endpointId, int status) {
     log.event("response_without_id", "id", requestId, "endpoint", endpointId, "status", status);
@@ -171,13 +203,32 @@
         "ms",
         millis,
         "end",
-        serving.endsWithConnection() ? "connection" : "framed");
+        serving.endsWithConnection() ? "connection" : "framed",
+        "peer",
+        serving.peer());
     metrics.completed(route, millis);
     if (serving.endsWithConnection()) {
       metrics.endedWithConnection(route);
     }
   }
 
+  /** Logs whether an endpoint lived after a response that ended with its connection. */
+  void endChecked(String endpointId, LivenessVerdict verdict, long millis) {
+    log.event(
+        "end_checked",
+        "id",
+        requestId,
+        "endpoint",
+        endpointId,
+        "verdict",
+        verdict.liveness(),
+        "ms",
+        millis,
+        "reason",
+        verdict.reason());
+    metrics.endChecked(verdict.liveness().name());
+  }
+
   void refused(int status, String reason, long millis, long retryAfterMillis) {
     log.event(
         "refused",
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -32,6 +32,7 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Base class of tests that run gateways against stand-ins of the platform, over loopback. */
 abstract class GatewayHarness {
@@ -43,12 +44,16 @@
   private static final AtomicInteger NEXT_PORT =
       new AtomicInteger(12_000 + (int) (ProcessHandle.current().pid() % 1_500) * 8);
 
+  /** Seeds the hosts differently, as the group tells them apart by an id that they draw. */
+  private final SplittableRandom random = new SplittableRandom(3);
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   final StoreStandIn store = new StoreStandIn();
   final List<EndpointStandIn> plainEndpoints = new ArrayList<>();
   final List<EndpointStandIn> modelEndpoints = new ArrayList<>();
-  final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
+  @RegisterExtension final HostLog hostLog = new HostLog();
+  final ByteArrayOutputStream logOutput = hostLog.output;
   final HttpClient client = HttpClient.newHttpClient();
   int requestCount;
   int graceMillis = 8_000;
@@ -150,8 +155,8 @@
             5,
             1,
             1_000);
-    DecisionLog log = new DecisionLog(logOutput, System::currentTimeMillis);
-    Gateway gateway = new Gateway(settings, group, new SplittableRandom(3), log, endpoints);
+    DecisionLog log = new DecisionLog(hostLog.of(name), System::currentTimeMillis);
+    Gateway gateway = new Gateway(settings, group, random.split(), log, endpoints);
     gateway.start().join();
     return new RunningGateway(gateway, address, peer);
   }
