A slot whose release was lost is freed although no further slot is held

What callers saw: all requests of a service were refused with 503 ("no place: OVERLOADED") for as long as the hosts ran, while its endpoints were idle; and a roll-out of a good version stayed in its last stage for good.

Cause: the scheduler counted slots as held that had been released. Messages between hosts may be lost or late; the reports of held slots, twice a second, make up for that. But a host reported only while it held a slot at the moment of a report, and once more. Requests that take 1 ms are hardly ever held then, so a lost release was never made up for. And the one report more frees nothing if it comes within 0.3 s of the one before, as after a pause of either host. A service without free slots gets no new reports: it stays like that.

Reports now go on ten times (5 s) after the last slot that a scheduler granted. A busy host sends them anyhow; an idle one ten datagrams more.

Ruled out: late requests at the endpoint, paused endpoints and lost paths (0 in the hosts' metrics while it lasted).

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
@@ -57,7 +57,7 @@
   private final BiConsumer<String, SchedulingMessage> transport;
   private final DecisionLog log;
   private final Map<Long, LocalSlotRequest> requests = new HashMap<>();
-  private final Set<String> reportedTo = new HashSet<>();
+  private final ReportTargets reportTargets = new ReportTargets();
   private final QuotaLedger ledger = new QuotaLedger(LEDGER_WINDOW.toNanos());
   private final RandomGenerator random;
   private boolean ticking;
@@ -261,23 +261,17 @@
     Map<String, List<SchedulingMessage.HeldSlot>> held = new HashMap<>();
     for (LocalSlotRequest pending : requests.values()) {
       if (pending.isGranted()) {
-        for (String scheduler : schedulersToInform(pending, now)) {
-          held.computeIfAbsent(scheduler, key -> new ArrayList<>()).add(heldSlot(pending));
+        for (String each : schedulersToInform(pending, now)) {
+          reportTargets.used(each);
+          held.computeIfAbsent(each, key -> new ArrayList<>()).add(heldSlot(pending));
         }
       }
     }
-    reportedTo.forEach(scheduler -> held.computeIfAbsent(scheduler, key -> List.of()));
-    reportedTo.clear();
-    held.forEach(
-        (scheduler, slots) -> {
-          transport.accept(
-              scheduler,
-              new SchedulingMessage.HeldSlotsReport(
-                  slots, ledger.unreportedUsage(scheduler, loop.nanoTime())));
-          if (!slots.isEmpty()) {
-            reportedTo.add(scheduler);
-          }
-        });
+    for (String each : reportTargets.next()) {
+      List<SchedulingMessage.HeldSlot> slots = held.getOrDefault(each, List.of());
+      transport.accept(
+          each, new SchedulingMessage.HeldSlotsReport(slots, ledger.unreportedUsage(each, now)));
+    }
   }
 
   /** Returns the scheduler that granted a slot and the current scheduler of its service. */
@@ -340,6 +334,9 @@
   private void recordGrant(LocalSlotRequest pending, String endpointId, long now) {
     SlotRequest request = pending.request;
     ledger.add(request.customer(), request.quotaUnits(), pending.scheduler, now);
+    if (!pending.scheduler.equals(self)) {
+      reportTargets.used(pending.scheduler);
+    }
     pending.endpointId = endpointId;
     pending.grantedAt = now;
     pending.listener.granted(pending);
