Tests: requests reach the endpoint whose statement is awaited

EndpointLimitTest.brittlenessIsKnownToAllHosts failed in one of 10 runs and in one verify: its eight requests were served within 1 ms each, one after the other, at one endpoint, while it awaited a statement of both. It now sends until the endpoint in question has received one, as other tests do; so does brittlenessIsToldToHostThatStarts. What is asserted stays.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndpointLimitTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/EndpointLimitTest.java
@@ -134,11 +134,11 @@
     await(() -> second.gateway().readyAddresses().size() == 2);
     plainEndpoints.get(0).setStatements(Map.of("Server-Brittle", "3"));
     plainEndpoints.get(1).setStatements(Map.of("Server-Brittle", "0"));
-    postConcurrently(first, "/unsafe/x");
+    plainEndpoints.forEach(each -> reach(first, "/unsafe/x", each));
     await(() -> second.gateway().peers().statements().brittleEndpoints() == 1);
     await(() -> logged("endpoint_brittle_rejected"));
     plainEndpoints.get(0).setStatements(Map.of());
-    postConcurrently(first, "/unsafe/x");
+    reach(first, "/unsafe/x", plainEndpoints.get(0));
     await(() -> second.gateway().peers().statements().brittleEndpoints() == 0);
   }
 
@@ -147,7 +147,7 @@
   void brittlenessIsToldToHostThatStarts() {
     RunningGateway first = startConfiguredGateway();
     plainEndpoints.get(0).setStatements(Map.of("Server-Brittle", "3"));
-    postConcurrently(first, "/unsafe/x");
+    reach(first, "/unsafe/x", plainEndpoints.get(0));
     await(() -> first.gateway().peers().statements().brittleEndpoints() == 1);
     RunningGateway second = startGateway("host-2", List.of(first.peerAddress()));
     await(() -> second.gateway().peers().statements().brittleEndpoints() == 1);
