Tasks that schedule themselves go on after an exception

Periodic tasks are mended since; three that schedule themselves at their end still ended with an exception: the fetch of the state of another host at the start, the check of roll-outs, and the check of waiting requests until the next one. They are now repeated by the loop while they state that they are needed; an exception costs one run and a line (action_failed). The membership's tick is not changed: it is scheduled anew with each message.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -193,19 +193,18 @@
   private void startTicking() {
     if (!isTicking) {
       isTicking = true;
-      loop.schedule(this::tick, TICK_INTERVAL);
+      loop.repeatWhile(this::tick, TICK_INTERVAL, TICK_INTERVAL);
     }
   }
 
-  private void tick() {
-    isTicking = false;
+  /** Returns whether a roll-out must be checked again. */
+  private boolean tick() {
     boolean isAnyActive = false;
     for (ServiceRollout rollout : List.copyOf(rollouts.values())) {
       isAnyActive |= check(rollout, loop.nanoTime());
     }
-    if (isAnyActive) {
-      startTicking();
-    }
+    isTicking = isAnyActive;
+    return isAnyActive;
   }
 
   /** Returns whether the roll-out must be checked again. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SlotClient.java
@@ -201,24 +201,23 @@
   private void startTicking() {
     if (!ticking) {
       ticking = true;
-      loop.schedule(this::tick, TICK_INTERVAL);
+      loop.repeatWhile(this::tick, TICK_INTERVAL, TICK_INTERVAL);
     }
   }
 
-  private void tick() {
-    ticking = false;
+  /** Returns whether a request waits, so that the next tick is needed. */
+  private boolean tick() {
     long now = loop.nanoTime();
     scheduler.tick(now);
-    boolean isWaiting = false;
     for (LocalSlotRequest pending : List.copyOf(requests.values())) {
       if (!pending.isGranted()) {
-        isWaiting = true;
         checkScheduler(pending, now);
       }
     }
-    if (isWaiting || scheduler.hasWaiting()) {
-      startTicking();
-    }
+    ticking =
+        scheduler.hasWaiting()
+            || requests.values().stream().anyMatch(pending -> !pending.isGranted());
+    return ticking;
   }
 
   private void checkScheduler(LocalSlotRequest pending, long now) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBootstrap.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/PeerBootstrap.java
@@ -72,22 +72,23 @@
 
   /** Starts to check whether the store has provided the configuration and the endpoints. */
   public void start() {
-    loop.schedule(this::check, INITIAL_DELAY);
+    loop.repeatWhile(this::check, INITIAL_DELAY, CHECK_INTERVAL);
   }
 
   private boolean isComplete() {
     return configuration.newestBytes().length > 0 && endpoints.isLoaded();
   }
 
-  private void check() {
+  /** Returns whether state is still missing. */
+  private boolean check() {
     if (isComplete()) {
-      return;
+      return false;
     }
     Member source = selector.select(peers.liveMembers(), loop.nanoTime());
     if (source != null) {
       fetch(source);
     }
-    loop.schedule(this::check, CHECK_INTERVAL);
+    return true;
   }
 
   private void fetch(Member member) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlEventLoop.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlEventLoop.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -101,6 +102,26 @@
     return loop.scheduleWithFixedDelay(reporting(action), nanos, nanos, TimeUnit.NANOSECONDS);
   }
 
+  /**
+   * Runs an action on the loop after a delay, and again in an interval for as long as it returns
+   * true. A run that fails is reported, and the next one follows.
+   */
+  public void repeatWhile(BooleanSupplier action, Duration delay, Duration interval) {
+    loop.schedule(() -> repeat(action, interval), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void repeat(BooleanSupplier action, Duration interval) {
+    boolean isNeeded = true;
+    try {
+      isNeeded = action.getAsBoolean();
+    } catch (RuntimeException | Error e) {
+      onFailure.accept(e);
+    }
+    if (isNeeded) {
+      repeatWhile(action, interval, interval);
+    }
+  }
+
   /** Returns an action whose failure is reported; the event loop itself would drop it. */
   private Runnable reporting(Runnable action) {
     return () -> {
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/control/ControlEventLoopTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/control/ControlEventLoopTest.java
@@ -46,6 +46,24 @@
     assertThat(failures).extracting(Throwable::getMessage).containsExactly("run 2", "run 3");
   }
 
+  /** Guards against a task that schedules itself and ends without a line at its first exception. */
+  @Test
+  void failureCostsOneRunOfATaskThatIsRepeatedWhileItIsNeeded() {
+    channel.freezeTime();
+    loop.repeatWhile(
+        () -> {
+          if (runs.incrementAndGet() == 2) {
+            throw new IllegalStateException("run 2");
+          }
+          return runs.get() < 4;
+        },
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(1));
+    advanceSeconds(6);
+    assertThat(runs).hasValue(4);
+    assertThat(failures).extracting(Throwable::getMessage).containsExactly("run 2");
+  }
+
   @Test
   void failureOfADelayedActionIsReported() {
     channel.freezeTime();
