--- a/samphiredyke-soak/src/test/java/io/samphiredyke/soak/UnsizedResponsesTest.java
+++ b/samphiredyke-soak/src/test/java/io/samphiredyke/soak/UnsizedResponsesTest.java
@@ -37,7 +37,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void responseWithoutLengthOfKilledEndpointIsNotComplete() {
     assertNoFindings(run(33, "UNSIZED,DEATHS"));
   }
