A copy that breaks off in the line of its id is found before more of the body

Cause: the search takes a head that breaks off for text, unless the body ends there. A head that agrees with a received one up to the name of the header with the id, and then breaks off, now counts as a copy.

ResponseHeadScanTest.copyThatIsCutInTheLineOfItsIdIsFoundBeforeMoreOfTheBody fails without the change; the tests of sound bodies are unchanged and green.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/ResponseHeadScan.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/ResponseHeadScan.java
@@ -1,15 +1,17 @@
 package io.samphiredyke.core.stream;
 
 import java.util.Collection;
+import java.util.Locale;
 import java.util.function.Predicate;
 
 /**
  * Search for the head of another response within the bytes of a body.
  *
  * <p>A head is a status line and header lines up to a blank line. It may begin at any byte. One
- * that states the id of a request that the connection has carried is that of a copy; any other is
- * text. The bytes from the begin of a possible head on are undecided until it is complete or turns
- * out to be none. Not thread-safe.
+ * that states the id of a request that the connection has carried is that of a copy, and so is one
+ * that agrees with a received head and breaks off within the line of the id; any other is text. The
+ * bytes from the begin of a possible head on are undecided until it is complete or turns out to be
+ * none. Not thread-safe.
  */
 public final class ResponseHeadScan {
 
@@ -29,7 +31,9 @@
   private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
 
   private final String idHeader;
+  private final String idLineStart;
   private final Predicate<String> isCarried;
+  private final Collection<String> outlines;
   private final StringBuilder head = new StringBuilder();
   private final StringBuilder outline = new StringBuilder();
   private final char[] statusLine = new char[STATUS_LINE.length()];
@@ -41,16 +45,21 @@
   private long position;
   private String statedId = "";
   private boolean isWhole;
+  private boolean isCut;
 
   /**
    * Creates a search at the begin of a body.
    *
    * @param idHeader name of the header that states the id of a request
    * @param isCarried returns whether the connection has carried a request with an id
+   * @param outlines outlines of the heads that the connection has received
    */
-  public ResponseHeadScan(String idHeader, Predicate<String> isCarried) {
+  public ResponseHeadScan(
+      String idHeader, Predicate<String> isCarried, Collection<String> outlines) {
     this.idHeader = idHeader;
+    this.idLineStart = "\n" + idHeader.toLowerCase(Locale.ROOT);
     this.isCarried = isCarried;
+    this.outlines = outlines;
   }
 
   /** Skips bytes that begin no head, while none is undecided. */
@@ -178,7 +187,26 @@
   /** Ends the head in progress and returns whether it is that of another response. */
   private boolean endsHead() {
     isInHead = false;
-    return !statedId.isEmpty();
+    isCut = statedId.isEmpty() && !isWhole && isCutCopy();
+    return isCut || !statedId.isEmpty();
+  }
+
+  /**
+   * Returns whether the head in progress, which the last byte doesn't continue, is a received one
+   * up to the name of the header with the id.
+   */
+  private boolean isCutCopy() {
+    if (lineStart == 0 || head.length() > MAX_HEAD_BYTES) {
+      return false;
+    }
+    String read = headOutline();
+    for (String received : outlines) {
+      int idLine = received.toLowerCase(Locale.ROOT).indexOf(idLineStart);
+      if (idLine >= 0 && read.regionMatches(0, received, 0, idLine + idLineStart.length())) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the number of last bytes that are undecided. */
@@ -188,7 +216,7 @@
 
   /** Returns the position of the first undecided byte, or of the head that was found. */
   public long headPosition() {
-    return position - (statedId.isEmpty() ? undecidedBytes() : head.length());
+    return position - (isCut || !statedId.isEmpty() ? head.length() : undecidedBytes());
   }
 
   /** Returns the outline of the head that was found, empty if it is not whole. */
@@ -206,19 +234,15 @@
     return statedId;
   }
 
-  /**
-   * Returns whether a body that ends here ends within the head of another response.
-   *
-   * @param outlines outlines of the heads that the connection has received
-   */
-  public boolean endsWithin(Collection<String> outlines) {
-    if (isInHead && (!statedId.isEmpty() || agrees(headOutline(), outlines))) {
+  /** Returns whether a body that ends here ends within the head of another response. */
+  public boolean endsWithin() {
+    if (isInHead && (!statedId.isEmpty() || agrees(headOutline()))) {
       return true;
     }
-    return matched >= MIN_CUT_BYTES && agrees(new String(statusLine, 0, matched), outlines);
+    return matched >= MIN_CUT_BYTES && agrees(new String(statusLine, 0, matched));
   }
 
-  private static boolean agrees(String cut, Collection<String> outlines) {
+  private boolean agrees(String cut) {
     for (String outline : outlines) {
       if (outline.startsWith(cut)) {
         return true;
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/stream/ResponseHeadScanTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/stream/ResponseHeadScanTest.java
@@ -24,7 +24,7 @@
   private static final String SOUND = "sound";
 
   private static ResponseHeadScan scan() {
-    return new ResponseHeadScan("id", id -> id.equals("carried"));
+    return new ResponseHeadScan("id", id -> id.equals("carried"), OUTLINES);
   }
 
   /** Returns where another head begins and the id that it states, or that the body is sound. */
@@ -40,7 +40,7 @@
       }
       assertThat(scan.undecidedBytes()).isLessThanOrEqualTo(ResponseHeadScan.MAX_HEAD_BYTES);
     }
-    boolean isCut = scan.endsWithin(OUTLINES);
+    boolean isCut = scan.endsWithin();
     return isCut ? scan.headPosition() + " " + scan.statedId() : SOUND;
   }
 
@@ -95,6 +95,17 @@
     assertThat(verdict(cut + after)).isEqualTo("0 carried");
   }
 
+  /** Guards against a late copy that is cut before its id ends, with more of the body behind it. */
+  @Example
+  void copyThatIsCutInTheLineOfItsIdIsFoundBeforeMoreOfTheBody() {
+    int idLine = HEAD.indexOf("Id: carried");
+    for (int length = idLine + 2; length <= HEAD.indexOf("\r\nLength"); length++) {
+      String body = "a wh" + HEAD.substring(0, length) + "\nole body";
+      assertThat(verdict(body)).as("cut to %d bytes", length).isEqualTo("4 ");
+    }
+    assertThat(verdict("a wh" + HEAD.substring(0, idLine) + "\nole body")).isEqualTo(SOUND);
+  }
+
   /** Fewer bytes than a protocol and a slash are the end of many words. */
   @Example
   void endOfAFewBytesIsSound() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ForeignBytesFilter.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ForeignBytesFilter.java
@@ -17,7 +17,6 @@
  */
 final class ForeignBytesFilter {
 
-  private final CarriedIds carried;
   private final String ownOutline;
   private final String ownId;
   private final Consumer<ByteBuf> receiver;
@@ -37,11 +36,10 @@
    */
   ForeignBytesFilter(
       CarriedIds carried, String ownId, String ownOutline, Consumer<ByteBuf> receiver) {
-    this.carried = carried;
     this.ownId = ownId;
     this.ownOutline = ownOutline;
     this.receiver = receiver;
-    this.scan = new ResponseHeadScan(Headers.REQUEST_ID, carried::contains);
+    this.scan = new ResponseHeadScan(Headers.REQUEST_ID, carried::contains, carried.heads());
     this.comparison = ownOutline.isEmpty() ? null : new CopyComparison();
   }
 
@@ -124,7 +122,7 @@
       hasWholeCopy = comparison != null && comparison.isEqual();
       return !hasWholeCopy;
     }
-    if (scan.endsWithin(carried.heads())) {
+    if (scan.endsWithin()) {
       return true;
     }
     give(held);
