--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RolloutTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/RolloutTest.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -116,7 +115,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void goodVersionSucceedsInTime() {
     long startedAt = System.nanoTime();
     order(EndpointStandIn.Behaviour.SERVE);
@@ -163,7 +161,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void rollOutSurvivesTheLossOfTheDecidingHost() {
     long startedAt = System.nanoTime();
     order(EndpointStandIn.Behaviour.SERVE);
