A connection that is not read is no sign that its endpoint lives

Cause: the check of ends counts other connections that are open since before as a sign of life when new ones are refused. One whose caller reads slowly is not read by the host, so that its end is not seen. Only connections that are read count now.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/OpenConnections.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/OpenConnections.java
@@ -25,11 +25,16 @@
     }
   }
 
-  /** Returns whether a connection to an address is open that was open before a time. */
+  /**
+   * Returns whether a connection to an address is open that was open before a time. One that is not
+   * read, as its caller is slow, does not count: its end would not be seen.
+   */
   boolean hasOpenSince(String address, long time) {
     for (Map.Entry<Channel, Long> connection :
         openedAt.getOrDefault(address, Map.of()).entrySet()) {
-      if (connection.getKey().isActive() && connection.getValue() - time < 0) {
+      Channel channel = connection.getKey();
+      boolean isRead = channel.isActive() && channel.config().isAutoRead();
+      if (isRead && connection.getValue() - time < 0) {
         return true;
       }
     }
