Tunnels: bytes behind the stated end are dropped

Found by the review: frames that arrive in the same read as the stated end, but behind it, were passed on as the endpoint's bytes. No passing host of ours sends them.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelFraming.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/TunnelFraming.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.ReferenceCountUtil;
 import java.net.SocketException;
 
 /**
@@ -58,8 +59,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (isFramed && message instanceof ByteBuf frame && !frame.isReadable()) {
-        frame.release();
+      boolean isEnd = isFramed && message instanceof ByteBuf frame && !frame.isReadable();
+      if (hasEnded || isEnd) {
+        ReferenceCountUtil.release(message);
         hasEnded = true;
         ctx.close();
         return;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/tunnel/TunnelFramingTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/tunnel/TunnelFramingTest.java
@@ -3,9 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +44,18 @@
     }
   }
 
+  /** Guards against bytes behind the stated end that are passed on as the endpoint's. */
+  @Test
+  void bytesBehindTheStatedEndAreDropped() {
+    EmbeddedChannel asking = new EmbeddedChannel();
+    TunnelFraming.addDecoder(asking.pipeline(), true);
+    asking.writeInbound(
+        Unpooled.copiedBuffer("\0\0\0\2ok\0\0\0\0\0\0\0\2no", StandardCharsets.ISO_8859_1));
+    ByteBuf received = asking.readInbound();
+    assertThat(received.toString(StandardCharsets.ISO_8859_1)).isEqualTo("ok");
+    assertThat((Object) asking.readInbound()).isNull();
+  }
+
   /** Guards against an end that is stated though the endpoint did not end the connection. */
   @Test
   void statesNoEndIfTheEndpointResetsOrTheHostStops() throws IOException {
