Check of ends: an interim response shows no life

Found by the review, by reading: a late interim response on a kept connection counted as the answer to the question whether the endpoint's process runs. It is skipped; the answer itself decides. LivenessProbesTest and UnsizedResponseTest, one run each, green.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/LivenessProbe.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/LivenessProbe.java
@@ -135,7 +135,8 @@
 
   private void readHead(HttpResponse response) {
     EndpointResponseHead head = EndpointResponseHead.decode(response);
-    isSkipping = !isNewConnection && !head.requestId().isEmpty();
+    boolean isInterim = head.status() < HttpResponseStatus.OK.code();
+    isSkipping = isInterim || !isNewConnection && !head.requestId().isEmpty();
     if (isSkipping) {
       return;
     }
