Check of ends: an endpoint that only resets new connections is not known to be gone

Found by the review: at an endpoint at its connection limit, where this host has no other connection, 8 of 8 sound responses without length of unsafe requests ended with 502 and counted as crashes of the request (request_suspected). What accepts and resets a connection is no dead process: the verdict is UNKNOWN now. The response is still not passed on, as nothing shows that it is whole, but neither endpoint nor request is blamed.

LivenessDecisionTest expected GONE for this case; the expectation is the new verdict, the number of probes before it is unchanged. It and UnsizedResponseTest, one run each, green.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/liveness/LivenessDecision.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/liveness/LivenessDecision.java
@@ -78,7 +78,7 @@
     }
     return hasOlderConnections
         ? decided(Liveness.ALIVE, "other connections are open")
-        : decided(Liveness.GONE, "connections closed without a byte");
+        : decided(Liveness.UNKNOWN, "connections closed without a byte");
   }
 
   private Step afterUnreached() {
