Peer messages: a slot request without route, unknown refusals and outcomes are understood

Found by comparing the messages of both builds; no run with both was made.

The reason of a refusal and the outcome of a slot are ordinal numbers. One that a later build adds would make the whole message unreadable: the refusal would be missed and the slot kept until the next report of held slots. An unknown reason counts as OVERLOADED now, an unknown outcome as WITHDRAWN, which counts for and against no endpoint.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
@@ -22,6 +22,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 /**
  * Encodes each {@link SchedulingMessage} in MessagePack as its type number followed by its fields.
@@ -264,7 +265,9 @@
       case GRANTED -> new SchedulingMessage.Granted(in.unpackLong(), in.unpackString());
       case REFUSED ->
           new SchedulingMessage.Refused(
-              in.unpackLong(), SlotRefusal.Reason.values()[in.unpackInt()], in.unpackLong());
+              in.unpackLong(),
+              constant(SlotRefusal.Reason.values(), in.unpackInt(), SlotRefusal.Reason.OVERLOADED),
+              in.unpackLong());
       case WITHDRAWN -> new SchedulingMessage.Withdrawn(in.unpackString(), in.unpackLong());
       case STARTED ->
           new SchedulingMessage.Started(
@@ -274,7 +277,7 @@
               in.unpackString(),
               in.unpackString(),
               in.unpackLong(),
-              Outcome.values()[in.unpackInt()],
+              constant(Outcome.values(), in.unpackInt(), Outcome.WITHDRAWN),
               in.unpackDouble());
       case HELD_SLOTS_REPORT -> readHeldSlotsReport(in);
       case ENDPOINT_UPDATE -> readEndpointUpdate(in);
@@ -306,10 +309,17 @@
     };
   }
 
+  /** Returns a constant, or a substitute for one of a later build. */
+  private static <T> T constant(T[] constants, int ordinal, T substitute) {
+    return ordinal >= 0 && ordinal < constants.length ? constants[ordinal] : substitute;
+  }
+
   private static SchedulingMessage.Acquire readAcquire(MessageUnpacker in) throws IOException {
     long slotRequestId = in.unpackLong();
     String service = in.unpackString();
-    String route = in.unpackString();
+    // Earlier builds state no route.
+    boolean hasRoute = in.getNextFormat().getValueType() == ValueType.STRING;
+    String route = hasRoute ? in.unpackString() : "";
     int rank = in.unpackInt();
     double value = in.unpackDouble();
     int promptTokens = in.unpackInt();
