Peer messages: datagrams that aren't understood are logged, unknown kinds are skipped

The first byte of a datagram is its kind. Any but that of gossip was read as a message between requester and scheduler, so that a kind of a later build could have been taken for a grant; it is skipped now. Whatever is skipped was counted in a gauge alone, so that an operator of a mixed group did not see from the log what one build lacks.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -67,10 +67,10 @@
   private final PeerMessageDispatcher dispatcher;
   private final RandomGenerator random;
   private final CapacityShareEstimator capacityShare;
+  private final SkippedDatagrams skipped;
   private List<Member> lastLiveMembers = List.of();
   private @Nullable Channel channel;
   private @Nullable Future<?> timer;
-  private long malformedDatagrams;
 
   /**
    * Creates a group that contains only this host.
@@ -87,6 +87,7 @@
     this.loop = loop;
     this.log = log;
     this.random = random;
+    this.skipped = new SkippedDatagrams(log);
     this.capacityShare = new CapacityShareEstimator(quotaWindow);
     this.membership = new Membership(self, MembershipSettings.builder().build(), random, this);
     this.slotClient = new SlotClient(loop, self.address(), options, random, log, this::send);
@@ -364,7 +365,7 @@
 
   /** Returns the number of datagrams that could not be decoded. */
   public long malformedDatagrams() {
-    return malformedDatagrams;
+    return skipped.count();
   }
 
   private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
@@ -372,22 +373,20 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket datagram) {
       ByteBuf content = datagram.content();
-      if (content.readableBytes() < 2) {
-        malformedDatagrams++;
-        return;
-      }
-      byte kind = content.readByte();
-      byte[] message = ByteBufUtil.getBytes(content);
+      String from = SocketAddresses.format(datagram.sender());
       try {
+        byte kind = content.isReadable() ? content.readByte() : -1;
+        byte[] message = ByteBufUtil.getBytes(content);
         if (kind == GOSSIP) {
           membership.received(GossipCodec.decode(message), loop.nanoTime());
           membersChanged();
+        } else if (kind == SCHEDULING) {
+          dispatcher.received(from, SchedulingMessageCodec.decode(message));
         } else {
-          dispatcher.received(
-              SocketAddresses.format(datagram.sender()), SchedulingMessageCodec.decode(message));
+          skipped.add(from, "unknown kind of datagram " + kind);
         }
       } catch (IOException e) {
-        malformedDatagrams++;
+        skipped.add(from, String.valueOf(e.getMessage()));
       }
     }
 
