Control loop: the gateway's program starts again, it has no Flogger

What operators saw: the program logged "start" never, accepted no caller and did not exit; stderr had one line, NoClassDefFoundError com/google/common/flogger/FluentLogger, thrown by the event loop's first task.

Cause: gave ControlEventLoop a static Flogger logger, for the daemon. The gateway reports failures in its own log, and its JAR file leaves Flogger out, as two logging systems would mix. Tests have it in their class path.

Fix: the logger is in a class of its own, which is loaded by the constructor for the daemon alone.

ProgramLibrariesTest failed before with that error, green after; the tests of the soak with processes were not run without the fix.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlEventLoop.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/control/ControlEventLoop.java
@@ -1,6 +1,5 @@
 package io.samphiredyke.net.control;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.time.Clock;
@@ -14,19 +13,13 @@
 /** The single-threaded event loop that confines all control state of the process. */
 public final class ControlEventLoop {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private final EventLoop loop;
   private final Clock clock;
   private final Consumer<Throwable> onFailure;
 
   /** Creates a control loop that logs the failures of its actions. */
   public ControlEventLoop(EventLoop loop, Clock clock) {
-    this(
-        loop,
-        clock,
-        failure ->
-            logger.atSevere().withCause(failure).log("an action of the control loop failed"));
+    this(loop, clock, LoggedFailures::log);
   }
 
   /**
