Soak: hosts of an earlier build are replaced in turn beside the faults

--gateway-before names the JAR file of an earlier build. A finding names the builds of the hosts that received the request; findings of the earlier build alone are listed and don't count.

Checks of runs with one build are as before: an outage of all or one host excuses what overlaps with it; a host killed by a replacement excuses its own requests only, and a SIGTERM none.

--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsChecker.java
@@ -21,6 +21,13 @@
    */
   record Finding(String kind, String id, List<String> history) {
 
+    /** Returns the finding with the builds that received the request. */
+    Finding at(Builds builds, Collection<CallerOutcome> outcomes) {
+      List<CallerOutcome> attempts =
+          outcomes.stream().filter(outcome -> outcome.id().equals(id)).toList();
+      return new Finding(kind + builds.ofAttempts(attempts), id, history);
+    }
+
     Finding with(List<String> lines) {
       return new Finding(kind, id, Stream.concat(history.stream(), lines.stream()).toList());
     }
@@ -32,8 +39,15 @@
    * @param beginMillis milliseconds since the epoch
    * @param endMillis when all of them were ready again
    * @param isOfAllHosts whether all hosts were killed at once
+   * @param host the host whose requests may be lost, empty for all
    */
-  record Outage(long beginMillis, long endMillis, boolean isOfAllHosts) {}
+  record Outage(long beginMillis, long endMillis, boolean isOfAllHosts, String host) {
+    boolean touches(CallerOutcome outcome) {
+      return beginMillis <= outcome.endMillis()
+          && endMillis >= outcome.sentMillis()
+          && (host.isEmpty() || host.equals(outcome.host()));
+    }
+  }
 
   private static final int RUN_MILLIS_WORD = 4;
   private static final int FALL_MILLIS_WORD = 7;
@@ -92,13 +106,7 @@
   }
 
   private void checkEnd(CallerOutcome outcome) {
-    boolean isHostKilled =
-        outages.stream()
-            .anyMatch(
-                outage ->
-                    outage.beginMillis() <= outcome.endMillis()
-                        && outage.endMillis() >= outcome.sentMillis());
-    if (isHostKilled) {
+    if (outages.stream().anyMatch(outage -> outage.touches(outcome))) {
       return;
     }
     switch (outcome.end()) {
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsResult.java
@@ -17,6 +17,7 @@
   private final Map<String, Integer> actions = new TreeMap<>();
   private final Map<String, Integer> outcomes = new TreeMap<>();
 
+  private final Builds builds;
   private final FramingCosts costs;
   private long usedMillis;
   private long roomMillis;
@@ -25,8 +26,10 @@
       SoakOptions options,
       Observations observations,
       Collection<CallerOutcome> received,
-      List<EndpointFaultsChecker.Finding> findings) {
+      List<EndpointFaultsChecker.Finding> findings,
+      Builds builds) {
     this.options = options;
+    this.builds = builds;
     this.findings = findings;
     costs = new FramingCosts(observations, received);
     observations.endpointActions().values().forEach(lines -> lines.forEach(this::add));
@@ -64,8 +67,9 @@
     return costs.soundLost();
   }
 
+  /** Returns the findings but for those of an earlier build. */
   List<EndpointFaultsChecker.Finding> findings() {
-    return findings;
+    return findings.stream().filter(finding -> !builds.isOfEarlier(finding.kind())).toList();
   }
 
   /** Returns counts, and each kind of finding with the history of some requests. */
@@ -90,7 +94,13 @@
             + " endpoints, "
             + options.endpointFaults()
             + ": "
-            + (findings.isEmpty() ? "green" : findings.size() + " findings"));
+            + (findings().isEmpty() ? "green" : findings().size() + " findings")
+            + (findings().size() == findings.size()
+                ? ""
+                : ", " + (findings.size() - findings().size()) + " of the earlier build"));
+    if (options.isMixed() && shown > SHOWN) {
+      lines.addAll(builds.lines());
+    }
     lines.add("  endpoints: " + actions);
     lines.add("  callers: " + outcomes);
     lines.addAll(costs.lines());
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/EndpointFaultsRun.java
@@ -12,12 +12,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
+import java.util.Objects;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /** The run of one seed in which endpoints are faulty; links and the store work. */
 final class EndpointFaultsRun {
@@ -43,7 +46,9 @@
   private final HostProbe probe = new HostProbe(http);
   private final Observations observations = new Observations();
   private final Queue<CallerOutcome> outcomes = new ConcurrentLinkedQueue<>();
-  private final List<EndpointFaultsChecker.Outage> outages = new ArrayList<>();
+  private final List<EndpointFaultsChecker.Outage> outages =
+      Collections.synchronizedList(new ArrayList<>());
+  private @Nullable Builds builds;
   private final SplittableRandom random;
   private final long beginMillis = System.currentTimeMillis();
 
@@ -66,7 +71,11 @@
       run.execute(directory);
       EndpointFaultsResult result =
           new EndpointFaultsResult(
-              options, run.observations, run.outcomes, run.findings(directory));
+              options,
+              run.observations,
+              run.outcomes,
+              run.findings(directory),
+              Objects.requireNonNull(run.builds));
       Files.write(directory.resolve("result.txt"), result.lines());
       return result;
     } catch (IOException e) {
@@ -84,11 +93,13 @@
     if (outages.isEmpty()) {
       findings.addAll(logs.unreported(outcomes));
     }
-    return logs.addTo(findings);
+    Builds started = Objects.requireNonNull(builds);
+    return logs.addTo(findings).stream().map(finding -> finding.at(started, outcomes)).toList();
   }
 
   private void execute(Path directory) {
     try (Fleet fleet = new Fleet(options, directory, observations, group)) {
+      builds = fleet.builds();
       new Operator(http, fleet.storeAddress()).writeConfiguration();
       fleet.start();
       probe.awaitReady(fleet);
@@ -125,8 +136,16 @@
     long nextHosts = begin + HOSTS_KILL_MILLIS / 2;
     EndpointDeaths deaths =
         new EndpointDeaths(fleet, observations, options.endpointFaults(), options.seed());
+    RollingUpgrade upgrade =
+        new RollingUpgrade(
+            fleet,
+            probe,
+            options,
+            (host, from, to) ->
+                outages.add(new EndpointFaultsChecker.Outage(from, to, false, host.name())));
+    upgrade.start();
     BrittlePhases phases = new BrittlePhases(fleet, random.split(), begin);
-    for (long now = begin; now < end; now = System.currentTimeMillis()) {
+    for (long now = begin; now < end || upgrade.isRunning(); now = System.currentTimeMillis()) {
       if (has(EndpointFault.BRITTLE)) {
         phases.advance(now);
       }
@@ -148,7 +167,7 @@
       Thread.sleep(POLL_MILLIS);
     }
     if (has(EndpointFault.BRITTLE)) {
-      phases.end(end);
+      phases.end(System.currentTimeMillis());
       Thread.sleep(POLL_MILLIS);
     }
   }
@@ -165,6 +184,6 @@
     hosts.forEach(Fleet.Host::restart);
     probe.awaitReady(fleet);
     boolean isOfAll = hosts.size() == options.hosts();
-    outages.add(new EndpointFaultsChecker.Outage(begin, System.currentTimeMillis(), isOfAll));
+    outages.add(new EndpointFaultsChecker.Outage(begin, System.currentTimeMillis(), isOfAll, ""));
   }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/Fleet.java
@@ -64,6 +64,7 @@
   private final AtomicInteger instanceCount = new AtomicInteger();
   private final List<String> unexpectedExits = new ArrayList<>();
   private final EventLoopGroup group;
+  private final Builds builds;
   private final ChildProcess store;
 
   /** A host, its current process and the links to and from it. */
@@ -72,6 +73,7 @@
     private final String ip;
     private final Link callerLink;
     private final Link storeLink;
+    private Path jar = options.gatewayBefore();
     private ChildProcess process;
 
     private Host(int index) {
@@ -130,6 +132,12 @@
       process.kill();
       process = startHost(this);
     }
+
+    /** Replaces the host by one of a build. */
+    synchronized void restart(Path newJar) {
+      jar = newJar;
+      restart();
+    }
   }
 
   /** An endpoint address behind a link, used by one instance after another. */
@@ -177,6 +185,7 @@
     this.directory = directory;
     this.observations = observations;
     this.group = group;
+    this.builds = new Builds(options);
     long run = ProcessHandle.current().pid() * 31 + options.network();
     this.addressPrefix =
         "127." + (20 + run % SECOND_OCTETS) + "." + (run / SECOND_OCTETS % 250) + ".";
@@ -208,7 +217,8 @@
       throw new UncheckedIOException(e);
     }
     List<String> command = new ArrayList<>(JAVA);
-    command.addAll(List.of("-cp", options.gatewayJar().toString(), SoakOptions.GATEWAY_CLASS));
+    builds.started(host.name, host.jar, System.currentTimeMillis());
+    command.addAll(List.of("-cp", host.jar.toString(), SoakOptions.GATEWAY_CLASS));
     return ChildProcess.start(
         host.name,
         command,
@@ -269,6 +279,10 @@
     return List.copyOf(unexpectedExits);
   }
 
+  Builds builds() {
+    return builds;
+  }
+
   String storeAddress() {
     return addressPrefix + "2:" + STORE_PORT;
   }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakMain.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakMain.java
@@ -1,7 +1,6 @@
 package io.samphiredyke.soak;
 
 import java.nio.file.Path;
-import java.util.List;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -60,6 +59,9 @@
         .addArgument("--gateway")
         .setDefault("target/gateway.jar")
         .help("JAR file of the gateway");
+    parser
+        .addArgument("--gateway-before")
+        .help("JAR file of an earlier build: hosts begin with it and are replaced in turn");
     parser
         .addArgument("--endpoint-faults")
         .setDefault("")
@@ -75,6 +77,8 @@
     }
     boolean hasFaults = !faults.isEmpty();
     boolean allPassed = true;
+    String gateway = flags.getString("gateway");
+    String before = flags.getString("gateway_before");
     for (int i = 0; i < flags.getInt("seeds"); i++) {
       SoakOptions options =
           new SoakOptions(
@@ -83,19 +87,20 @@
               hasFaults ? flags.getInt("hosts") : Math.max(3, flags.getInt("hosts")),
               Math.max(2, flags.getInt("endpoints")),
               flags.getInt("callers"),
-              Path.of(flags.getString("gateway")),
+              Path.of(gateway),
               Path.of(flags.getString("logs")),
               flags.getInt("network"),
-              faults);
+              faults,
+              Path.of(before == null ? gateway : before));
       allPassed &= hasFaults ? runEndpointFaults(options) : runFaults(options);
     }
     return allPassed;
   }
 
   private static boolean runFaults(SoakOptions options) {
-    List<String> lines = SoakRun.run(options).lines();
-    lines.forEach(System.out::println);
-    return lines.size() == 1;
+    SoakResult result = SoakRun.run(options);
+    result.lines().forEach(System.out::println);
+    return result.findings().isEmpty();
   }
 
   private static boolean runEndpointFaults(SoakOptions options) {
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakOptions.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakOptions.java
@@ -16,6 +16,8 @@
  *     derived
  * @param endpointFaults comma-separated {@link io.samphiredyke.platform.standin.EndpointFault}s,
  *     empty for endpoints that follow the protocol
+ * @param gatewayBefore JAR file of the build that hosts begin with, {@code gatewayJar} in a run of
+ *     one build
  */
 record SoakOptions(
     long seed,
@@ -26,11 +28,41 @@
     Path gatewayJar,
     Path directory,
     int network,
-    String endpointFaults) {
+    String endpointFaults,
+    Path gatewayBefore) {
 
   /** Main class of the gateways. */
   static final String GATEWAY_CLASS = "io.samphiredyke.gateway.GatewayMain";
 
+  /** Options of a run of one build. */
+  SoakOptions(
+      long seed,
+      int seconds,
+      int hosts,
+      int endpoints,
+      int callers,
+      Path gatewayJar,
+      Path directory,
+      int network,
+      String endpointFaults) {
+    this(
+        seed,
+        seconds,
+        hosts,
+        endpoints,
+        callers,
+        gatewayJar,
+        directory,
+        network,
+        endpointFaults,
+        gatewayJar);
+  }
+
+  /** Returns whether hosts of an earlier build are replaced in the run. */
+  boolean isMixed() {
+    return !gatewayBefore.equals(gatewayJar);
+  }
+
   boolean hasEndpointFaults() {
     return !endpointFaults.isEmpty();
   }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakResult.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakResult.java
@@ -13,7 +13,15 @@
   private final List<Exchange> exchanges;
   private final List<String> findings;
 
-  SoakResult(long seed, Observations observations, List<String> findings) {
+  private final List<String> ofEarlier;
+
+  /**
+   * Returns the result of a run.
+   *
+   * @param ofEarlier what hosts of an earlier build violated
+   */
+  SoakResult(long seed, Observations observations, List<String> findings, List<String> ofEarlier) {
+    this.ofEarlier = List.copyOf(ofEarlier);
     this.seed = seed;
     this.exchanges = observations.exchanges();
     this.findings = List.copyOf(findings);
@@ -40,6 +48,7 @@
             exchanges.isEmpty() ? 0.0 : (double) served / exchanges.size(),
             statuses));
     findings.forEach(finding -> lines.add("  " + finding));
+    ofEarlier.forEach(finding -> lines.add("  earlier build: " + finding));
     return lines;
   }
 }
--- a/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
+++ b/samphiredyke-soak/src/main/java/io/samphiredyke/soak/SoakRun.java
@@ -35,6 +35,9 @@
   /** Minimum number of requests for the final measurement to be significant. */
   private static final int MIN_MEASURED_REQUESTS = 20;
 
+  /** Time after which a request of a caller has ended. */
+  private static final long LONGEST_MILLIS = 5_000;
+
   private static final int OK = 200;
 
   private final SoakOptions options;
@@ -45,6 +48,7 @@
   private final HostProbe probe = new HostProbe(http);
   private final Observations observations = new Observations();
   private final List<String> findings = new ArrayList<>();
+  private final List<String> findingsOfEarlier = new ArrayList<>();
 
   private SoakRun(SoakOptions options) {
     this.options = options;
@@ -57,7 +61,8 @@
     try {
       Files.createDirectories(directory);
       run.execute(directory);
-      SoakResult result = new SoakResult(options.seed(), run.observations, run.findings);
+      SoakResult result =
+          new SoakResult(options.seed(), run.observations, run.findings, run.findingsOfEarlier);
       Files.write(directory.resolve("result.txt"), result.lines());
       return result;
     } catch (IOException e) {
@@ -78,7 +83,10 @@
       fleet.start();
       probe.awaitReady(fleet);
       List<Caller> callers = startCallers(fleet);
+      RollingUpgrade upgrade = new RollingUpgrade(fleet, probe, options, (host, from, to) -> {});
+      upgrade.start();
       new FaultInjector(fleet, operator).inject(plan);
+      upgrade.await();
       callers.forEach(Caller::endCrashing);
       if (!plan.isEmpty()) {
         pause(RECOVERY_TIME);
@@ -89,9 +97,9 @@
       pause(Duration.ofSeconds(1));
       checkRecovery(fleet, operator, measurementStart);
       findings.addAll(fleet.unexpectedExits());
+      Files.write(directory.resolve("builds.txt"), fleet.builds().lines());
+      checkExchanges(fleet.builds());
     }
-    findings.addAll(
-        ResultChecker.check(observations, PlatformFixtures.LIMITED, PlatformFixtures.LIMITED_RATE));
   }
 
   private List<Caller> startCallers(Fleet fleet) {
@@ -148,6 +156,13 @@
     }
   }
 
+  private void checkExchanges(Builds builds) {
+    ResultChecker.check(observations, PlatformFixtures.LIMITED, PlatformFixtures.LIMITED_RATE)
+        .stream()
+        .map(line -> line + builds.ofLine(line, observations.exchanges(), LONGEST_MILLIS))
+        .forEach(line -> (builds.isOfEarlier(line) ? findingsOfEarlier : findings).add(line));
+  }
+
   private static void pause(Duration time) {
     try {
       Thread.sleep(time.toMillis());
