Roll-outs: a stored stage that this build doesn't know is logged

A record in keyed.rollouts with a stage of a later build, or without a field, counted as no record and nothing said so: the host that decides would begin the order again. It counts as none as before, and rollout_rejected names the service and the reason now. RolloutArchiveTest.stageOfLaterBuildIsReported failed before (no line), green after.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutArchive.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutArchive.java
@@ -29,16 +29,18 @@
 
   private final ControlEventLoop loop;
   private final StoreClient store;
+  private final RolloutLog log;
 
-  RolloutArchive(ControlEventLoop loop, StoreClient store) {
+  RolloutArchive(ControlEventLoop loop, StoreClient store, RolloutLog log) {
     this.loop = loop;
     this.store = store;
+    this.log = log;
   }
 
   /** A stored state and the end of the topic when it was read. */
   record Stored(@Nullable RolloutState state, long end) {}
 
-  /** Reads the state of a service; a malformed record counts as none. */
+  /** Reads the state of a service; a malformed record is logged and counts as none. */
   CompletableFuture<Stored> read(String service) {
     return store
         .readNewest(StoreClient.ROLLOUT_TOPIC, TIMEOUT)
@@ -52,6 +54,7 @@
         try {
           return RolloutCodec.decodeState(value, loop.epochMillis());
         } catch (MalformedRecordException e) {
+          log.rejected(service, e.getMessage());
           return null;
         }
       }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/rollout/RolloutService.java
@@ -63,9 +63,9 @@
     this.loop = loop;
     this.peers = peers;
     this.scheduler = peers.slotClient().scheduler();
-    this.archive = new RolloutArchive(loop, store);
     this.controller = new RolloutController(permittedExposure);
     this.log = new RolloutLog(log);
+    this.archive = new RolloutArchive(loop, store, this.log);
     peers.setRolloutListener(this::received);
   }
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/rollout/RolloutArchiveTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/rollout/RolloutArchiveTest.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.gateway.rollout;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoopGroup;
@@ -8,11 +9,13 @@
 import io.samphiredyke.core.rollout.RolloutOrder;
 import io.samphiredyke.core.rollout.RolloutStage;
 import io.samphiredyke.core.rollout.RolloutState;
+import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
 import io.samphiredyke.net.control.SocketAddresses;
 import io.samphiredyke.net.http.HttpClient;
 import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.standin.StoreStandIn;
+import java.io.ByteArrayOutputStream;
 import java.time.Clock;
 import java.util.List;
 import java.util.Optional;
@@ -29,12 +32,15 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final StoreStandIn store = new StoreStandIn().start(group);
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final DecisionLog log = new DecisionLog(out, () -> 0);
   private final RolloutArchive archive =
       new RolloutArchive(
           new ControlEventLoop(group.next(), Clock.systemUTC()),
           new StoreClient(
               new HttpClient(group, StoreClient.httpOptions()),
-              SocketAddresses.parse(store.address())));
+              SocketAddresses.parse(store.address())),
+          new RolloutLog(log));
 
   @AfterEach
   void stop() {
@@ -57,6 +63,16 @@
     assertThat(store.keys(StoreClient.STATUS_TOPIC)).hasSize(4);
   }
 
+  @Test
+  void stageOfLaterBuildIsReported() {
+    write(begun("a")).join();
+    String stored = store.value(StoreClient.ROLLOUT_TOPIC, "a");
+    store.put(StoreClient.ROLLOUT_TOPIC, "a", stored.replace("CANARY", "SHADOW"));
+    assertThat(archive.read("a").join().state()).isNull();
+    log.close();
+    assertThat(out.toString(UTF_8)).contains("rollout_rejected").contains("SHADOW");
+  }
+
   /** Two hosts may decide for a while. */
   @Test
   void olderStageOfAnotherHostDoesNotReplaceTheStatus() {
