Daemon: an event that goes on with the status line of a copy ends the attempt

Callers of the daemon got an event that contains the head of a copy of its own stream, and a stream that looked complete, if the copy's head has no field that the decoder knows (only Server, say): the status line became the end of a line of data, and the fields behind it were skipped as unknown.

A line that ends, as in a head, with a status line and CR LF now is a fault of the stream, whose call is resumed. Heads with a known field were already found. As in the gateway, a line of data that ends so with LF alone, or within quotes, is sound. Unlike there, no look at the next line: a head without fields is found too. What it costs: an engine that ends its lines with CR LF and an event with a bare status line can't be served; engines' events are JSON or [DONE], which end otherwise, and hosts write LF.

SseDecoderTest.rejectsAStatusLineAtTheEndOfALine and the two cases with Server of CutEngineFailureTest.headOfACopyWithinAStreamReachesNoCaller failed before and pass now.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/sse/SseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/sse/SseDecoder.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.StringJoiner;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,12 +14,17 @@
  *
  * <p>The input may be split at any byte. Lines end with LF or CR LF. Comments and unknown fields
  * are skipped. A line that only the head of a response has shows that the body was cut off and goes
- * on with another response. Not thread-safe.
+ * on with another response, as does a line that ends, as in a head, with a status line and CR LF.
+ * Not thread-safe.
  */
 public final class SseDecoder {
 
   private static final String PROTOCOL = "HTTP/1.";
 
+  /** A status line at the end of a line; a reason has neither quotes nor other punctuation. */
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/1\\.[0-9] [0-9]{3}(?: [A-Za-z' -]*)?\\r\\z");
+
   /** Lower-case names of lines in the head of a response that no event has. */
   private static final Set<String> HEAD_FIELDS =
       Set.of(
@@ -65,6 +71,9 @@
   private void endLine(Consumer<SseEvent> events) {
     String text = line.toString(StandardCharsets.UTF_8);
     line.reset();
+    if (STATUS_LINE.matcher(text).find()) {
+      throw new SseException("the status line of a response within a stream");
+    }
     if (text.endsWith("\r")) {
       text = text.substring(0, text.length() - 1);
     }
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/sse/SseDecoderTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/sse/SseDecoderTest.java
@@ -56,6 +56,21 @@
     assertThat(decode(sound, 3)).containsExactly(new SseEvent("4", "HTTP/1.1 200 OK"));
   }
 
+  /** Guards against an event that was cut off and goes on with the head of a copy. */
+  @Test
+  void rejectsAStatusLineAtTheEndOfALine() {
+    for (String line : List.of("HTTP/1.1 200 OK", "HTTP/1.0 404 Not Found", "HTTP/1.1 500 ")) {
+      for (String next : List.of("Server: a\r\n", "id: 1\n", "")) {
+        String text = "id: 4\ndata: {\"id\":\"c" + line + "\r\n" + next + "\r\n";
+        byte[] stream = text.getBytes(StandardCharsets.UTF_8);
+        assertThatThrownBy(() -> decode(stream, 3)).as(text).isInstanceOf(SseException.class);
+      }
+    }
+    byte[] sound =
+        "id: 4\r\ndata: {\"a\":\"HTTP/1.1 200 OK\"}\r\n\r\n".getBytes(StandardCharsets.UTF_8);
+    assertThat(decode(sound, 3)).containsExactly(new SseEvent("4", "{\"a\":\"HTTP/1.1 200 OK\"}"));
+  }
+
   private static List<SseEvent> decode(byte[] stream, int chunk) {
     SseDecoder decoder = new SseDecoder(1000);
     List<SseEvent> events = new ArrayList<>();
