Lines of JSON that are cut between two don't prove themselves as whole JSON

Callers of a plain service whose response has no length got its first lines as the whole body: {"n":1}\n{"n":2}\n, cut off after the first line, is one JSON object. Failures of engines were taken for whole in the same way.

A body that only the end of the connection ended now proves itself where one object or array is all of it and its type is application/json; any other has to come twice, or agree with the result that the service keeps. A framed body with a status line in it needs no type: it can't be cut without a copy behind, which is no JSON. So nothing changes for the client library, whose responses are framed.

What it costs: one more call for each JSON response without length that states no type or another one. A plain service that keeps no results and sends these isn't served any more, and such a failure of an engine is resumed, not passed on (by reading).

IncompleteServiceResponseTest.wholeJsonWithoutLengthNeedsNoOtherCall sent no type and asked for no further call; these bytes can be the first line of several. It now states the type, and a case of its own shows that JSON without a type is served with one call more.

--- a/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
+++ b/samphiredyke-client/src/main/java/io/samphiredyke/client/internal/ResponseReader.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.samphiredyke.net.http.ConnectFailedException;
+import io.samphiredyke.net.http.HttpResponse;
 import io.samphiredyke.net.http.StreamListener;
 import io.samphiredyke.net.http.WholeResponseCheck;
 import io.samphiredyke.net.sse.SseDecoder;
@@ -140,7 +141,8 @@
 
   private void end() {
     byte[] content = body.toByteArray();
-    if (decoder != null || !wholeResponseCheck.isWhole(head.status(), content, false)) {
+    HttpResponse response = new HttpResponse(head.status(), head.headers(), content, false);
+    if (decoder != null || !wholeResponseCheck.isWhole(response)) {
       handler.onInterrupted();
       return;
     }
--- a/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
+++ b/samphiredyke-daemon/src/main/java/io/samphiredyke/daemon/entry/ModelCall.java
@@ -5,6 +5,7 @@
 import io.samphiredyke.daemon.response.ResponseHead;
 import io.samphiredyke.net.http.ConnectFailedException;
 import io.samphiredyke.net.http.HttpRequest;
+import io.samphiredyke.net.http.HttpResponse;
 import io.samphiredyke.net.http.HttpStream;
 import io.samphiredyke.net.http.StreamListener;
 import io.samphiredyke.net.http.WholeResponseCheck;
@@ -80,7 +81,7 @@
     private final SseDecoder decoder = new SseDecoder(MAX_EVENT_BYTES);
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private int status;
-    private String contentType = "";
+    private Map<String, String> headers = Map.of();
     private boolean endsWithConnection;
     private boolean isFinished;
 
@@ -96,7 +97,7 @@
     @Override
     public void onHeaders(int status, Map<String, String> headers) {
       this.status = status;
-      contentType = headers.getOrDefault("content-type", "application/json");
+      this.headers = headers;
       if (status == OK) {
         buffer.head(new ResponseHead(OK, EVENT_STREAM, true));
       }
@@ -243,10 +244,12 @@
         return;
       }
       byte[] body = errorBody.toByteArray();
-      if (!new WholeResponseCheck().isWhole(status, body, endsWithConnection)) {
+      HttpResponse response = new HttpResponse(status, headers, body, endsWithConnection);
+      if (!new WholeResponseCheck().isWhole(response)) {
         handleConnectionLoss();
         return;
       }
+      String contentType = headers.getOrDefault("content-type", "application/json");
       buffer.head(new ResponseHead(status, contentType, false));
       buffer.add(1, body);
       buffer.complete();
--- a/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteServiceResponseTest.java
+++ b/samphiredyke-daemon/src/test/java/io/samphiredyke/daemon/entry/IncompleteServiceResponseTest.java
@@ -182,8 +182,30 @@
   /** Guards against a call for each response that proves itself. */
   @Test
   void wholeJsonWithoutLengthNeedsNoOtherCall() {
-    onCall = List.of("HTTP/1.1 200 OK\r\n\r\n{\"id\":\"a\"}");
+    onCall = List.of("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"id\":\"a\"}");
     assertThat(call().text()).isEqualTo("{\"id\":\"a\"}");
     assertThat(RESULTS).hasValue(0);
   }
+
+  /** Guards against lines of JSON that are cut off between two and look complete. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "Content-Type: application/x-ndjson\r\n"})
+  void linesOfJsonCutBetweenTwoAreNotComplete(String type) {
+    String head = "HTTP/1.1 200 OK\r\n" + type + "\r\n";
+    String lines = "{\"n\":1}\n{\"n\":2}\n";
+    onResult = head + lines;
+    for (String body : List.of("{\"n\":1}", "{\"n\":1}\n", lines)) {
+      onCall = List.of(head + body);
+      assertThat(call().text()).isEqualTo(lines);
+    }
+  }
+
+  /** Guards against sound JSON without a length and a type that isn't served any more. */
+  @Test
+  void wholeJsonWithoutLengthAndTypeNeedsOneOtherCall() {
+    onCall = List.of("HTTP/1.1 200 OK\r\n\r\n{\"id\":\"a\"}");
+    onResult = "HTTP/1.1 200 OK\r\n\r\n{\"id\":\"a\"}";
+    assertThat(call().text()).isEqualTo("{\"id\":\"a\"}");
+    assertThat(RESULTS).hasValue(1);
+  }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/WholeResponseCheck.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/WholeResponseCheck.java
@@ -16,8 +16,9 @@
  * <p>A body that only the end of the connection ended may have been cut off, as by a server that
  * was killed. A body that contains the begin of a response, or ends within one, may have been cut
  * off and filled with a second copy. Either is whole if it is one JSON object or array: no part of
- * one is JSON, nor is one that contains a line of a head. Any other is whole if the server sends it
- * once more. Not thread-safe.
+ * one is JSON, nor is one that contains a line of a head. Without a length, its type has to be JSON
+ * as well, as the first of several lines of JSON is an object too. Any other is whole if the server
+ * sends it once more. Not thread-safe.
  */
 public final class WholeResponseCheck {
 
@@ -38,20 +39,12 @@
    * result read again.
    */
   public boolean isWhole(HttpResponse response) {
-    return isWhole(response.status(), response.body(), response.endsWithConnection());
-  }
-
-  /**
-   * Returns whether a response is known to be whole.
-   *
-   * @param endsWithConnection whether only the end of the connection ended the body
-   */
-  public boolean isWhole(int status, byte[] body, boolean endsWithConnection) {
-    boolean isSuspect = endsWithConnection || containsResponse(body);
-    if (!isSuspect || isJson(body)) {
+    byte[] body = response.body();
+    boolean isSuspect = response.endsWithConnection() || containsResponse(body);
+    if (!isSuspect || provesItself(response)) {
       return true;
     }
-    byte[] digest = digest(status, body);
+    byte[] digest = digest(response.status(), body);
     boolean isRepeated = Arrays.equals(digest, earlierDigest);
     earlierDigest = digest;
     return isRepeated;
@@ -62,6 +55,18 @@
     return STATUS_LINE.matcher(new String(body, StandardCharsets.ISO_8859_1)).find();
   }
 
+  private static boolean provesItself(HttpResponse response) {
+    boolean mayBeOneOfManyLines = response.endsWithConnection() && !statesJson(response);
+    return !mayBeOneOfManyLines && isJson(response.body());
+  }
+
+  private static boolean statesJson(HttpResponse response) {
+    String contentType = response.headers().getOrDefault("content-type", "");
+    int parameters = contentType.indexOf(';');
+    String type = parameters < 0 ? contentType : contentType.substring(0, parameters);
+    return type.strip().equalsIgnoreCase("application/json");
+  }
+
   private static boolean isJson(byte[] body) {
     try {
       return JSON.readTree(body).isContainerNode();
