A copy that is cut at its id's header is found at the end of a body and before a quote

In some the body ended in that line with letters that continue the header's name, or another status line followed and the search went on with that one alone. Both now count as the copy that they are. Left are those whose rest makes a whole head with an id that was never carried: the bytes of a sound quote.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/ResponseHeadScan.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/stream/ResponseHeadScan.java
@@ -76,13 +76,11 @@
     position++;
     char read = (char) (next & 0xff);
     boolean isFound = isInHead && !continuesHead(read) && endsHead();
-    if (!isFound) {
-      matchStatusLine(read);
-    }
-    return isFound;
+    return isFound || (matchesStatusLine(read) && beginsHead());
   }
 
-  private void matchStatusLine(char read) {
+  /** Returns whether the bytes up to this one are a status line. */
+  private boolean matchesStatusLine(char read) {
     char expected = STATUS_LINE.charAt(matched);
     boolean fits = expected == '#' ? isDigit(read) : read == expected;
     if (!fits) {
@@ -90,19 +88,26 @@
       fits = read == FIRST_BYTE;
     }
     if (!fits) {
-      return;
+      return false;
     }
     statusLine[matched++] = read;
-    if (matched == STATUS_LINE.length()) {
-      matched = 0;
-      // Another status line within a head begins a head of its own.
-      if (statedId.isEmpty()) {
-        beginHead();
-      }
+    if (matched < STATUS_LINE.length()) {
+      return false;
     }
+    matched = 0;
+    return true;
   }
 
-  private void beginHead() {
+  /** Begins a head, also within another one; returns whether that one is a copy that breaks off. */
+  private boolean beginsHead() {
+    if (!statedId.isEmpty()) {
+      return false;
+    }
+    if (isInHead && isCutCopy()) {
+      isInHead = false;
+      isCut = true;
+      return true;
+    }
     isInHead = true;
     isInName = false;
     isWhole = false;
@@ -110,6 +115,7 @@
     head.append(statusLine);
     outline.setLength(0);
     lineStart = 0;
+    return false;
   }
 
   /** Appends a byte to the head in progress and returns whether the head may go on. */
@@ -236,7 +242,7 @@
 
   /** Returns whether a body that ends here ends within the head of another response. */
   public boolean endsWithin() {
-    if (isInHead && (!statedId.isEmpty() || agrees(headOutline()))) {
+    if (isInHead && (!statedId.isEmpty() || agrees(headOutline()) || isCutCopy())) {
       return true;
     }
     return matched >= MIN_CUT_BYTES && agrees(new String(statusLine, 0, matched));
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/stream/ResponseHeadScanTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/stream/ResponseHeadScanTest.java
@@ -102,6 +102,9 @@
     for (int length = idLine + 2; length <= HEAD.indexOf("\r\nLength"); length++) {
       String body = "a wh" + HEAD.substring(0, length) + "\nole body";
       assertThat(verdict(body)).as("cut to %d bytes", length).isEqualTo("4 ");
+      String last = "a wh" + HEAD.substring(0, length);
+      assertThat(verdict(last + "ole")).as("cut to %d bytes, at the end", length).isEqualTo("4 ");
+      assertThat(verdict(last + "ole HTTP/1.1 200 is fine")).as("before a quote").isEqualTo("4 ");
     }
     assertThat(verdict("a wh" + HEAD.substring(0, idLine) + "\nole body")).isEqualTo(SOUND);
   }
