--- a/review/standins-2/src/Uploads.java
+++ b/review/standins-2/src/Uploads.java
@@ -7,21 +7,21 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients upload bodies of the largest permitted size, at half of the machine's link, while others
- * send small requests. The disruption is a burst of the uploads.
+ * Clients upload bodies of the largest permitted size, at nine tenths of the machine's link, while others
+ * send small requests. The disruption is that the tenant of the uploads sends many times its usual.
  */
 final class Uploads {
 
-  private static final int STEADY = 12;
-  private static final double BURST = 2.1;
-  private static final long BURST_MILLIS = 2_500;
+  private static final int STEADY = 5;
+  private static final double HOT = 7.5;
+  private static final long HOT_MILLIS = 6_500;
   private static final int SMALL_CLIENTS = 10;
   private static final int DESK_MILLIS = 8_000;
   private static final int LOOK_MILLIS = 1_000;
   private static final int SLACK_MILLIS = 500;
-  /** Bytes a second of one client; all clients of the burst together use half of the link. */
+  /** Bytes a second of one client; all clients together use nine tenths of the link. */
   private static final int CLIENT_BYTES_PER_S =
-      (int) (0.5 * 125_000_000 / Math.ceil(STEADY * BURST));
+      (int) (0.9 * 125_000_000 / Math.ceil(STEADY * HOT));
   private static final int PIECE = 64 * 1024;
 
   private final Site site;
@@ -71,9 +71,9 @@
     }
     Thread.sleep(6_000);
     if (hasTrouble) {
-      int more = (int) Math.ceil(STEADY * (BURST - 1));
-      site.log("burst: %d more clients upload for %d ms", more, BURST_MILLIS);
-      long until = System.nanoTime() + BURST_MILLIS * 1_000_000;
+      int more = (int) Math.floor(STEADY * HOT) - STEADY;
+      site.log("the tenant has %d more clients for %d ms", more, HOT_MILLIS);
+      long until = System.nanoTime() + HOT_MILLIS * 1_000_000;
       for (int i = 0; i < more; i++) {
         threads.add(start(() -> upload(until)));
       }
