--- a/review/standins-2/src/Handbook.java
+++ b/review/standins-2/src/Handbook.java
@@ -13,11 +13,11 @@
  */
 final class Handbook {
 
-  private static final int RUNNERS = 24;
+  private static final int RUNNERS = 48;
   private static final int SLOTS = 4;
-  private static final int SECTIONS = Integer.getInteger("sections", 500);
+  private static final int SECTIONS = 1_200;
   private static final int SECTION_TOKENS = 52_000 / SECTIONS;
-  private static final int STEADY = Integer.getInteger("steady", 3);
+  private static final int STEADY = 3;
   private static final double HOT = 7.5;
   private static final int HOT_MILLIS = 6_500;
   private static final int PAUSE_MILLIS = 500;
--- a/review/standins-2/src/Main.java
+++ b/review/standins-2/src/Main.java
@@ -18,6 +18,7 @@
             case "popular" -> Popular.run(repository, folder, hasTrouble);
             case "take-up" -> TakeUp.run(repository, folder, hasTrouble);
             case "handbook" -> Handbook.run(repository, folder, hasTrouble);
+            case "replaced" -> Replaced.run(repository, folder, hasTrouble);
             default -> 2;
           };
     } catch (Exception e) {
