--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -Xlint:-options --release 17 -d target/review-2 review/standins-2/src/*.java
+javac -Xlint:-options --release 17 -d target/review-2 review/standins-2/src/test/java/*.java
