A quarantined request has trials and is released once it is served

Cause: copies that ran on three crashed instances leave the same evidence as a request that crashes endpoints, and the conclusion was final. No trial was made, and copies that ended well afterwards were ignored. Traced by request_suspected lines of several instances within a few ms, request_quarantined 0.2 s later and nothing after it. Ruled out: equal fingerprints of different requests; the store, whose record only repeats the finding.

Now one attempt is sent as a trial 1 s after the finding, another one 30 s after a trial that crashed, then no more. What is served releases the request at all hosts and in the store, and wins over statements from before it, those of earlier builds too. Requests are found one after the other, the one with the most crashes first, and their crashes count again if it turns out to be sound. Prompt parts, the related path, had a first probe after 5 minutes and probes without end; they have the same trials.

Changes to tests: PoolSchedulerCrashTest keeps the quarantined parts as a set, as a probe that crashes states its part again.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/CrashGuard.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/CrashGuard.java
@@ -63,8 +63,8 @@
   }
 
   private SlotRefusal refusal(SlotRequest request, long now) {
-    long remaining = quarantine.remainingNanos(request.estimate().parts(), now);
-    return new SlotRefusal(SlotRefusal.Reason.PROMPT_QUARANTINED, remaining / NANOS_PER_MILLI);
+    long retryAfter = quarantine.retryAfterNanos(request.estimate().parts(), now);
+    return new SlotRefusal(SlotRefusal.Reason.PROMPT_QUARANTINED, retryAfter / NANOS_PER_MILLI);
   }
 
   /**
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PartQuarantine.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PartQuarantine.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.core.pool;
 
+import io.samphiredyke.core.quarantine.Trials;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,17 +11,17 @@
  * Prompt parts whose requests must not be sent to endpoints, because they crash them.
  *
  * <p>When the time of a part has passed, one request with it is admitted as a probe. If the
- * endpoint serves it, the part is released; if it crashes, the part is quarantined for twice as
- * long. Times are nanoseconds of a monotonic clock.
+ * endpoint serves it, the part is released; if it crashes, the part gets another strike and is
+ * quarantined for longer, see {@link Trials}. Times are nanoseconds of a monotonic clock.
  */
 public final class PartQuarantine {
 
-  private static final long FIRST_NANOS = TimeUnit.MINUTES.toNanos(5);
-  private static final long MAX_NANOS = TimeUnit.HOURS.toNanos(1);
-
   /** Time within which a probe is expected to end; after it, another one is admitted. */
   private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /** Longest retry time of requests that are refused while a probe is under way. */
+  private static final long RETRY_DURING_PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Bound of the parts that are kept; those that end first are dropped. */
   private static final int MAX_PARTS = 1_024;
 
@@ -47,6 +48,22 @@
     return remaining;
   }
 
+  /** Returns after which time a request that is excluded should come again. */
+  public long retryAfterNanos(List<PromptPart> parts, long now) {
+    long retryAfter = 0;
+    for (PromptPart part : parts) {
+      Entry entry = entries.get(part.id());
+      if (entry != null) {
+        long remaining = entry.until() - now;
+        retryAfter =
+            Math.max(
+                retryAfter,
+                entry.isProbing() ? Math.min(RETRY_DURING_PROBE_NANOS, remaining) : remaining);
+      }
+    }
+    return retryAfter;
+  }
+
   /** Returns whether a prompt contains a quarantined part, also one whose time has passed. */
   public boolean contains(List<PromptPart> parts) {
     return !entries.isEmpty() && parts.stream().anyMatch(part -> entries.containsKey(part.id()));
@@ -70,8 +87,7 @@
   Entry strike(long partId, long now) {
     Entry known = entries.get(partId);
     int strikes = known == null ? 1 : known.strikes() + 1;
-    long nanos = Math.min(MAX_NANOS, FIRST_NANOS << Math.min(strikes - 1, 10));
-    Entry entry = new Entry(strikes, now + nanos, false);
+    Entry entry = new Entry(strikes, now + Trials.nanosUntilNext(strikes), false);
     put(partId, entry);
     return entry;
   }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/PoolScheduler.java
@@ -176,9 +176,14 @@
     pools.values().forEach(pool -> pool.refuseQuarantined(now));
   }
 
-  /** Refuses the waiting requests with a content that was found to crash endpoints. */
-  public void refuseIsolated(RequestFingerprint content) {
-    pools.values().forEach(pool -> pool.refuseIsolated(content));
+  /**
+   * Refuses the waiting requests with a content that was found to crash endpoints.
+   *
+   * @param retryAfterMillis time after which they should come again
+   */
+  public void refuseIsolated(RequestFingerprint content, long retryAfterMillis) {
+    SlotRefusal refusal = new SlotRefusal(SlotRefusal.Reason.REQUEST_QUARANTINED, retryAfterMillis);
+    pools.values().forEach(pool -> pool.refuseIsolated(content, refusal));
   }
 
   /** Submits a request; the listener receives the decision, during this call or later. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/ServicePool.java
@@ -278,9 +278,8 @@
   }
 
   /** Refuses the waiting isolated requests with a certain content. */
-  void refuseIsolated(RequestFingerprint content) {
-    refuseWaiting(
-        request -> content.equals(request.isolated()) ? SlotRefusal.ofQuarantinedRequest() : null);
+  void refuseIsolated(RequestFingerprint content, SlotRefusal refusal) {
+    refuseWaiting(request -> content.equals(request.isolated()) ? refusal : null);
   }
 
   private void refuseWaiting(Function<SlotRequest, @Nullable SlotRefusal> refusalOf) {
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotRefusal.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/pool/SlotRefusal.java
@@ -8,14 +8,6 @@
  */
 public record SlotRefusal(Reason reason, long retryAfterMillis) {
 
-  /** Retry time of a quarantined request, which is refused each time, milliseconds. */
-  private static final long QUARANTINED_RETRY_MILLIS = 3_600_000;
-
-  /** Returns the refusal of a quarantined request. */
-  public static SlotRefusal ofQuarantinedRequest() {
-    return new SlotRefusal(Reason.REQUEST_QUARANTINED, QUARANTINED_RETRY_MILLIS);
-  }
-
   /** Why a slot request was refused. */
   public enum Reason {
     /** The request is not expected to start before its start deadline. */
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Relates the crashes of endpoint instances to the requests that they were running.
@@ -17,6 +19,9 @@
  * responds after its supposed crash, removes the evidence. Requests under which two instances ended
  * are kept apart, so that the next crash tells them apart.
  *
+ * <p>The crashes of a request that was found tell nothing about others; if it turns out to be sound
+ * later, they are evidence again.
+ *
  * <p>Each host has all observations of all hosts and decides alone. Times are nanoseconds of a
  * monotonic clock.
  */
@@ -41,6 +46,10 @@
   private static final int MAX_SUSPECTS = 1_024;
 
   private static final int MAX_INSTANCES = 1_024;
+  private static final int MAX_FOUND = 256;
+
+  /** Crashes later than the third from which on a request has one trial only. */
+  private static final int TOLERATED_LATER = 2;
 
   /** A crashed instance. */
   private static final class Crash {
@@ -49,15 +58,23 @@
     boolean isConfirmed;
     boolean isExplained;
 
+    /** Requests that ran as well, but are not suspected as another one accounts for the crash. */
+    final Set<RequestFingerprint> cleared = new HashSet<>();
+
     Crash(long now) {
       firstReportAt = now;
       lastReportAt = now;
     }
+
+    void acquit(RequestFingerprint request) {
+      cleared.remove(request);
+    }
   }
 
   private final Map<RequestFingerprint, Map<String, Crash>> suspects = new LinkedHashMap<>();
   private final Map<String, Crash> crashes = bounded(MAX_INSTANCES);
   private final Map<String, Long> dismissedAt = bounded(MAX_INSTANCES);
+  private final Map<RequestFingerprint, Map<String, Crash>> found = bounded(MAX_FOUND);
 
   private static <K, V> Map<K, V> bounded(int size) {
     return new LinkedHashMap<>() {
@@ -101,6 +118,7 @@
     }
     Crash crash = crashes.computeIfAbsent(instance, key -> new Crash(now));
     if (crash.isExplained) {
+      crash.cleared.add(request);
       return false;
     }
     Map<String, Crash> instances = suspects.computeIfAbsent(request, key -> new HashMap<>());
@@ -132,9 +150,28 @@
    * @return whether it was suspected
    */
   public boolean served(RequestFingerprint request) {
+    restore(found.remove(request));
+    found.values().forEach(crashed -> crashed.values().forEach(crash -> crash.acquit(request)));
     return suspects.remove(request) != null;
   }
 
+  /** Counts the crashes again that a request accounted for until it was served. */
+  private void restore(@Nullable Map<String, Crash> crashed) {
+    if (crashed == null) {
+      return;
+    }
+    crashed.forEach(
+        (instance, crash) -> {
+          crash.isExplained = false;
+          crash.cleared.forEach(
+              other ->
+                  suspects
+                      .computeIfAbsent(other, key -> new HashMap<>())
+                      .putIfAbsent(instance, crash));
+          crash.cleared.clear();
+        });
+  }
+
   /** Records that an instance is gone, so that a response of its address is another's. */
   public void confirmed(String instance) {
     Crash crash = crashes.get(instance);
@@ -205,21 +242,40 @@
   }
 
   /**
-   * Returns the requests that are found to crash endpoints; they are suspected no longer. Requests
-   * that fit alike are found together.
+   * Returns the requests that are found to crash endpoints; they are suspected no longer. The one
+   * that accounts for the most crashes is found first, together with those that fit alike, and its
+   * crashes no longer count against the others.
    */
   public List<RequestFingerprint> findCauses(long now) {
-    List<RequestFingerprint> found = new ArrayList<>();
+    List<RequestFingerprint> causes = new ArrayList<>();
+    for (List<RequestFingerprint> next = findNext(now); !next.isEmpty(); next = findNext(now)) {
+      causes.addAll(next);
+      next.forEach(this::explain);
+    }
+    return causes;
+  }
+
+  private List<RequestFingerprint> findNext(long now) {
+    List<RequestFingerprint> best = new ArrayList<>();
+    Set<String> accounted = Set.of();
     for (Map.Entry<RequestFingerprint, Map<String, Crash>> entry : suspects.entrySet()) {
-      Map<String, Crash> instances = entry.getValue();
-      if (instances.size() >= CRASHES
-          && isSettled(instances, now)
-          && isBestExplanation(entry.getKey(), instances.keySet())) {
-        found.add(entry.getKey());
+      Set<String> instances = entry.getValue().keySet();
+      boolean isCandidate =
+          instances.size() >= Math.max(CRASHES, accounted.size())
+              && isSettled(entry.getValue(), now)
+              && isBestExplanation(entry.getKey(), instances);
+      if (!isCandidate) {
+        continue;
+      }
+      if (instances.size() > accounted.size()) {
+        best.clear();
+        accounted = instances;
+      }
+      if (instances.equals(accounted)) {
+        best.add(entry.getKey());
       }
     }
-    found.forEach(this::explain);
-    return found;
+    return best;
   }
 
   private boolean isBestExplanation(RequestFingerprint request, Set<String> instances) {
@@ -236,21 +292,44 @@
     return true;
   }
 
+  /**
+   * Returns with how many strikes a request that was found is quarantined: each crash since the
+   * third one that came later counts like a trial, but one trial is left.
+   */
+  public int strikesOf(RequestFingerprint request) {
+    List<Long> times = new ArrayList<>();
+    found.getOrDefault(request, Map.of()).values().forEach(crash -> times.add(crash.firstReportAt));
+    if (times.size() < CRASHES) {
+      return 1;
+    }
+    times.sort(Long::compare);
+    long third = times.get(CRASHES - 1);
+    long later = times.stream().filter(at -> at - third > SETTLE_NANOS).count();
+    return later < TOLERATED_LATER ? 1 : Trials.MAX_STRIKES - 1;
+  }
+
   /** Accounts for the crashes of a request, so that they tell nothing about others. */
   public void explain(RequestFingerprint request) {
     Map<String, Crash> instances = suspects.remove(request);
     if (instances != null) {
-      instances.forEach(
-          (instance, crash) -> {
-            crash.isExplained = true;
-            forget(instance);
-          });
+      instances.forEach((instance, crash) -> explain(request, instance, crash));
     }
   }
 
   /** Accounts for a crash by a request that is already known to cause crashes. */
-  public void explain(String instance, long now) {
-    crashes.computeIfAbsent(instance, key -> new Crash(now)).isExplained = true;
+  public void explain(RequestFingerprint request, String instance, long now) {
+    explain(request, instance, crashes.computeIfAbsent(instance, key -> new Crash(now)));
+  }
+
+  private void explain(RequestFingerprint request, String instance, Crash crash) {
+    crash.isExplained = true;
+    found.computeIfAbsent(request, key -> new HashMap<>()).put(instance, crash);
+    suspects.forEach(
+        (other, instances) -> {
+          if (instances.containsKey(instance)) {
+            crash.cleared.add(other);
+          }
+        });
     forget(instance);
   }
 }
--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/RequestFingerprint.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/RequestFingerprint.java
@@ -22,9 +22,18 @@
     return new RequestFingerprint(caller, stream.getAsLong());
   }
 
-  /** Returns a hash that combines both components, to compare sets of fingerprints. */
-  long mixed() {
-    return Hashing.komihash5_0().hashStream().putString(caller).putLong(content).getAsLong();
+  /**
+   * Returns a hash that combines both components, to compare sets of fingerprints.
+   *
+   * @param generation how often the request had been found to crash endpoints before
+   * @param failedTrials trials since then
+   */
+  long mixed(int generation, int failedTrials) {
+    HashStream64 stream = Hashing.komihash5_0().hashStream().putString(caller).putLong(content);
+    if (generation != 0 || failedTrials != 0) {
+      stream.putInt(generation).putInt(failedTrials);
+    }
+    return stream.getAsLong();
   }
 
   @Override
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerCrashTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/pool/PoolSchedulerCrashTest.java
@@ -36,7 +36,7 @@
   private final Map<String, Long> backAt = new HashMap<>();
   private final Map<String, Integer> instances = new HashMap<>();
   private final Set<Long> crashing = new HashSet<>();
-  private final List<Long> quarantined = new ArrayList<>();
+  private final Set<Long> quarantined = new HashSet<>();
   private int crashes;
   private int served;
   private int sound;
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/quarantine/CrashSuspectsTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/quarantine/CrashSuspectsTest.java
@@ -117,12 +117,67 @@
     crash(1, SOUND);
     crash(2, SOUND);
     crash(3, SOUND);
-    suspects.explain("i-3", now);
+    suspects.explain(GUILTY, "i-3", now);
     settle();
     assertThat(suspects.findCauses(now)).isEmpty();
     assertThat(suspects.crashed(SOUND, "i-3", now)).isFalse();
   }
 
+  /** A sound request ran beside two crashes of one cause and broke off once by itself. */
+  @Test
+  void crashesOfTheStrongestCauseDoNotCountAgainstOthers() {
+    crash(1, GUILTY);
+    crash(2, GUILTY);
+    crash(3, GUILTY, SOUND);
+    crash(4, GUILTY, SOUND);
+    crash(5, SOUND);
+    settle();
+    assertThat(suspects.findCauses(now)).containsExactly(GUILTY);
+    assertThat(suspects.isSuspect(SOUND)).isTrue();
+    assertThat(suspects.mustBeIsolated(SOUND)).isFalse();
+  }
+
+  /** The request that was found first was sound: the evidence against the others is kept. */
+  @Test
+  void crashesCountAgainIfTheirSupposedCauseIsServed() {
+    crash(1, GUILTY, SOUND);
+    crash(2, GUILTY, SOUND);
+    crash(3, GUILTY, SOUND);
+    crash(4, SOUND);
+    settle();
+    assertThat(suspects.findCauses(now)).containsExactly(SOUND);
+    suspects.explain(SOUND, "i-5", now);
+    suspects.crashed(GUILTY, "i-5", now);
+    assertThat(suspects.isSuspect(GUILTY)).isFalse();
+    suspects.served(SOUND);
+    settle();
+    assertThat(suspects.findCauses(now)).containsExactly(GUILTY);
+  }
+
+  @Test
+  void requestThatWasServedSinceIsNotSuspectedAgain() {
+    crash(1, GUILTY, SOUND);
+    crash(2, GUILTY, SOUND);
+    crash(3, GUILTY, SOUND);
+    crash(4, GUILTY);
+    settle();
+    assertThat(suspects.findCauses(now)).containsExactly(GUILTY);
+    suspects.served(SOUND);
+    suspects.served(GUILTY);
+    assertThat(suspects.isSuspect(SOUND)).isFalse();
+  }
+
+  /** Three runs later than the third crash are tolerated; crashes and trials count alike. */
+  @Test
+  void requestThatWasFoundLateHasFewerTrials() {
+    for (int instance = 1; instance <= 5; instance++) {
+      crash(instance, GUILTY, SOUND);
+    }
+    settle();
+    assertThat(suspects.findCauses(now)).contains(GUILTY);
+    assertThat(suspects.strikesOf(GUILTY)).isEqualTo(2);
+  }
+
   /** A caller that sends ever new crashing requests does not displace one with two crashes. */
   @Test
   void suspectWithTheFewestCrashesIsDroppedFirst() {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -141,9 +141,10 @@
       slot.release(Outcome.WITHDRAWN);
       return;
     }
-    if (content.isQuarantined()) {
+    SlotRefusal quarantined = content.quarantineRefusal();
+    if (quarantined != null) {
       slot.release(Outcome.WITHDRAWN);
-      refused(SlotRefusal.ofQuarantinedRequest());
+      refused(quarantined);
       return;
     }
     if (!context.inProgress().canServe(this, context.loop().nanoTime())) {
@@ -176,6 +177,7 @@
         attempts.next(),
         relay.lastEventId());
     lastEndpointId = endpoint.id();
+    content.sending();
     EndpointAttempt next = new EndpointAttempt(this, endpoint, slot);
     attempt = next;
     next.start(outgoing);
@@ -388,6 +390,7 @@
       pending.cancel(false);
     }
     relay.release();
+    content.close();
     request.body().release();
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.serving.CustomerSpec;
 import io.samphiredyke.core.serving.Route;
@@ -22,6 +23,7 @@
   private final String caller;
   private final boolean expectsEvents;
   private @Nullable RequestFingerprint fingerprint;
+  private boolean isTrial;
 
   /** Creates the content of a request whose body is still available. */
   RequestContent(
@@ -66,9 +68,25 @@
     return known;
   }
 
-  /** Returns whether the request crashes endpoints and must not be sent to any. */
-  boolean isQuarantined() {
-    return crashes.quarantine().size() > 0 && crashes.quarantine().contains(fingerprint());
+  /** Returns the refusal of a request that crashes endpoints, null if it may be sent to one. */
+  @Nullable SlotRefusal quarantineRefusal() {
+    boolean isAdmitted = isTrial || crashes.quarantine().size() == 0;
+    return isAdmitted ? null : crashes.refusalOf(fingerprint());
+  }
+
+  /** Makes the request a trial if it is quarantined and about to be sent. */
+  void sending() {
+    if (!isTrial && crashes.quarantine().size() > 0) {
+      isTrial = crashes.tryTrial(fingerprint());
+    }
+  }
+
+  /** Ends a trial that has shown nothing. */
+  void close() {
+    if (isTrial) {
+      isTrial = false;
+      crashes.endTrial(fingerprint());
+    }
   }
 
   /** Returns whether a decision on the request is imminent, for which it has to wait. */
@@ -85,12 +103,20 @@
   /** Records that an endpoint ended the connection of an attempt. */
   void brokenOff(EndpointAttempt attempt, String requestId) {
     crashes.crashed(attempt.endpoint(), fingerprint(), attempt.sentAt(), requestId);
+    if (isTrial) {
+      isTrial = false;
+      crashes.trialFailed(fingerprint(), requestId);
+    }
   }
 
-  /** Records that the request was served. */
-  void served() {
+  /**
+   * Records that the request was served.
+   *
+   * @param isSuccess whether the endpoint answered it without an error
+   */
+  void served(boolean isSuccess) {
     if (!crashes.isEmpty()) {
-      crashes.served(fingerprint());
+      isTrial &= !crashes.served(fingerprint(), isSuccess);
     }
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestOutcome.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestOutcome.java
@@ -42,7 +42,7 @@
   /** Ends the response, which has been relayed as a whole. */
   void completed(EndpointAttempt serving) {
     relay.end();
-    content.served();
+    content.served(serving.status() < ErrorResponses.INTERNAL_SERVER_ERROR);
     log.completed(serving.status(), serving, millisSinceArrival());
     onEnd.run();
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SlotAcquisition.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/SlotAcquisition.java
@@ -79,8 +79,9 @@
     if (isClosed) {
       return;
     }
-    if (content.isQuarantined()) {
-      listener.refused(SlotRefusal.ofQuarantinedRequest());
+    SlotRefusal quarantined = content.quarantineRefusal();
+    if (quarantined != null) {
+      listener.refused(quarantined);
       return;
     }
     if (content.isUndecided()) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
@@ -1,9 +1,11 @@
 package io.samphiredyke.gateway.scheduling;
 
 import io.samphiredyke.core.pool.PoolScheduler;
+import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.core.quarantine.CrashSuspects;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.quarantine.RequestQuarantine;
+import io.samphiredyke.core.quarantine.RequestStanding;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
@@ -13,15 +15,18 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Finds the requests that crash endpoints, together with the other hosts.
  *
  * <p>A host reports the crashes that it sees to all others, and each of them decides by itself from
  * all reports, so that the knowledge outlives any of them. What is found is announced, stored by
- * the archive, and compared with a random host once a second, as messages can be lost.
+ * the archive, and compared with a random host once a second, as messages can be lost. A host that
+ * is told of a request which it knows to be released responds with the release.
  */
 public final class CrashWatch {
 
@@ -30,11 +35,11 @@
   public interface Archive {
 
     /**
-     * Called for each request that is quarantined.
+     * Called for each request that is quarantined, or released, or whose standing changed.
      *
      * @param isReporter whether this host has seen one of the crashes
      */
-    void put(RequestFingerprint request, boolean isReporter);
+    void changed(RequestFingerprint request, boolean isReporter);
   }
 
   /** Own reports that are sent again to a host that comes back, the newest. */
@@ -43,6 +48,9 @@
   /** Announcements in response to a differing digest, the newest entries. */
   private static final int MAX_ANNOUNCEMENTS = 64;
 
+  /** Longest time until a trial that another host may state. */
+  private static final long MAX_TRIAL_MILLIS = Duration.ofMinutes(1).toMillis();
+
   private static final Duration SETTLE = Duration.ofNanos(CrashSuspects.SETTLE_NANOS);
 
   private final ControlEventLoop loop;
@@ -98,7 +106,48 @@
 
   /** Returns whether a request must run beside no other one that this holds for. */
   public boolean mustBeIsolated(RequestFingerprint request) {
-    return suspects.mustBeIsolated(request);
+    return suspects.mustBeIsolated(request) || quarantine.contains(request);
+  }
+
+  /** Returns the refusal of a request that must not be sent to endpoints now, else null. */
+  public @Nullable SlotRefusal refusalOf(RequestFingerprint request) {
+    long now = loop.nanoTime();
+    return quarantine.mustRefuse(request, now)
+        ? new SlotRefusal(
+            SlotRefusal.Reason.REQUEST_QUARANTINED, quarantine.retryAfterMillis(request, now))
+        : null;
+  }
+
+  /**
+   * Begins a trial of a request that is about to be sent, if it is quarantined.
+   *
+   * @return whether it is a trial
+   */
+  public boolean tryTrial(RequestFingerprint request) {
+    if (!quarantine.contains(request)) {
+      return false;
+    }
+    RequestStanding tried = quarantine.beginTrial(request, loop.nanoTime());
+    log.event("request_trial", "request", request, "strikes", tried.strikes());
+    broadcast.accept(announcement(request, tried));
+    return true;
+  }
+
+  /**
+   * Records that a trial of this host ended with a crash.
+   *
+   * @param requestId id of the caller's attempt, for the log
+   */
+  public void trialFailed(RequestFingerprint request, String requestId) {
+    if (quarantine.strike(request, loop.nanoTime())) {
+      changed(request, requestId);
+      announce(request, broadcast);
+    }
+  }
+
+  /** Records that a trial of this host has shown nothing. */
+  public void endTrial(RequestFingerprint request) {
+    quarantine.endTrial(request, loop.nanoTime());
   }
 
   /** Returns whether a decision on a request is imminent, within {@link #settleTime()}. */
@@ -142,7 +191,7 @@
 
   private boolean observe(SchedulingMessage.EndpointCrashed report, String source) {
     if (quarantine.contains(report.request())) {
-      suspects.explain(report.instance(), loop.nanoTime());
+      suspects.explain(report.request(), report.instance(), loop.nanoTime());
       return true;
     }
     if (!suspects.crashed(report.request(), report.instance(), loop.nanoTime())) {
@@ -162,35 +211,84 @@
 
   private void decide() {
     for (RequestFingerprint request : suspects.findCauses(loop.nanoTime())) {
-      if (add(request, "crashes")) {
-        broadcast.accept(new SchedulingMessage.RequestQuarantined(request));
+      if (quarantine.add(request, suspects.strikesOf(request), loop.nanoTime())) {
+        changed(request, "crashes");
+        announce(request, broadcast);
       }
     }
   }
 
   /**
-   * Quarantines a request.
+   * Quarantines a request that another host found.
    *
+   * @param standing what is known about it, from an earlier build at least that it was found
    * @param source host that found it, or where it was read, for the log
-   * @return whether it is new
    */
-  public boolean add(RequestFingerprint request, String source) {
-    suspects.explain(request);
-    if (!quarantine.add(request)) {
-      return false;
+  public void add(RequestFingerprint request, RequestStanding standing, String source) {
+    if (quarantine.merge(request, standing)) {
+      changed(request, source);
     }
-    log.event("request_quarantined", "request", request, "source", source);
-    scheduler.refuseIsolated(request);
-    archive.put(request, reported.contains(request));
-    return true;
   }
 
-  /** Records that a request of this host was served. */
-  public void served(RequestFingerprint request) {
+  private void changed(RequestFingerprint request, String source) {
+    RequestStanding standing = quarantine.find(request);
+    suspects.explain(request);
+    log.event(
+        "request_quarantined",
+        "request",
+        request,
+        "strikes",
+        standing == null ? 0 : standing.strikes(),
+        "source",
+        source);
+    scheduler.refuseIsolated(request, quarantine.retryAfterMillis(request, loop.nanoTime()));
+    archive.changed(request, reported.contains(request));
+  }
+
+  /**
+   * Records that a request of this host was served.
+   *
+   * @param isSuccess whether the endpoint answered it without an error
+   * @return whether it was quarantined and is released
+   */
+  public boolean served(RequestFingerprint request, boolean isSuccess) {
     if (suspects.served(request)) {
       log.event("request_cleared", "request", request, "source", "served");
       broadcast.accept(new SchedulingMessage.RequestServed(request));
     }
+    int generation = isSuccess ? quarantine.release(request) : 0;
+    if (generation == 0) {
+      return false;
+    }
+    released(request, "served");
+    broadcast.accept(new SchedulingMessage.RequestReleased(request, generation));
+    archive.changed(request, true);
+    return true;
+  }
+
+  private void released(RequestFingerprint request, String source) {
+    log.event("request_released", "request", request, "source", source);
+    suspects.served(request);
+    loop.schedule(this::decide, SETTLE);
+  }
+
+  private void receivedReleased(String from, SchedulingMessage.RequestReleased message) {
+    if (quarantine.release(message.request(), message.generation())) {
+      released(message.request(), from);
+      archive.changed(message.request(), reported.contains(message.request()));
+    }
+  }
+
+  private void receivedQuarantined(String from, SchedulingMessage.RequestQuarantined message) {
+    RequestFingerprint request = message.request();
+    if (quarantine.isReleased(request, message.generation())) {
+      int generation = quarantine.releasedGeneration(request);
+      transport.accept(from, new SchedulingMessage.RequestReleased(request, generation));
+      return;
+    }
+    long trialInMillis = Math.max(0, Math.min(MAX_TRIAL_MILLIS, message.trialInMillis()));
+    long dueAt = loop.nanoTime() + TimeUnit.MILLISECONDS.toNanos(trialInMillis);
+    add(request, new RequestStanding(message.generation(), message.strikes(), dueAt), from);
   }
 
   /**
@@ -224,7 +322,9 @@
         log.event("crash_dismissed", "endpoint", responded.instance(), "source", from);
       }
     } else if (message instanceof SchedulingMessage.RequestQuarantined quarantined) {
-      add(quarantined.request(), from);
+      receivedQuarantined(from, quarantined);
+    } else if (message instanceof SchedulingMessage.RequestReleased released) {
+      receivedReleased(from, released);
     } else if (message instanceof SchedulingMessage.QuarantineDigest digest) {
       receivedDigest(from, digest);
     } else {
@@ -245,10 +345,23 @@
 
   private void announceTo(String address) {
     for (RequestFingerprint request : quarantine.newest(MAX_ANNOUNCEMENTS)) {
-      transport.accept(address, new SchedulingMessage.RequestQuarantined(request));
+      announce(request, message -> transport.accept(address, message));
+    }
+  }
+
+  private void announce(RequestFingerprint request, Consumer<SchedulingMessage> receivers) {
+    RequestStanding standing = quarantine.find(request);
+    if (standing != null) {
+      receivers.accept(announcement(request, standing));
     }
   }
 
+  private SchedulingMessage announcement(RequestFingerprint request, RequestStanding standing) {
+    long millis = TimeUnit.NANOSECONDS.toMillis(standing.dueAt() - loop.nanoTime());
+    return new SchedulingMessage.RequestQuarantined(
+        request, standing.generation(), standing.strikes(), Math.max(0, millis));
+  }
+
   /** Sends what this host knows to a host that has started or is reachable again. */
   void memberReturned(String address) {
     List.copyOf(ownReports).forEach(report -> transport.accept(address, report));
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessage.java
@@ -149,8 +149,23 @@
   /** A suspected request was served. */
   record RequestServed(RequestFingerprint request) implements SchedulingMessage {}
 
-  /** A request was found to crash endpoints. */
-  record RequestQuarantined(RequestFingerprint request) implements SchedulingMessage {}
+  /**
+   * A request was found to crash endpoints.
+   *
+   * @param generation how often it was found, from 1
+   * @param strikes 1 and the trials that ended with a crash
+   * @param trialInMillis time until the next trial
+   */
+  record RequestQuarantined(
+      RequestFingerprint request, int generation, int strikes, long trialInMillis)
+      implements SchedulingMessage {}
+
+  /**
+   * A quarantined request was served and is released.
+   *
+   * @param generation how often it had been found to crash endpoints
+   */
+  record RequestReleased(RequestFingerprint request, int generation) implements SchedulingMessage {}
 
   /**
    * Digest of the sender's quarantined requests. A receiver whose digest differs announces its own
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/SchedulingMessageCodec.java
@@ -4,7 +4,6 @@
 import io.samphiredyke.core.pool.PromptPart;
 import io.samphiredyke.core.pool.SlotRefusal;
 import io.samphiredyke.core.pool.WorkEstimate;
-import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.core.rollout.RolloutOrder;
 import io.samphiredyke.core.rollout.RolloutStage;
 import io.samphiredyke.core.rollout.RolloutState;
@@ -42,11 +41,6 @@
   private static final int ENDPOINT_LEAVING = 11;
   private static final int CONFIGURATION_POSITION = 12;
   private static final int PART_QUARANTINED = 13;
-  private static final int ENDPOINT_CRASHED = 14;
-  private static final int ENDPOINT_RESPONDED = 15;
-  private static final int REQUEST_SERVED = 16;
-  private static final int REQUEST_QUARANTINED = 17;
-  private static final int QUARANTINE_DIGEST = 18;
   private static final int STREAM_BEGAN = 19;
   private static final int STREAM_ORIGIN_QUERY = 20;
   private static final int STREAM_ORIGIN_RESPONSE = 21;
@@ -105,26 +99,7 @@
     } else if (message instanceof SchedulingMessage.PartQuarantined part) {
       packer.packInt(PART_QUARANTINED).packLong(part.partId());
       packer.packInt(part.strikes()).packLong(part.remainingMillis());
-    } else {
-      writeCrashMessage(packer, message);
-    }
-  }
-
-  private static void writeCrashMessage(MessagePacker packer, SchedulingMessage message)
-      throws IOException {
-    if (message instanceof SchedulingMessage.EndpointCrashed crash) {
-      packer.packInt(ENDPOINT_CRASHED).packString(crash.instance());
-      writeFingerprint(packer, crash.request());
-    } else if (message instanceof SchedulingMessage.EndpointResponded responded) {
-      packer.packInt(ENDPOINT_RESPONDED).packString(responded.instance());
-    } else if (message instanceof SchedulingMessage.RequestServed served) {
-      writeFingerprint(packer.packInt(REQUEST_SERVED), served.request());
-    } else if (message instanceof SchedulingMessage.RequestQuarantined quarantined) {
-      writeFingerprint(packer.packInt(REQUEST_QUARANTINED), quarantined.request());
-    } else if (message instanceof SchedulingMessage.QuarantineDigest digest) {
-      packer.packInt(QUARANTINE_DIGEST).packLong(digest.digest());
-      packer.packBoolean(digest.isResponse());
-    } else {
+    } else if (!CrashMessageCodec.write(packer, message)) {
       writeStreamMessage(packer, message);
     }
   }
@@ -176,24 +151,6 @@
     return new StreamOrigin(in.unpackString(), in.unpackString());
   }
 
-  private static void writeFingerprint(MessagePacker packer, @Nullable RequestFingerprint request)
-      throws IOException {
-    if (request == null) {
-      packer.packNil();
-    } else {
-      packer.packString(request.caller()).packLong(request.content());
-    }
-  }
-
-  private static RequestFingerprint readFingerprint(MessageUnpacker in) throws IOException {
-    return new RequestFingerprint(in.unpackString(), in.unpackLong());
-  }
-
-  private static @Nullable RequestFingerprint readOptionalFingerprint(MessageUnpacker in)
-      throws IOException {
-    return in.tryUnpackNil() ? null : readFingerprint(in);
-  }
-
   private static void writeAcquire(MessagePacker packer, SchedulingMessage.Acquire acquire)
       throws IOException {
     packer.packLong(acquire.slotRequestId()).packString(acquire.service());
@@ -212,7 +169,7 @@
     for (String endpoint : acquire.excluded()) {
       packer.packString(endpoint);
     }
-    writeFingerprint(packer, acquire.isolated());
+    CrashMessageCodec.writeFingerprint(packer, acquire.isolated());
     packer.packLong(acquire.objectiveMillis()).packLong(acquire.startDeadlineMillis());
   }
 
@@ -225,7 +182,7 @@
           .packString(held.service())
           .packString(held.endpointId());
       packer.packInt(held.promptTokens()).packInt(held.outputTokens());
-      writeFingerprint(packer, held.isolated());
+      CrashMessageCodec.writeFingerprint(packer, held.isolated());
     }
     packer.packMapHeader(report.remoteUsage().size());
     for (Map.Entry<String, Long> used : report.remoteUsage().entrySet()) {
@@ -292,20 +249,13 @@
           new SchedulingMessage.ConfigurationPosition(in.unpackLong(), in.unpackLong());
       case PART_QUARANTINED ->
           new SchedulingMessage.PartQuarantined(in.unpackLong(), in.unpackInt(), in.unpackLong());
-      case ENDPOINT_CRASHED ->
-          new SchedulingMessage.EndpointCrashed(in.unpackString(), readFingerprint(in));
-      case ENDPOINT_RESPONDED -> new SchedulingMessage.EndpointResponded(in.unpackString());
-      case REQUEST_SERVED -> new SchedulingMessage.RequestServed(readFingerprint(in));
-      case REQUEST_QUARANTINED -> new SchedulingMessage.RequestQuarantined(readFingerprint(in));
-      case QUARANTINE_DIGEST ->
-          new SchedulingMessage.QuarantineDigest(in.unpackLong(), in.unpackBoolean());
       case STREAM_BEGAN -> new SchedulingMessage.StreamBegan(in.unpackString(), readOrigin(in));
       case STREAM_ORIGIN_QUERY -> new SchedulingMessage.StreamOriginQuery(in.unpackString());
       case STREAM_ORIGIN_RESPONSE ->
           new SchedulingMessage.StreamOriginResponse(
               in.unpackString(), in.tryUnpackNil() ? null : readOrigin(in));
       case ROLLOUT_STAGED -> new SchedulingMessage.RolloutStaged(readRollout(in));
-      default -> throw new IOException("unknown scheduling message type " + type);
+      default -> CrashMessageCodec.read(type, in);
     };
   }
 
@@ -348,7 +298,7 @@
         quotaUnits,
         isRetry,
         Set.copyOf(excluded),
-        readOptionalFingerprint(in),
+        CrashMessageCodec.readOptionalFingerprint(in),
         in.unpackLong(),
         in.unpackLong());
   }
@@ -365,7 +315,7 @@
               in.unpackString(),
               in.unpackInt(),
               in.unpackInt(),
-              readOptionalFingerprint(in)));
+              CrashMessageCodec.readOptionalFingerprint(in)));
     }
     int customerCount = in.unpackMapHeader();
     Map<String, Long> used = new HashMap<>();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/QuarantineArchive.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/QuarantineArchive.java
@@ -2,6 +2,8 @@
 
 import io.samphiredyke.core.pool.PartQuarantine;
 import io.samphiredyke.core.quarantine.RequestFingerprint;
+import io.samphiredyke.core.quarantine.RequestQuarantine;
+import io.samphiredyke.core.quarantine.RequestStanding;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.scheduling.CrashWatch;
 import io.samphiredyke.gateway.scheduling.PeerGroup;
@@ -28,13 +30,13 @@
  *
  * <p>The record of a part has its id as key and, as value, how often the part was quarantined and
  * until when (milliseconds since 1970). The record of a request has {@link #REQUEST_PREFIX}, the
- * hash of its content, a colon and its caller as key. What could not be written is written again,
- * also after a restore of the store.
+ * hash of its content, a colon and its caller as key and, as value, how often it was found, its
+ * strikes and when its next trial may begin; earlier builds wrote one field of no meaning. What
+ * could not be written is written again, also after a restore of the store.
  */
 public final class QuarantineArchive implements PromptQuarantine.Archive, CrashWatch.Archive {
 
   private static final String REQUEST_PREFIX = "request:";
-  private static final String REQUEST_VALUE = "1";
 
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
@@ -43,6 +45,7 @@
   private static final long MAX_SPREAD_MILLIS = 1_000;
 
   private static final int RADIX = 16;
+  private static final int REQUEST_FIELDS = 3;
 
   /** Longest time for which a record is believed, 30 days. */
   private static final long MAX_REMAINING_MILLIS = Duration.ofDays(30).toMillis();
@@ -123,7 +126,7 @@
   private void add(String key, String value) {
     try {
       if (key.startsWith(REQUEST_PREFIX)) {
-        crashes.add(decodeRequest(key.substring(REQUEST_PREFIX.length())), "store");
+        addRequest(decodeRequest(key.substring(REQUEST_PREFIX.length())), value);
         return;
       }
       String[] fields = value.split(" ", -1);
@@ -140,6 +143,20 @@
     }
   }
 
+  private void addRequest(RequestFingerprint request, String value) {
+    String[] fields = value.split(" ", -1);
+    boolean hasStanding = fields.length >= REQUEST_FIELDS;
+    int generation = hasStanding ? Math.max(1, Integer.parseInt(fields[0])) : 1;
+    int strikes = hasStanding ? Math.max(1, Integer.parseInt(fields[1])) : 1;
+    RequestStanding usual = RequestQuarantine.standing(generation, strikes, loop.nanoTime());
+    long remaining =
+        hasStanding ? Math.subtractExact(Long.parseLong(fields[2]), loop.epochMillis()) : 0;
+    long dueAt = loop.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.max(0, remaining));
+    boolean isSooner = hasStanding && dueAt - usual.dueAt() < 0;
+    crashes.add(
+        request, isSooner ? new RequestStanding(generation, strikes, dueAt) : usual, "store");
+  }
+
   private static RequestFingerprint decodeRequest(String key) {
     int colon = key.indexOf(':');
     if (colon < 0) {
@@ -154,8 +171,8 @@
   }
 
   @Override
-  public void put(RequestFingerprint request, boolean isReporter) {
-    if (!isReading && (isReporter || isElected())) {
+  public void changed(RequestFingerprint request, boolean isReporter) {
+    if (!isReading && (isReporter || isElected() || writtenRequests.contains(request))) {
       write(request);
     }
   }
@@ -165,8 +182,18 @@
   }
 
   private void write(RequestFingerprint request) {
-    writtenRequests.add(request);
-    write(encodeRequest(request), REQUEST_VALUE, () -> write(request));
+    RequestStanding standing = crashes.quarantine().find(request);
+    if (standing == null) {
+      writtenRequests.remove(request);
+    } else {
+      writtenRequests.add(request);
+    }
+    String value = standing == null ? "" : encode(standing);
+    write(encodeRequest(request), value, () -> write(request));
+  }
+
+  private String encode(RequestStanding standing) {
+    return standing.generation() + " " + standing.strikes() + " " + epochMillis(standing.dueAt());
   }
 
   @Override
@@ -195,12 +222,12 @@
 
   private void write(long partId) {
     PartQuarantine.Entry entry = written.get(partId);
-    String value = entry == null ? "" : entry.strikes() + " " + epochMillis(entry);
+    String value = entry == null ? "" : entry.strikes() + " " + epochMillis(entry.until());
     write(Long.toHexString(partId), value, () -> write(partId));
   }
 
-  private long epochMillis(PartQuarantine.Entry entry) {
-    return loop.epochMillis() + TimeUnit.NANOSECONDS.toMillis(entry.until() - loop.nanoTime());
+  private long epochMillis(long nanos) {
+    return loop.epochMillis() + TimeUnit.NANOSECONDS.toMillis(nanos - loop.nanoTime());
   }
 
   private void write(String key, String value, Runnable retry) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/CrashingRequestTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/CrashingRequestTest.java
@@ -1,7 +1,10 @@
 package io.samphiredyke.gateway;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.samphiredyke.core.quarantine.RequestFingerprint;
+import io.samphiredyke.platform.StoreClient;
 import io.samphiredyke.platform.standin.EndpointStandIn;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -185,6 +188,52 @@
     assertThat(arrivals(CRASHING).size() - before).isZero();
   }
 
+  /**
+   * Endpoints that run copies of a sound request lose power together: the request is served again
+   * soon, also by a host that starts after all others were lost.
+   */
+  @Test
+  void soundRequestIsServedAgainAfterEndpointsLostPowerTogether() {
+    startEndpoints("plain");
+    List<RunningGateway> group = startGroup();
+    endpoints.forEach(endpoint -> endpoint.setStartMillis(400));
+    List<Sent> sent = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      sent.add(send(group.get(i % 3), "/unsafe/x", "popular"));
+    }
+    await(() -> arrivals("popular").size() == 20);
+    endpoints.subList(0, 4).forEach(EndpointStandIn::losePower);
+    sent.forEach(Sent::status);
+    endpoints.forEach(endpoint -> endpoint.setStartMillis(40));
+    pause(SETTLE_NANOS / 1_000_000);
+    assertServed(group, "popular");
+    RunningGateway later = startGateway("host-4", List.of());
+    await(later.gateway()::isReady);
+    assertServed(List.of(later), "popular");
+  }
+
+  /** Earlier builds quarantine without end; their entries hold until a trial is served. */
+  @Test
+  void entryOfAnEarlierBuildIsTriedAndReleased() {
+    startEndpoints("plain");
+    byte[] body = "popular".getBytes(UTF_8);
+    RequestFingerprint request = RequestFingerprint.of("customer", "POST", "/unsafe/x", body);
+    String key = "request:" + Long.toHexString(request.content()) + ":customer";
+    store.put(StoreClient.QUARANTINE_TOPIC, key, "1");
+    List<RunningGateway> group = startGroup();
+    pause(SETTLE_NANOS / 1_000_000);
+    assertServed(group, "popular");
+    assertThat(logged("request_released")).isTrue();
+  }
+
+  /** At most the first request, a trial, may delay the others. */
+  private void assertServed(List<RunningGateway> group, String body) {
+    send(group.get(0), "/unsafe/x", body).status();
+    for (RunningGateway each : group) {
+      assertThat(send(each, "/unsafe/x", body).status()).as(body).isEqualTo(200);
+    }
+  }
+
   /** Each crash is seen by another host, one of which is cut off right after its own. */
   @Test
   void crashesThatDifferentHostsSawAreAddedUp() {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/OddRecordTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/OddRecordTest.java
@@ -72,6 +72,9 @@
     store.put(StoreClient.HOST_TOPIC, "odd-name", "no-such-host:80");
     store.put(StoreClient.QUARANTINE_TOPIC, "1f", "3 9223372036854775807");
     store.put(StoreClient.QUARANTINE_TOPIC, "1e", "3 -9223372036854775808");
+    store.put(StoreClient.QUARANTINE_TOPIC, "request:1f", "1 1 1");
+    store.put(StoreClient.QUARANTINE_TOPIC, "request:1f:customer", "1 x 1");
+    store.put(StoreClient.QUARANTINE_TOPIC, "request:1e:customer", "-1 -1 -9223372036854775808");
     RunningGateway running = startConfiguredGateway();
     assertFollows(running);
     assertThat(running.gateway().directory().all())
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/MixedBuildsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/MixedBuildsTest.java
@@ -11,6 +11,7 @@
 import io.samphiredyke.core.pool.Outcome;
 import io.samphiredyke.core.pool.PoolOptions;
 import io.samphiredyke.core.pool.SlotRefusal;
+import io.samphiredyke.core.quarantine.RequestFingerprint;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
 import java.io.ByteArrayOutputStream;
@@ -64,6 +65,16 @@
         .isEqualTo(new SchedulingMessage.Released("chat", "e", 7, Outcome.WITHDRAWN, 12));
   }
 
+  @Test
+  void quarantineOfBuildWithoutTrialsIsUnderstood() throws IOException {
+    MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+    packer.packInt(17).packString("customer").packLong(7);
+    assertThat(SchedulingMessageCodec.decode(packer.toByteArray()))
+        .isEqualTo(
+            new SchedulingMessage.RequestQuarantined(
+                new RequestFingerprint("customer", 7), 1, 1, 0));
+  }
+
   @Test
   void unknownDatagramsAreSkippedWithOneCountedLine() throws Exception {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
