The origin of a stream is passed on when it begins

Cause: the origin went to other hosts only if the service might have several versions at that moment, or later, when another version appeared, from the host that had begun the stream and was lost by then. Ruled out: lost datagrams; the archive, which is written under the same condition.

Now the origin goes to three hosts at once, to all others in groups of up to seven hosts. The archive is written as before, as its writes are limited.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
@@ -22,14 +22,16 @@
 /**
  * Knows at which software version streams began, so that any host can continue them.
  *
- * <p>Each host keeps the streams that it began. If a service may have had endpoints of several
- * versions lately, it also sends them to a few hosts that are chosen by a hash of the stream's id,
- * before the caller receives the first event, so that the loss of the host does not lose the
- * versions. A host that continues a stream asks the hosts that the hash selects now.
+ * <p>Each host keeps the streams that it began. It also sends them to a few hosts that are chosen
+ * by a hash of the stream's id, before the caller receives the first event, so that the loss of the
+ * host does not lose the versions. This is not put off until a service has several versions, as the
+ * host may be lost by then. A host that continues a stream asks the hosts that the hash selects
+ * now. The archive gets the streams only while a service may have several versions, as its writes
+ * are limited.
  */
 public final class StreamOrigins {
 
-  /** Hosts that keep the origin of a stream beside the one that began it. */
+  /** Hosts of a large group that keep the origin of a stream beside the one that began it. */
   private static final int KEEPERS = 3;
 
   /** Hosts that are asked, more than keep it, as some of them may be new. */
@@ -148,7 +150,7 @@
       if (!history.isMixed(service)) {
         mixedServices.remove(service);
       } else if (mixedServices.add(service)) {
-        sendOwnStreams(service);
+        archiveOwnStreams(service);
       }
     }
   }
@@ -158,11 +160,11 @@
     horizonNanos = duration.plus(CLOCK_SLACK).toNanos();
   }
 
-  private void sendOwnStreams(String service) {
+  private void archiveOwnStreams(String service) {
     streams.forEach(
         (id, stream) -> {
           if (stream.isOwn() && stream.origin().service().equals(service)) {
-            sendToKeepers(id, stream.origin());
+            archive.add(id, stream.origin());
           }
         });
   }
@@ -174,15 +176,17 @@
     }
     streams.put(requestId, new Stream(origin, loop.nanoTime(), true));
     history.observe(origin, loop.nanoTime());
+    SchedulingMessage message = new SchedulingMessage.StreamBegan(requestId, origin);
+    selectKeepers(requestId).forEach(host -> transport.accept(host, message));
     if (!history.isCertain(origin.service(), horizonNanos, loop.nanoTime())) {
-      sendToKeepers(requestId, origin);
+      archive.add(requestId, origin);
     }
   }
 
-  private void sendToKeepers(String requestId, StreamOrigin origin) {
-    SchedulingMessage message = new SchedulingMessage.StreamBegan(requestId, origin);
-    selectHosts(requestId, KEEPERS).forEach(host -> transport.accept(host, message));
-    archive.add(requestId, origin);
+  /** Returns all other hosts of a small group, so that the loss of all but one is borne. */
+  private List<String> selectKeepers(String requestId) {
+    List<String> others = otherHosts.get();
+    return others.size() <= ASKED_HOSTS ? others : selectHosts(requestId, KEEPERS);
   }
 
   /** Returns the first hosts in the ranking of an id, which changes little when hosts change. */
