A response whose connection ends within the upload is not complete

Callers: an endpoint that answered a long upload at once with 200 and no length, sent a part and closed its connection while the upload was under way: the part arrived as a complete response. Statuses that HTTP does not have: 000 to 099 and 20 held the request until its time limit, 600 and more were passed on. A whole refusal before the end of the upload was lost to the write that failed.

Cause: the end is regular if the endpoint has read what had arrived; the reset follows when the rest arrives, and the connection was closed by then. Any number was taken for a status, those below 200 for an interim response. A failed write closed the connection with the response unread.

Tunnels state the end 10 ms later. Statuses outside 100 to 599 are malformed. A failed write leaves time to read.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndCheck.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndCheck.java
@@ -14,6 +14,7 @@
 
   private final RequestService.Context context;
   private final RequestLog log;
+  private boolean isClosed;
   private Runnable cancellation = () -> {};
 
   EndCheck(RequestService.Context context, RequestLog log) {
@@ -29,13 +30,18 @@
    */
   void begin(EndpointAttempt ended, Runnable onComplete, Consumer<String> onFailed) {
     long askedAt = context.loop().nanoTime();
-    cancellation =
+    Runnable question =
         context
             .connections()
             .liveness()
             .ask(
                 ended.endpoint(),
                 verdict -> decided(ended, askedAt, verdict, onComplete, onFailed));
+    cancellation =
+        () -> {
+          question.run();
+          ended.cancel();
+        };
   }
 
   private void decided(
@@ -47,9 +53,21 @@
     long millis = TimeUnit.NANOSECONDS.toMillis(context.loop().nanoTime() - askedAt);
     log.endChecked(ended.endpoint().id(), verdict, millis);
     if (verdict.liveness() == Liveness.ALIVE) {
-      onComplete.run();
+      ended.confirmEnd(
+          isConfirmed -> {
+            if (isClosed) {
+              return;
+            }
+            ended.cancel();
+            if (isConfirmed) {
+              onComplete.run();
+            } else {
+              onFailed.accept("the connection was reset after the end of the response");
+            }
+          });
       return;
     }
+    ended.cancel();
     if (verdict.liveness() == Liveness.GONE) {
       ended.processEnded();
     }
@@ -58,6 +76,7 @@
 
   /** Ends the check without a verdict. */
   void close() {
+    isClosed = true;
     cancellation.run();
   }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -16,6 +16,7 @@
 import io.samphiredyke.gateway.upstream.OutgoingRequest;
 import io.samphiredyke.platform.EndpointResponseHead;
 import java.time.Duration;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** One attempt to run a request at an endpoint. */
@@ -322,6 +323,16 @@
     request.log().foreignBytes(endpoint.id(), position, statedId, isWholeCopy);
   }
 
+  /** Tells whether the endpoint has not reset the connection that ended the response. */
+  void confirmEnd(Consumer<Boolean> listener) {
+    EndpointExchange open = exchange;
+    if (open == null) {
+      listener.accept(true);
+    } else {
+      open.confirmEnd(listener);
+    }
+  }
+
   @Override
   public void onEnd() {
     if (isDone) {
@@ -329,12 +340,15 @@
     }
     finish();
     if (isNotRun || defect != null) {
+      cancel();
       endUnusable();
     } else if (request.relay().endsMidEvent()) {
       wasBrokenOff = true;
+      cancel();
       endFaulty(EventDecision.TRUNCATED, -1);
     } else if (endsWithConnection && endedBeforeFirstEvent() && !request.relay().hasStarted()) {
       wasBrokenOff = true;
+      cancel();
       request.failed(this, "the stream ended with its connection before its first event");
     } else {
       request.responseEnded(this);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/RelayHandler.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/tunnel/RelayHandler.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Passes the bytes of one connection to another one, which has such a handler too.
@@ -18,6 +20,12 @@
  */
 final class RelayHandler extends ChannelInboundHandlerAdapter {
 
+  /**
+   * Time after the end of an endpoint's output in which what is sent to it may show a reset, in
+   * milliseconds.
+   */
+  private static final long END_MILLIS = 10;
+
   private final Channel other;
   private final boolean isOfEndpoint;
   private boolean isEndStated;
@@ -55,13 +63,34 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof ChannelInputShutdownEvent) {
-      endOther();
-      ctx.close();
+      if (isOfEndpoint) {
+        ctx.executor().schedule(() -> endpointEnded(ctx), END_MILLIS, TimeUnit.MILLISECONDS);
+      } else {
+        endOther();
+        ctx.close();
+      }
       return;
     }
     ctx.fireUserEventTriggered(event);
   }
 
+  /**
+   * States the end, unless the endpoint has reset the connection since, or has not received all
+   * that was sent to it: it ended its response before it had read the request.
+   */
+  private void endpointEnded(ChannelHandlerContext ctx) {
+    if (!ctx.channel().isOpen()) {
+      return;
+    }
+    ChannelOutboundBuffer unsent = ctx.channel().unsafe().outboundBuffer();
+    if (unsent == null || !unsent.isEmpty()) {
+      reset(other);
+    } else {
+      endOther();
+    }
+    ctx.close();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     if (!isOfEndpoint) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnector.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointConnector.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -48,6 +49,8 @@
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
+            // A failed write leaves what has arrived to be read.
+            .option(ChannelOption.AUTO_CLOSE, false)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -19,6 +19,7 @@
 import io.samphiredyke.platform.EndpointResponseHead;
 import java.net.SocketException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,6 +30,11 @@
  * completely sent request, and only when all received data has been read, so that surplus bytes
  * never reach the next request. A response without id ends its connection, so that a later copy of
  * it never reaches the next request either.
+ *
+ * <p>A response that ends with its connection is not complete if the endpoint ended it before it
+ * had read the request: the request has not been sent as a whole, or the endpoint resets the
+ * connection when the rest arrives. For the latter the connection is kept half open, until {@link
+ * #confirmEnd} or {@link #cancel}.
  */
 public final class EndpointExchange extends SimpleChannelInboundHandler<HttpObject>
     implements ConnectionAttempt.Listener {
@@ -47,6 +53,9 @@
    */
   private static final int MAX_SKIPPED_BYTES = 512 * 1024;
 
+  /** Time for a response that arrived although sending the request failed, in milliseconds. */
+  private static final long READ_AFTER_FAILURE_MILLIS = 100;
+
   private final EndpointConnectionPool connections;
   private final EndpointTarget target;
   private final OutgoingRequest request;
@@ -66,6 +75,8 @@
   private int skippedBytes;
   private boolean reusable;
   private boolean hasHead;
+  private boolean endsWithConnection;
+  private @Nullable EndConfirmation confirmation;
   private int keepAliveSeconds = -1;
 
   EndpointExchange(
@@ -116,7 +127,14 @@
       requestSent = true;
       return;
     }
-    fail("sending failed: " + cause.getMessage());
+    // An endpoint may respond before it has read all, and end the connection behind its response.
+    String reason = "sending failed: " + cause.getMessage();
+    Channel open = channel;
+    if (open == null || !open.isOpen() || finished) {
+      fail(reason);
+      return;
+    }
+    open.eventLoop().schedule(() -> fail(reason), READ_AFTER_FAILURE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   @Override
@@ -164,11 +182,14 @@
 
   /** Cancels the exchange by closing the connection, which the endpoint detects. */
   public void cancel() {
+    Channel open = channel;
     if (finished) {
+      if (confirmation != null && open != null) {
+        open.close();
+      }
       return;
     }
     finished = true;
-    Channel open = channel;
     if (open != null) {
       open.close();
       if (isReused && EndpointConnectionPool.peerOf(open) == null) {
@@ -235,9 +256,13 @@
     }
     hasHead = true;
     keepAliveSeconds = head.keepAliveSeconds();
-    boolean endsWithConnection =
+    endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     reusable = !head.requestId().isEmpty() && HttpUtil.isKeepAlive(response) && !endsWithConnection;
+    Channel open = channel;
+    if (endsWithConnection && open != null) {
+      confirmation = EndConfirmation.prepare(open, request.body().readableBytes());
+    }
     boolean hasEvents = request.expectsEvents() && head.isSuccess();
     String unsizedOutline = endsWithConnection ? outline : "";
     filter =
@@ -248,6 +273,19 @@
     listener.onHead(head, response);
   }
 
+  /**
+   * Tells whether the endpoint has not reset the connection since it ended the response. The caller
+   * then has to cancel the exchange, which closes the connection.
+   */
+  public void confirmEnd(Consumer<Boolean> listener) {
+    EndConfirmation held = confirmation;
+    if (held == null) {
+      listener.accept(true);
+    } else {
+      held.begin(listener);
+    }
+  }
+
   /**
    * Returns whether a response without id is the response to the request. All earlier responses on
    * the connection stated an id, so that it is not one of them. Only a statement that the request
@@ -274,6 +312,10 @@
     if (content.content().isReadable()) {
       passOn(content.content());
     }
+    if (isLast && endsWithConnection && !requestSent) {
+      fail("the response ended before the request was sent", true);
+      return;
+    }
     if (isLast && !finished) {
       endBody();
     }
@@ -283,7 +325,7 @@
       boolean isReadCompletely = ctx.pipeline().get(ResponseDecoder.class).requestEnded();
       if (reusable && requestSent && isReadCompletely) {
         returnPending = true;
-      } else {
+      } else if (confirmation == null) {
         ctx.close();
       }
       listener.onEnd();
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientExchange.java
@@ -41,6 +41,8 @@
   private boolean keepAlive = true;
   private long lastReadNanos;
   private boolean isTimeoutSuspected;
+  private boolean isRequestSent;
+  private boolean endsWithConnection;
 
   ClientExchange(HttpClient client, HttpRequest request, StreamListener listener) {
     this.client = client;
@@ -80,6 +82,7 @@
   }
 
   private void onSent(@Nullable Throwable cause) {
+    isRequestSent = cause == null;
     if (cause != null) {
       fail(new ConnectionLostException("failed to send the request: " + cause.getMessage()));
     }
@@ -185,6 +188,7 @@
         fail(new ConnectionLostException("a response without length and without chunks"));
         return;
       }
+      endsWithConnection = true;
       listener.onEndsWithConnection();
     }
     listener.onHeaders(response.status().code(), headers(response));
@@ -207,6 +211,10 @@
   }
 
   private void finish(ChannelHandlerContext ctx) {
+    if (endsWithConnection && !isRequestSent) {
+      fail(new ConnectionLostException("the response ended before the request was sent"));
+      return;
+    }
     finished = true;
     ctx.channel().config().setAutoRead(true);
     boolean isReadCompletely = ctx.pipeline().get(ResponseDecoder.class).requestEnded();
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
@@ -25,11 +25,12 @@
  * connection if data arrives while no request is in progress, and tells whether data follows the
  * end of a response. It rejects a head that contains a second status line, which is what an
  * unfinished head and the next response look like together, and a body that is followed by data
- * that begins no response.
+ * that begins no response. A status that HTTP does not have is no response either.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
   private static final String PROTOCOL = "HTTP/1.";
+  private static final int STATUS_DIGITS = 3;
 
   /**
    * Bytes, blank lines before a response included, without any part of a response after which the
@@ -149,6 +150,14 @@
     return false;
   }
 
+  /** Returns whether a text is a status of HTTP, which has three digits from 100 to 599. */
+  private static boolean isStatus(String text) {
+    if (text.length() != STATUS_DIGITS || text.charAt(0) < '1' || text.charAt(0) > '5') {
+      return false;
+    }
+    return text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+  }
+
   /** Returns whether a text contains a protocol version that is followed by a status. */
   private static boolean containsStatusLine(String text) {
     int start = text.indexOf(PROTOCOL);
@@ -158,7 +167,7 @@
 
   @Override
   protected HttpMessage createMessage(String[] initialLine) {
-    if (!initialLine[0].startsWith(PROTOCOL)) {
+    if (!initialLine[0].startsWith(PROTOCOL) || !isStatus(initialLine[1])) {
       throw new IllegalArgumentException("not a status line");
     }
     return super.createMessage(initialLine);
