A trial is failed only by a crash that its request may have caused

By reading: a trial that was sent to an instance which another host had reported as crashed before counted as a crash by its request, and the requests that are cleared by a found cause were not bounded for one instance.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
@@ -47,6 +47,7 @@
 
   private static final int MAX_INSTANCES = 1_024;
   private static final int MAX_FOUND = 256;
+  private static final int MAX_CLEARED = 64;
 
   /** Crashes later than the third from which on a request has one trial only. */
   private static final int TOLERATED_LATER = 2;
@@ -66,6 +67,12 @@
       lastReportAt = now;
     }
 
+    void clear(RequestFingerprint request) {
+      if (cleared.size() < MAX_CLEARED) {
+        cleared.add(request);
+      }
+    }
+
     void acquit(RequestFingerprint request) {
       cleared.remove(request);
     }
@@ -118,7 +125,7 @@
     }
     Crash crash = crashes.computeIfAbsent(instance, key -> new Crash(now));
     if (crash.isExplained) {
-      crash.cleared.add(request);
+      crash.clear(request);
       return false;
     }
     Map<String, Crash> instances = suspects.computeIfAbsent(request, key -> new HashMap<>());
@@ -327,7 +334,7 @@
     suspects.forEach(
         (other, instances) -> {
           if (instances.containsKey(instance)) {
-            crash.cleared.add(other);
+            crash.clear(other);
           }
         });
     forget(instance);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/RequestContent.java
@@ -102,8 +102,9 @@
 
   /** Records that an endpoint ended the connection of an attempt. */
   void brokenOff(EndpointAttempt attempt, String requestId) {
-    crashes.crashed(attempt.endpoint(), fingerprint(), attempt.sentAt(), requestId);
-    if (isTrial) {
+    boolean isEvidence =
+        crashes.crashed(attempt.endpoint(), fingerprint(), attempt.sentAt(), requestId);
+    if (isTrial && isEvidence) {
       isTrial = false;
       crashes.trialFailed(fingerprint(), requestId);
     }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
@@ -169,17 +169,18 @@
    *
    * @param sentAt when the request was sent
    * @param requestId id of the caller's attempt, for the log
+   * @return whether the request may have caused it
    */
-  public void crashed(
+  public boolean crashed(
       EndpointRecord endpoint, RequestFingerprint request, long sentAt, String requestId) {
     String instance = instance(endpoint);
     if (suspects.hadCrashedBefore(instance, sentAt)) {
-      return;
+      return false;
     }
     SchedulingMessage.EndpointCrashed report =
         new SchedulingMessage.EndpointCrashed(instance, request);
     if (!observe(report, requestId)) {
-      return;
+      return true;
     }
     reported.add(request);
     ownReports.add(report);
@@ -187,6 +188,7 @@
       reported.remove(ownReports.remove().request());
     }
     broadcast.accept(report);
+    return true;
   }
 
   private boolean observe(SchedulingMessage.EndpointCrashed report, String source) {
