Rename EndConfirmation to ResetCheck

Cause: in the users' pages "confirmation" is the store's acknowledgement, so the name of the check whether an ended connection was reset misleads a newcomer. A comment of CrashWatch is reworded as well. No behaviour changes.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndCheck.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndCheck.java
@@ -53,13 +53,13 @@
     long millis = TimeUnit.NANOSECONDS.toMillis(context.loop().nanoTime() - askedAt);
     log.endChecked(ended.endpoint().id(), verdict, millis);
     if (verdict.liveness() == Liveness.ALIVE) {
-      ended.confirmEnd(
-          isConfirmed -> {
+      ended.checkReset(
+          isUnreset -> {
             if (isClosed) {
               return;
             }
             ended.cancel();
-            if (isConfirmed) {
+            if (isUnreset) {
               onComplete.run();
             } else {
               onFailed.accept("the connection was reset after the end of the response");
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/EndpointAttempt.java
@@ -324,12 +324,12 @@
   }
 
   /** Tells whether the endpoint has not reset the connection that ended the response. */
-  void confirmEnd(Consumer<Boolean> listener) {
+  void checkReset(Consumer<Boolean> listener) {
     EndpointExchange open = exchange;
     if (open == null) {
       listener.accept(true);
     } else {
-      open.confirmEnd(listener);
+      open.checkReset(listener);
     }
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
@@ -26,7 +26,7 @@
  * <p>A host reports the crashes that it sees to all others, and each of them decides by itself from
  * all reports, so that the knowledge outlives any of them. What is found is announced, stored by
  * the archive, and compared with a random host once a second, as messages can be lost. A host that
- * is told of a request which it knows to be released responds with the release.
+ * receives a finding about a request that was released responds with the release.
  */
 public final class CrashWatch {
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndpointExchange.java
@@ -34,7 +34,7 @@
  * <p>A response that ends with its connection is not complete if the endpoint ended it before it
  * had read the request: the request has not been sent as a whole, or the endpoint resets the
  * connection when the rest arrives. For the latter the connection is kept half open, until {@link
- * #confirmEnd} or {@link #cancel}.
+ * #checkReset} or {@link #cancel}.
  */
 public final class EndpointExchange extends SimpleChannelInboundHandler<HttpObject>
     implements ConnectionAttempt.Listener {
@@ -76,7 +76,7 @@
   private boolean reusable;
   private boolean hasHead;
   private boolean endsWithConnection;
-  private @Nullable EndConfirmation confirmation;
+  private @Nullable ResetCheck resetCheck;
   private int keepAliveSeconds = -1;
 
   EndpointExchange(
@@ -184,7 +184,7 @@
   public void cancel() {
     Channel open = channel;
     if (finished) {
-      if (confirmation != null && open != null) {
+      if (resetCheck != null && open != null) {
         open.close();
       }
       return;
@@ -261,7 +261,7 @@
     reusable = !head.requestId().isEmpty() && HttpUtil.isKeepAlive(response) && !endsWithConnection;
     Channel open = channel;
     if (endsWithConnection && open != null) {
-      confirmation = EndConfirmation.prepare(open, request.body().readableBytes());
+      resetCheck = ResetCheck.prepare(open, request.body().readableBytes());
     }
     boolean hasEvents = request.expectsEvents() && head.isSuccess();
     String unsizedOutline = endsWithConnection ? outline : "";
@@ -277,8 +277,8 @@
    * Tells whether the endpoint has not reset the connection since it ended the response. The caller
    * then has to cancel the exchange, which closes the connection.
    */
-  public void confirmEnd(Consumer<Boolean> listener) {
-    EndConfirmation held = confirmation;
+  public void checkReset(Consumer<Boolean> listener) {
+    ResetCheck held = resetCheck;
     if (held == null) {
       listener.accept(true);
     } else {
@@ -325,7 +325,7 @@
       boolean isReadCompletely = ctx.pipeline().get(ResponseDecoder.class).requestEnded();
       if (reusable && requestSent && isReadCompletely) {
         returnPending = true;
-      } else if (confirmation == null) {
+      } else if (resetCheck == null) {
         ctx.close();
       }
       listener.onEnd();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/EndConfirmation.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/upstream/ResetCheck.java
@@ -15,7 +15,7 @@
  * the connection is kept half open, and a blank line is sent, which means nothing to a server after
  * a request.
  */
-final class EndConfirmation {
+final class ResetCheck {
 
   /** Size of a request's body that the endpoint has received when it begins to respond. */
   private static final int RECEIVED_BYTES = 1_024;
@@ -31,7 +31,7 @@
   private final Channel channel;
   private final int bodyBytes;
 
-  private EndConfirmation(Channel channel, int bodyBytes) {
+  private ResetCheck(Channel channel, int bodyBytes) {
     this.channel = channel;
     this.bodyBytes = bodyBytes;
   }
@@ -40,14 +40,14 @@
    * Lets a connection stay half open after its end, before it ends.
    *
    * @param bodyBytes size of the request's body
-   * @return null if no confirmation is needed, or none is possible as the connection is a tunnel
+   * @return null if no check is needed, or none is possible as the connection is a tunnel
    */
-  static @Nullable EndConfirmation prepare(Channel channel, int bodyBytes) {
+  static @Nullable ResetCheck prepare(Channel channel, int bodyBytes) {
     if (bodyBytes <= RECEIVED_BYTES || EndpointConnectionPool.peerOf(channel) != null) {
       return null;
     }
     channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-    return new EndConfirmation(channel, bodyBytes);
+    return new ResetCheck(channel, bodyBytes);
   }
 
   /** Tells whether the connection has not been reset by the time when the window was probed. */
