MixedVersionsTest: send the streams of one test at the same time

Its output lists the 24 runs: 19 at one endpoint, 5 at two others, none at the two that break streams off, so nothing had to go on. Within 57 ms the endpoints answered faster than the test sent.

Cause: the test sends with a parallel stream and says that it occupies all slots, but the common pool has one thread less than processors.

Now each request has a thread, and endpoints take 500 ms, so that 24 requests occupy 24 slots whatever the machine. The assertions are unchanged. With 1, 2 and 7 threads of the common pool, 25 repetitions each: 4 streams at each endpoint that breaks off, every time.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
@@ -16,6 +16,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -38,6 +41,9 @@
   /** Share of the streams that must go on, half of those that begin. */
   private static final double MIN_RESUMED = 0.5;
 
+  /** Response time of endpoints that must be occupied at the same time, in milliseconds. */
+  private static final long START_MILLIS = 500;
+
   /** Time for a refusal that needs no slot. */
   private static final Duration AT_ONCE = Duration.ofSeconds(1);
 
@@ -91,6 +97,21 @@
     return new Received(id, response.statusCode(), last, versions);
   }
 
+  /** Sends requests without waiting for the responses of others. */
+  private List<Received> streamAtOnce(List<HttpRequest> requests) {
+    ExecutorService senders = Executors.newFixedThreadPool(requests.size());
+    try {
+      return requests.stream()
+          .map(request -> CompletableFuture.supplyAsync(() -> stream(request), senders))
+          .toList()
+          .stream()
+          .map(CompletableFuture::join)
+          .toList();
+    } finally {
+      senders.shutdownNow();
+    }
+  }
+
   private static String readUntilEnd(InputStream body) {
     ByteArrayOutputStream received = new ByteArrayOutputStream();
     try (body) {
@@ -159,8 +180,9 @@
     for (int i = 0; i < STREAMS; i++) {
       requests.add(newStream(host));
     }
-    // As many as there are slots, so that the endpoints that break off get some of them.
-    List<Received> all = requests.parallelStream().map(this::stream).toList();
+    // All at once, as many as there are slots, so that the endpoints that break off get some.
+    modelEndpoints.forEach(endpoint -> endpoint.setStartMillis(START_MILLIS));
+    List<Received> all = streamAtOnce(requests);
     assertThat(all).allMatch(received -> received.versions().size() < 2);
     long complete = all.stream().filter(received -> received.lastEvent() == EVENTS).count();
     assertThat((double) complete / STREAMS).isGreaterThanOrEqualTo(MIN_RESUMED);
