Hosts find each other among many removed ones

The list of hosts keeps those that were removed. A host without live peers contacted three listed addresses a second and one in a group contacted one, however many were listed. After a restart of all hosts, with ten times as many removed ones, they stayed apart: simulated, 30 live of 330 listed, some host was alone for 10 to 13 s, 100 of 1,100 for 11 to 13 s, 2 of 22 up to 7 s.

Ruled out: lost messages (the simulation delivers all) and the rate of introductions, which is used only after a contact.

Now a lone host doubles its contacts in each interval, and a group contacts each address about once per interval as its documentation says; both up to 32 addresses a host.

MembershipTest.hostsThatStartTogetherFindEachOtherAmongRemovedOnes failed before with 30 of 330 (8 seeds each; the two small sizes passed).

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Reconnector.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/membership/internal/Reconnector.java
@@ -11,15 +11,19 @@
 
 /**
  * Contacts addresses at which an unknown member may be running: those of dead members and of hosts
- * in the host list.
+ * in the host list, most of which may have been removed.
  *
  * <p>All members together contact each such address about once per interval, so that a group
- * reunites after a network partition.
+ * reunites after a network partition. A member without live ones contacts twice as many addresses
+ * in each interval, so that it finds a live one among many removed ones.
  */
 public final class Reconnector {
 
   private static final int JOIN_CONTACTS = 3;
 
+  /** Bound of the addresses that one member contacts in an interval. */
+  private static final int MAX_CONTACTS = 32;
+
   private final MembershipSettings settings;
   private final LocalMember self;
   private final MemberTable table;
@@ -27,6 +31,7 @@
   private final AntiEntropy antiEntropy;
   private final RandomGenerator random;
   private final Set<String> seeds = new TreeSet<>();
+  private int joinContacts = JOIN_CONTACTS;
   private long nextAt;
 
   /** Creates the reconnector of one membership. */
@@ -72,14 +77,18 @@
     }
     nextAt = now + jittered(settings.reconnectIntervalNanos());
     List<String> candidates = candidates();
+    Sampling.choose(candidates, contacts(candidates.size()), random).forEach(this::contact);
+  }
+
+  private int contacts(int candidates) {
     if (table.liveCount() == 0) {
-      Sampling.choose(candidates, JOIN_CONTACTS, random).forEach(this::contact);
-      return;
-    }
-    double probability = (double) candidates.size() / table.liveCount();
-    if (random.nextDouble() < probability) {
-      Sampling.choose(candidates, 1, random).forEach(this::contact);
+      int contacts = joinContacts;
+      joinContacts = Math.min(MAX_CONTACTS, 2 * joinContacts);
+      return contacts;
     }
+    joinContacts = JOIN_CONTACTS;
+    double share = (double) candidates / table.liveCount();
+    return (int) Math.min(MAX_CONTACTS, share + random.nextDouble());
   }
 
   private long jittered(long nanos) {
--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/membership/MembershipTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/membership/MembershipTest.java
@@ -6,10 +6,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class MembershipTest {
 
@@ -199,6 +202,27 @@
     assertThat(group.live("h0")).containsExactly("h0", "h1", "h2");
   }
 
+  /**
+   * Guards against hosts that stay apart because most listed ones were removed. After 8 s they no
+   * longer expect those that they have not seen, and grant the whole quota.
+   */
+  @ParameterizedTest
+  @CsvSource({"2, 22", "6, 66", "30, 330"})
+  void hostsThatStartTogetherFindEachOtherAmongRemovedOnes(int live, int listed) {
+    String[] addresses = new String[listed];
+    Arrays.setAll(addresses, i -> "h" + i);
+    for (int seed = 1; seed <= 8; seed++) {
+      TestGroup group = new TestGroup(seed);
+      for (int i = 0; i < live; i++) {
+        group.start("h" + i, 1, addresses);
+      }
+      group.run(8 * SECOND);
+      for (String address : group.running.keySet()) {
+        assertThat(group.live(address)).hasSizeGreaterThan(live / 2);
+      }
+    }
+  }
+
   @Test
   void emptySeedListRemovesNobody() {
     TestGroup group = new TestGroup(13);
