Removed hosts count as cut off only for the quota window

Cause: keyed.hosts lists each host that ever ran. A host that has seen another one die stops counting it after the quota window; one that was never seen counted forever, and the share live / listed of all slots and quotas was granted, and no roll-out decided.

Now a host counts for the quota window since it was last seen or first listed; pauses of the process are left out, as it sees nobody in them. The assumption is the one that held for dead hosts. And a host that ends with SIGTERM removes its record, within 300 ms and only if the topic has not changed since it was read, so that a late removal can't delete the record of the next process.

Ruled out: removal by other hosts alone, as a cut host would lose its record while it runs.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -53,9 +53,7 @@
   /** Long-poll timeout for the configuration on hosts that other hosts inform of its position. */
   private static final Duration CONFIGURATION_LONG_POLL = Duration.ofSeconds(30);
 
-  /**
-   * Interval between two reads of the endpoint entries, a third of the shortest known drain period.
-   */
+  /** Interval of reads of the endpoint entries, a third of the shortest known drain period. */
   private static final Duration ENDPOINT_READ_INTERVAL = Duration.ofMillis(600);
 
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
@@ -347,6 +345,10 @@
     return endpointUpdates.mustReadStore();
   }
 
+  HostRegistry registry() {
+    return registry;
+  }
+
   PeerBootstrap peerBootstrap() {
     return peerBootstrap;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GracefulShutdown.java
@@ -2,7 +2,10 @@
 
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.gateway.request.RequestsInProgress;
+import io.samphiredyke.gateway.store.HostRegistry;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Graceful shutdown: the host becomes not ready at once, serves requests until callers use other
@@ -34,6 +37,7 @@
   private boolean started;
   private boolean isHeld;
   private long startedAt;
+  private @Nullable CompletableFuture<Void> unregistration;
 
   /**
    * Creates a shutdown that has not begun.
@@ -87,11 +91,24 @@
     }
     boolean isIdle =
         isAddressExpired && gateway.frontend().busyConnections() == 0 && gateway.openTunnels() == 0;
-    if (isIdle && !isStateNeeded() || millis > gateway.graceMillis() - KILL_MARGIN_MILLIS) {
+    boolean isDone = isIdle && !isStateNeeded();
+    long lifeMillis = gateway.graceMillis() - KILL_MARGIN_MILLIS;
+    boolean isNearEnd = millis > lifeMillis - HostRegistry.LEAVE_TIMEOUT.toMillis();
+    boolean isUnregistered = (isDone || isNearEnd) && isUnregistered();
+    if (isDone && isUnregistered || millis > lifeMillis) {
       terminate(millis);
     }
   }
 
+  private boolean isUnregistered() {
+    CompletableFuture<Void> begun = unregistration;
+    if (begun == null) {
+      begun = gateway.registry().unregister();
+      unregistration = begun;
+    }
+    return begun.isDone();
+  }
+
   private boolean isStateNeeded() {
     long version = gateway.configurationVersion();
     boolean isNeeded = gateway.peerBootstrap().isNeeded(version);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimator.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimator.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Estimates the share of quotas and slots that the visible part of the group may grant, by
@@ -19,15 +20,19 @@
  */
 final class CapacityShareEstimator {
 
+  /** Longest time between two ticks of a process that was not paused. */
+  private static final long MAX_TICK_NANOS = Duration.ofSeconds(2).toNanos();
+
   private final Set<String> registered = new HashSet<>();
-  private final Map<String, Long> unreachableSince = new HashMap<>();
+  private final Map<String, Long> unseenSince = new HashMap<>();
   private final Duration quotaWindow;
+  private @Nullable Long lastTickAt;
 
   /**
    * Creates an estimator that knows no hosts.
    *
-   * @param quotaWindow how long a dead host still counts as a possible scheduler; what it granted
-   *     before is no longer charged after this time
+   * @param quotaWindow how long a host that is not seen counts as a possible scheduler, whether it
+   *     has died or was never seen; what it granted before is no longer charged after this time
    */
   CapacityShareEstimator(Duration quotaWindow) {
     this.quotaWindow = quotaWindow;
@@ -38,9 +43,19 @@
     registered.addAll(addresses);
   }
 
+  /** Leaves out a pause of this process, in which it could not have seen any host. */
+  void tick(long now) {
+    Long last = lastTickAt;
+    lastTickAt = now;
+    if (last != null && now - last > MAX_TICK_NANOS) {
+      long pause = now - last - MAX_TICK_NANOS;
+      unseenSince.replaceAll((address, since) -> since + pause);
+    }
+  }
+
   /** Records that a host was detected as dead or has left the group. */
   void markUnreachable(String address, long now) {
-    unreachableSince.put(address, now);
+    unseenSince.put(address, now);
   }
 
   /**
@@ -53,14 +68,14 @@
     Set<String> unseen = new HashSet<>(registered);
     for (Member member : live) {
       unseen.remove(member.address());
-      unreachableSince.remove(member.address());
+      unseenSince.remove(member.address());
     }
-    unseen.removeIf(
-        address -> {
-          Long since = unreachableSince.get(address);
-          return since != null && now - since > quotaWindow.toNanos();
-        });
+    unseen.removeIf(address -> now - unseenSince(address, now) > quotaWindow.toNanos());
     int total = live.size() + unseen.size();
     return live.size() * 2 >= total ? 1 : (double) live.size() / total;
   }
+
+  private long unseenSince(String address, long now) {
+    return unseenSince.computeIfAbsent(address, unknown -> now);
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -275,10 +275,7 @@
   }
 
   private void updateCapacityShare() {
-    long now = loop.nanoTime();
-    slotClient
-        .scheduler()
-        .setCapacityShare(capacityShare.estimate(membership.liveMembers(), now), now);
+    slotClient.scheduler().setCapacityShare(capacityShare(loop.nanoTime()), loop.nanoTime());
   }
 
   private void tick() {
@@ -336,14 +333,16 @@
     broadcast(new SchedulingMessage.RolloutStaged(state));
   }
 
-  /**
-   * Returns whether this host schedules a service for the group, that is, whether it is selected
-   * and sees at least half of the hosts.
-   */
+  /** Returns whether this host is selected to schedule a service and sees half of the hosts. */
   public boolean isSchedulerOf(String service) {
     long now = loop.nanoTime();
-    return slotClient.selector().select(service, now).equals(membership.self().address())
-        && capacityShare.estimate(membership.liveMembers(), now) >= 1;
+    String selected = slotClient.selector().select(service, now);
+    return selected.equals(membership.self().address()) && capacityShare(now) >= 1;
+  }
+
+  private double capacityShare(long now) {
+    capacityShare.tick(now);
+    return capacityShare.estimate(membership.liveMembers(), now);
   }
 
   private void broadcast(SchedulingMessage toAll) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/HostRegistry.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/store/HostRegistry.java
@@ -5,14 +5,18 @@
 import io.samphiredyke.platform.MalformedRecordException;
 import io.samphiredyke.platform.StoreBatch;
 import io.samphiredyke.platform.StoreClient;
+import io.samphiredyke.platform.StoreException;
 import io.samphiredyke.platform.StoreRecord;
 import io.samphiredyke.platform.WireAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Registers the peer address of this host in the store and reads those of the other hosts.
@@ -26,6 +30,12 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RETRY_INTERVAL = Duration.ofSeconds(2);
 
+  /** Longest time for the removal of this host's address, which delays the end of its process. */
+  public static final Duration LEAVE_TIMEOUT = Duration.ofMillis(300);
+
+  private static final int MAX_LEAVE_ATTEMPTS = 3;
+  private static final byte[] REMOVED = {};
+
   /** Bound of the random delay of a write that all hosts make for the same reason. */
   private static final long MAX_SPREAD_MILLIS = 1_000;
 
@@ -36,6 +46,7 @@
   private final Consumer<List<String>> receiver;
   private final DecisionLog log;
   private boolean hasCompletedRead;
+  private boolean isLeaving;
 
   /** Creates a registry. */
   public HostRegistry(
@@ -67,7 +78,64 @@
     loop.schedule(this::write, Duration.ofMillis(random.nextLong(MAX_SPREAD_MILLIS)));
   }
 
+  /**
+   * Removes the address of this host, whose process ends, so that hosts that start later do not
+   * count it as one that may be cut off.
+   *
+   * @return completes within {@link #LEAVE_TIMEOUT}, also if the address could not be removed;
+   *     hosts then count it for as long as one that was killed
+   */
+  public CompletableFuture<Void> unregister() {
+    isLeaving = true;
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    loop.schedule(() -> ended.complete(null), LEAVE_TIMEOUT);
+    remove(MAX_LEAVE_ATTEMPTS)
+        .whenComplete((done, failure) -> loop.execute(() -> onRemoved(failure, ended)));
+    return ended;
+  }
+
+  private void onRemoved(@Nullable Throwable failure, CompletableFuture<Void> ended) {
+    log.event(
+        "host_unregistered", "host", hostName, "reason", failure == null ? "" : failure.toString());
+    ended.complete(null);
+  }
+
+  /**
+   * The removal is conditional on the position read before it: if it is executed late, it does not
+   * remove the address that the next process of this host has written.
+   */
+  private CompletableFuture<Void> remove(int attempts) {
+    CompletableFuture<Void> removed =
+        store.readNewest(StoreClient.HOST_TOPIC, LEAVE_TIMEOUT).thenCompose(this::removeFrom);
+    return removed.exceptionallyCompose(
+        failure ->
+            attempts > 1 && isConflict(failure)
+                ? remove(attempts - 1)
+                : CompletableFuture.failedFuture(failure));
+  }
+
+  private CompletableFuture<Void> removeFrom(StoreBatch batch) {
+    return batch.records().stream().anyMatch(this::isOwn)
+        ? store.putAt(StoreClient.HOST_TOPIC, hostName, REMOVED, batch.nextOffset(), LEAVE_TIMEOUT)
+        : CompletableFuture.completedFuture(null);
+  }
+
+  private boolean isOwn(StoreRecord record) {
+    byte[] value = record.value();
+    return record.key().equals(hostName)
+        && value != null
+        && new String(value, StandardCharsets.UTF_8).equals(peerAddress);
+  }
+
+  private static boolean isConflict(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof StoreException refusal && refusal.isConflict();
+  }
+
   private void write() {
+    if (isLeaving) {
+      return;
+    }
     byte[] value = peerAddress.getBytes(StandardCharsets.UTF_8);
     store
         .put(StoreClient.HOST_TOPIC, hostName, value, TIMEOUT)
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimatorTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/CapacityShareEstimatorTest.java
@@ -64,6 +64,39 @@
     assertThat(longWindow.estimate(hosts(1), 21 * SECOND)).isEqualTo(1);
   }
 
+  /** Guards against hosts that count removed ones as cut off for as long as they run. */
+  @Test
+  void hostsThatWereNeverSeenCountForTheQuotaWindow() {
+    register(6);
+    for (int second = 0; second <= 8; second++) {
+      assertThat(estimator.estimate(hosts(1), second * SECOND)).isEqualTo(1.0 / 6);
+    }
+    assertThat(estimator.estimate(hosts(1), 9 * SECOND)).isEqualTo(1);
+    register(6);
+    assertThat(estimator.estimate(hosts(1), 10 * SECOND)).isEqualTo(1);
+  }
+
+  @Test
+  void pausesOfThisProcessDoNotCount() {
+    register(6);
+    for (int second : new int[] {0, 60, 61, 62, 63, 64, 65, 66}) {
+      estimator.tick(second * SECOND);
+      assertThat(estimator.estimate(hosts(1), second * SECOND)).isEqualTo(1.0 / 6);
+    }
+    estimator.tick(67 * SECOND);
+    assertThat(estimator.estimate(hosts(1), 67 * SECOND)).isEqualTo(1);
+  }
+
+  @Test
+  void hostThatReturnsAndIsLostAgainCountsAnew() {
+    register(6);
+    for (int second = 0; second <= 10; second++) {
+      estimator.estimate(hosts(1), second * SECOND);
+    }
+    assertThat(estimator.estimate(hosts(6), 11 * SECOND)).isEqualTo(1);
+    assertThat(estimator.estimate(hosts(1), 12 * SECOND)).isEqualTo(1.0 / 6);
+  }
+
   @Test
   void singleHostGrantsTheFullQuota() {
     assertThat(estimator.estimate(hosts(1), 0)).isEqualTo(1);
