Streams are passed on when hosts are replaced one after the other

Callers would have seen: a stream that began before a rolling replacement of the hosts can't be taken up after it, if another software version starts, although its version still serves.

Cause: the origin of a stream is sent once, when the stream begins, to hosts that the next replacements remove.

Now, when a host starts, the first two hosts in the ranking of a stream send it to that host if it is to keep it; when one is gone, to those that take its place. Sends are spread by sender and in batches of 32. A known stream is not renewed, so that hosts that come and go don't keep it alive (streamsExpireAlthoughHostsComeAndGo).

Tried and left: only the host that began a stream sends it (nobody after it restarted); passing on at starts only (20 hosts at new addresses: some streams lost, as the ranking moves on at losses).

Messages are unchanged, so earlier builds understand them and pass nothing on.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/PeerGroup.java
@@ -97,7 +97,7 @@
     this.quarantine = new PromptQuarantine(loop, slotClient.scheduler(), this::broadcast, log);
     slotClient.scheduler().setQuarantineListener(quarantine);
     this.crashes = new CrashWatch(loop, slotClient.scheduler(), this::send, this::broadcast, log);
-    this.streams = new StreamOrigins(loop, this::otherHosts, this::send);
+    this.streams = new StreamOrigins(loop, self.address(), this::otherHosts, this::send);
     this.dispatcher =
         new PeerMessageDispatcher(slotClient, statements, quarantine, crashes, streams);
   }
@@ -222,6 +222,7 @@
           "cause",
           change.cause());
     }
+    streams.memberChanged(change);
     boolean isReachable = change.current() == MemberState.ALIVE;
     if (isReachable && change.old() != MemberState.ALIVE && !isSelf(change.member())) {
       crashes.memberReturned(change.member().address());
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/StreamOrigins.java
@@ -1,21 +1,23 @@
 package io.samphiredyke.gateway.scheduling;
 
-import com.dynatrace.hash4j.hashing.Hashing;
+import io.samphiredyke.core.membership.MemberChange;
+import io.samphiredyke.core.membership.MemberState;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.StreamOrigin;
 import io.samphiredyke.core.serving.VersionHistory;
 import io.samphiredyke.net.control.ControlEventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -25,17 +27,15 @@
  * <p>Each host keeps the streams that it began. It also sends them to a few hosts that are chosen
  * by a hash of the stream's id, before the caller receives the first event, so that the loss of the
  * host does not lose the versions. This is not put off until a service has several versions, as the
- * host may be lost by then. A host that continues a stream asks the hosts that the hash selects
- * now. The archive gets the streams only while a service may have several versions, as its writes
- * are limited.
+ * host may be lost by then. Hosts that start are sent the streams that they keep from then on, so
+ * that hosts can be replaced one after the other. A host that continues a stream asks the hosts
+ * that the hash selects now. The archive gets the streams only while a service may have several
+ * versions, as its writes are limited.
  */
 public final class StreamOrigins {
 
-  /** Hosts of a large group that keep the origin of a stream beside the one that began it. */
-  private static final int KEEPERS = 3;
-
-  /** Hosts that are asked, more than keep it, as some of them may be new. */
-  private static final int ASKED_HOSTS = 6;
+  /** Hosts that send a stream to one that starts. */
+  private static final int SENDERS = 2;
 
   private static final Duration RESEND_INTERVAL = Duration.ofMillis(40);
 
@@ -51,6 +51,14 @@
   /** Bound of the streams that are kept, a few megabytes; the oldest are dropped. */
   private static final int MAX_STREAMS = 32_768;
 
+  /** Streams that are sent at once to a host that starts, so that its buffer holds all hosts'. */
+  private static final int BATCH = 32;
+
+  private static final Duration BATCH_INTERVAL = Duration.ofMillis(10);
+
+  private static final long SPREAD_MILLIS_PER_HOST = 10;
+  private static final long MAX_SPREAD_MILLIS = 1_000;
+
   /** Keeps the origins of streams beyond the life of the hosts. */
   public interface Archive {
 
@@ -102,6 +110,7 @@
   }
 
   private final ControlEventLoop loop;
+  private final String self;
   private final Supplier<List<String>> otherHosts;
   private final BiConsumer<String, SchedulingMessage> transport;
   private final VersionHistory history;
@@ -122,14 +131,17 @@
   /**
    * Creates an instance that knows no stream.
    *
+   * @param self peer address of this host
    * @param otherHosts returns the peer addresses of the live hosts other than this one
    * @param transport sends a message to a peer address
    */
   StreamOrigins(
       ControlEventLoop loop,
+      String self,
       Supplier<List<String>> otherHosts,
       BiConsumer<String, SchedulingMessage> transport) {
     this.loop = loop;
+    this.self = self;
     this.otherHosts = otherHosts;
     this.transport = transport;
     this.history = new VersionHistory(loop.nanoTime());
@@ -177,28 +189,71 @@
     streams.put(requestId, new Stream(origin, loop.nanoTime(), true));
     history.observe(origin, loop.nanoTime());
     SchedulingMessage message = new SchedulingMessage.StreamBegan(requestId, origin);
-    selectKeepers(requestId).forEach(host -> transport.accept(host, message));
+    StreamKeepers.keepers(requestId, otherHosts.get())
+        .forEach(host -> transport.accept(host, message));
     if (!history.isCertain(origin.service(), horizonNanos, loop.nanoTime())) {
       archive.add(requestId, origin);
     }
   }
 
-  /** Returns all other hosts of a small group, so that the loss of all but one is borne. */
-  private List<String> selectKeepers(String requestId) {
-    List<String> others = otherHosts.get();
-    return others.size() <= ASKED_HOSTS ? others : selectHosts(requestId, KEEPERS);
+  /**
+   * Passes streams on when a host has started or is gone, so that the first hosts in the ranking of
+   * each stream keep it although all hosts are replaced one after the other.
+   */
+  void memberChanged(MemberChange change) {
+    String host = change.member().address();
+    MemberState old = change.old();
+    boolean wasLive = old != null && old.isLive();
+    if (host.equals(self) || wasLive == change.current().isLive()) {
+      return;
+    }
+    List<String> others = new ArrayList<>(otherHosts.get());
+    others.remove(host);
+    boolean allKeepIt = others.size() < StreamKeepers.ASKED_HOSTS;
+    if (!wasLive) {
+      passOn(others, id -> allKeepIt || isKeeper(host, id, others) ? List.of(host) : List.of());
+    } else if (!allKeepIt) {
+      passOn(others, id -> isKeeper(host, id, others) ? keepers(id, others) : List.of());
+    }
+  }
+
+  private static boolean isKeeper(String host, String requestId, List<String> others) {
+    return StreamKeepers.isAmongFirst(host, requestId, others, StreamKeepers.KEEPERS);
   }
 
-  /** Returns the first hosts in the ranking of an id, which changes little when hosts change. */
-  private List<String> selectHosts(String requestId, int count) {
-    return otherHosts.get().stream()
-        .sorted(Comparator.comparingLong(host -> weight(requestId, host)))
-        .limit(count)
-        .toList();
+  private static List<String> keepers(String requestId, List<String> others) {
+    return StreamKeepers.first(requestId, others, StreamKeepers.KEEPERS);
   }
 
-  private static long weight(String requestId, String host) {
-    return Hashing.komihash5_0().hashStream().putString(requestId).putString(host).getAsLong();
+  /** Sends the streams of which this host is among the first, as those that precede may be new. */
+  private void passOn(List<String> others, Function<String, List<String>> receivers) {
+    Map<String, List<SchedulingMessage>> messages = new HashMap<>();
+    streams.forEach(
+        (id, stream) -> {
+          if (StreamKeepers.isAmongFirst(self, id, others, SENDERS)) {
+            SchedulingMessage message = new SchedulingMessage.StreamBegan(id, stream.origin());
+            for (String host : receivers.apply(id)) {
+              messages.computeIfAbsent(host, unknown -> new ArrayList<>()).add(message);
+            }
+          }
+        });
+    messages.forEach((host, all) -> sendLater(host, all.iterator(), others.size()));
+  }
+
+  /** Waits for a time that differs by sender, so that a host does not get all at once. */
+  private void sendLater(String host, Iterator<SchedulingMessage> messages, int senders) {
+    long spreadMillis = Math.min(MAX_SPREAD_MILLIS, senders * SPREAD_MILLIS_PER_HOST);
+    long delayMillis = Math.floorMod(StreamKeepers.weight(self, host), spreadMillis + 1);
+    loop.schedule(() -> sendInBatches(host, messages), Duration.ofMillis(delayMillis));
+  }
+
+  private void sendInBatches(String host, Iterator<SchedulingMessage> messages) {
+    for (int i = 0; i < BATCH && messages.hasNext(); i++) {
+      transport.accept(host, messages.next());
+    }
+    if (messages.hasNext()) {
+      loop.schedule(() -> sendInBatches(host, messages), BATCH_INTERVAL);
+    }
   }
 
   /**
@@ -218,7 +273,8 @@
       return;
     }
     Query query = new Query();
-    query.unanswered.addAll(selectHosts(requestId, ASKED_HOSTS));
+    query.unanswered.addAll(
+        StreamKeepers.first(requestId, otherHosts.get(), StreamKeepers.ASKED_HOSTS));
     if (query.unanswered.isEmpty()) {
       listener.found(null, false);
       return;
@@ -278,7 +334,8 @@
   /** Handles the message of another host; returns whether it is one of this component. */
   boolean received(String from, SchedulingMessage message) {
     if (message instanceof SchedulingMessage.StreamBegan stream) {
-      streams.put(stream.requestId(), new Stream(stream.origin(), loop.nanoTime(), false));
+      Stream begun = new Stream(stream.origin(), loop.nanoTime(), false);
+      streams.putIfAbsent(stream.requestId(), begun);
     } else if (message instanceof SchedulingMessage.StreamOriginQuery query) {
       Stream known = streams.get(query.requestId());
       StreamOrigin origin = known == null ? null : known.origin();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MixedVersionsTest.java
@@ -242,6 +242,20 @@
     assertResumedAtTheirVersion(group.get(2), begun);
   }
 
+  /** All hosts that knew the streams are replaced before the second version appears. */
+  @Test
+  void versionOutlivesTheReplacementOfAllHosts() {
+    List<RunningGateway> group = startGroup(2);
+    List<Received> begun = beginAll(group.get(0));
+    RunningGateway later = startGateway("host-9", List.of(group.get(0).peerAddress()));
+    await(later.gateway()::isReady);
+    await(() -> later.gateway().peers().streams().size() >= begun.size());
+    group.forEach(each -> each.gateway().peers().closeSocket());
+    start("v2", 3);
+    await(() -> later.gateway().directory().ofService("model").size() == 5);
+    assertResumedAtTheirVersion(later, begun);
+  }
+
   @Test
   void streamWhoseVersionIsGoneIsRefusedAtOnce() {
     start("v1.1", 2);
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/StreamOriginsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/scheduling/StreamOriginsTest.java
@@ -3,6 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.samphiredyke.core.membership.ChangeCause;
+import io.samphiredyke.core.membership.Member;
+import io.samphiredyke.core.membership.MemberChange;
+import io.samphiredyke.core.membership.MemberState;
 import io.samphiredyke.core.serving.EndpointRecord;
 import io.samphiredyke.core.serving.StreamOrigin;
 import io.samphiredyke.net.control.ControlEventLoop;
@@ -40,32 +44,54 @@
 
   private void startHosts(int count) {
     for (int i = 0; i < count; i++) {
-      String name = "host-" + i;
-      StreamOrigins host =
-          new StreamOrigins(
-              new ControlEventLoop(channel.eventLoop(), Clock.systemUTC()),
-              () -> hosts.keySet().stream().filter(each -> !each.equals(name)).toList(),
-              (to, message) -> send(name, to, message));
-      host.setLongestStream(LONGEST_STREAM);
-      host.setArchive(
-          new StreamOrigins.Archive() {
-            @Override
-            public void add(String requestId, StreamOrigin origin) {
-              archived.add(requestId);
-            }
-
-            @Override
-            public void find(String requestId, Listener listener) {
-              listener.found(null);
-            }
-          });
-      hosts.put(name, host);
+      start("host-" + i);
     }
     observe("v1");
     advance(LONGEST_STREAM.multipliedBy(2));
     observe("v1");
   }
 
+  /** Starts a host that knows no stream, in place of one with the same name. */
+  private void start(String name) {
+    StreamOrigins host =
+        new StreamOrigins(
+            new ControlEventLoop(channel.eventLoop(), Clock.systemUTC()),
+            name,
+            () -> hosts.keySet().stream().filter(each -> !each.equals(name)).toList(),
+            (to, message) -> send(name, to, message));
+    host.setLongestStream(LONGEST_STREAM);
+    host.setArchive(
+        new StreamOrigins.Archive() {
+          @Override
+          public void add(String requestId, StreamOrigin origin) {
+            archived.add(requestId);
+          }
+
+          @Override
+          public void find(String requestId, Listener listener) {
+            listener.found(null);
+          }
+        });
+    hosts.put(name, host);
+  }
+
+  /** Removes a host and starts one in its place, or at another address. */
+  private void replace(String name, String successor) {
+    hosts.remove(name);
+    report(name, MemberState.ALIVE, MemberState.DEAD, ChangeCause.TIMED_OUT);
+    start(successor);
+    report(successor, null, MemberState.ALIVE, ChangeCause.JOINED);
+  }
+
+  private void report(
+      String address, @Nullable MemberState old, MemberState current, ChangeCause cause) {
+    Member member = Member.builder().address(address).state(current).build();
+    hosts
+        .values()
+        .forEach(host -> host.memberChanged(new MemberChange(member, old, current, cause)));
+    advance(Duration.ofMillis(500));
+  }
+
   private void send(String from, String to, SchedulingMessage message) {
     if (!lost.contains(from) && !lost.contains(to)) {
       StreamOrigins receiver = hosts.get(to);
@@ -126,6 +152,32 @@
     assertThat(found(host)).isGreaterThanOrEqualTo(STREAMS / 2);
   }
 
+  /** Guards against versions that are lost while all hosts are replaced during a stream. */
+  @ParameterizedTest
+  @CsvSource({"2, ''", "6, ''", "6, new-", "20, ''", "20, new-"})
+  void versionIsKnownAfterEachHostWasReplaced(int count, String prefix) {
+    startHosts(count);
+    begin(hosts.get("host-0"));
+    for (int i = 0; i < count; i++) {
+      replace("host-" + i, prefix + "host-" + i);
+    }
+    observe("v1", "v2");
+    assertThat(found(hosts.get(prefix + "host-" + (count - 1)))).isEqualTo(STREAMS);
+  }
+
+  /** A host that is suspected again and again does not prolong the life of streams. */
+  @Test
+  void streamsExpireAlthoughHostsComeAndGo() {
+    startHosts(20);
+    begin(hosts.get("host-0"));
+    for (int i = 0; i < 40; i++) {
+      replace("host-" + (1 + i % 2), "host-" + (1 + i % 2));
+      observe("v1");
+    }
+    assertThat(hosts.values()).allMatch(host -> host.size() == 0);
+    assertThat(found(hosts.get("host-9"))).isZero();
+  }
+
   /** The first version is gone, and another one follows the second. */
   @Test
   void versionIsKnownWhenThirdOneAppears() {
