--- a/samphiredyke-core/src/test/java/io/samphiredyke/core/quarantine/RequestQuarantineTest.java
+++ b/samphiredyke-core/src/test/java/io/samphiredyke/core/quarantine/RequestQuarantineTest.java
@@ -70,6 +70,31 @@
     assertThat(quarantine.retryAfterMillis(REQUEST, now)).isEqualTo(3_600_000);
   }
 
+  /** Two hosts that do not hear of each other in time both begin the first trial. */
+  @Test
+  void trialsThatBeginAtTwoHostsAtOnceCauseThreeRuns() {
+    RequestQuarantine other = new RequestQuarantine();
+    quarantine.add(REQUEST, 1, 0);
+    other.add(REQUEST, 1, 0);
+    quarantine.beginTrial(REQUEST, SECOND);
+    other.beginTrial(REQUEST, SECOND);
+    quarantine.strike(REQUEST, SECOND);
+    other.strike(REQUEST, SECOND);
+    int runs = 2;
+    for (long now = SECOND; now < 1_000 * SECOND; now += SECOND) {
+      quarantine.merge(REQUEST, other.find(REQUEST));
+      other.merge(REQUEST, quarantine.find(REQUEST));
+      assertThat(other.mustRefuse(REQUEST, now)).isEqualTo(quarantine.mustRefuse(REQUEST, now));
+      if (!quarantine.mustRefuse(REQUEST, now)) {
+        other.merge(REQUEST, quarantine.beginTrial(REQUEST, now));
+        assertThat(other.mustRefuse(REQUEST, now)).isTrue();
+        quarantine.strike(REQUEST, now);
+        runs++;
+      }
+    }
+    assertThat(runs).isEqualTo(3);
+  }
+
   @Test
   void trialThatShowsNothingIsRepeated() {
     quarantine.add(REQUEST, 1, 0);
