Reports of crashes are repeated to new hosts by all that know them

Cause: a host that starts is sent reports only by the hosts that saw the crashes.

Now each host sends all reports that still count, of the most suspected requests first, up to 64. What was cleared or explained is no longer sent; own reports were before.

CrashingRequestTest.crashesAreKnownAfterEachHostWasReplaced (real hosts): the third host knows no crash on. All of CrashingRequestTest, CrashSuspectsTest and PoolSchedulerCrashingRequestTest green.

--- a/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
+++ b/samphiredyke-core/src/main/java/io/samphiredyke/core/quarantine/CrashSuspects.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -52,6 +53,9 @@
   /** Crashes later than the third from which on a request has one trial only. */
   private static final int TOLERATED_LATER = 2;
 
+  /** A request that may have crashed an instance. */
+  public record Suspicion(RequestFingerprint request, String instance) {}
+
   /** A crashed instance. */
   private static final class Crash {
     final long firstReportAt;
@@ -94,6 +98,23 @@
     };
   }
 
+  /**
+   * Returns the crashes of which requests are suspected, those of the most suspected requests
+   * first.
+   *
+   * @param limit largest number of crashes
+   */
+  public List<Suspicion> suspicions(int limit) {
+    return suspects.entrySet().stream()
+        .sorted(Comparator.comparingInt(entry -> -entry.getValue().size()))
+        .flatMap(
+            entry ->
+                entry.getValue().keySet().stream()
+                    .map(instance -> new Suspicion(entry.getKey(), instance)))
+        .limit(limit)
+        .toList();
+  }
+
   /** Returns whether no request is suspected. */
   public boolean isEmpty() {
     return suspects.isEmpty();
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/scheduling/CrashWatch.java
@@ -10,10 +10,7 @@
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.control.ControlEventLoop;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.List;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -24,9 +21,10 @@
  * Finds the requests that crash endpoints, together with the other hosts.
  *
  * <p>A host reports the crashes that it sees to all others, and each of them decides by itself from
- * all reports, so that the knowledge outlives any of them. What is found is announced, stored by
- * the archive, and compared with a random host once a second, as messages can be lost. A host that
- * receives a finding about a request that was released responds with the release.
+ * all reports, so that the knowledge outlives any of them. Hosts that start are sent all reports
+ * that still count. What is found is announced, stored by the archive, and compared with a random
+ * host once a second, as messages can be lost. A host that receives a finding about a request that
+ * was released responds with the release.
  */
 public final class CrashWatch {
 
@@ -42,8 +40,11 @@
     void changed(RequestFingerprint request, boolean isReporter);
   }
 
-  /** Own reports that are sent again to a host that comes back, the newest. */
-  private static final int MAX_OWN_REPORTS = 64;
+  /** Reports that are sent again to a host that has started or comes back. */
+  private static final int MAX_REPEATED_REPORTS = 64;
+
+  /** Bound of the requests that are remembered as reported by this host. */
+  private static final int MAX_REPORTED = 64;
 
   /** Announcements in response to a differing digest, the newest entries. */
   private static final int MAX_ANNOUNCEMENTS = 64;
@@ -60,8 +61,7 @@
   private final DecisionLog log;
   private final CrashSuspects suspects = new CrashSuspects();
   private final RequestQuarantine quarantine = new RequestQuarantine();
-  private final Deque<SchedulingMessage.EndpointCrashed> ownReports = new ArrayDeque<>();
-  private final Set<RequestFingerprint> reported = new HashSet<>();
+  private final Set<RequestFingerprint> reported = new LinkedHashSet<>();
   private Archive archive = (request, isReporter) -> {};
 
   /**
@@ -183,9 +183,8 @@
       return true;
     }
     reported.add(request);
-    ownReports.add(report);
-    if (ownReports.size() > MAX_OWN_REPORTS) {
-      reported.remove(ownReports.remove().request());
+    if (reported.size() > MAX_REPORTED) {
+      reported.remove(reported.iterator().next());
     }
     broadcast.accept(report);
     return true;
@@ -364,9 +363,15 @@
         request, standing.generation(), standing.strikes(), Math.max(0, millis));
   }
 
-  /** Sends what this host knows to a host that has started or is reachable again. */
+  /**
+   * Sends what this host knows to a host that has started or is reachable again, also the reports
+   * of other hosts, which may be gone.
+   */
   void memberReturned(String address) {
-    List.copyOf(ownReports).forEach(report -> transport.accept(address, report));
+    for (CrashSuspects.Suspicion each : suspects.suspicions(MAX_REPEATED_REPORTS)) {
+      transport.accept(
+          address, new SchedulingMessage.EndpointCrashed(each.instance(), each.request()));
+    }
     announceTo(address);
   }
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/CrashingRequestTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/CrashingRequestTest.java
@@ -234,6 +234,31 @@
     }
   }
 
+  /** Guards against crashes that nobody knows once the hosts that saw them were replaced. */
+  @Test
+  void crashesAreKnownAfterEachHostWasReplaced() {
+    startEndpoints("plain");
+    RunningGateway first = startConfiguredGateway();
+    for (int i = 0; i < TOLERATED_CRASHES - 1; i++) {
+      send(first, "/unsafe/x", CRASHING).status();
+    }
+    RunningGateway second = startGateway("host-2", List.of(first.peerAddress()));
+    await(() -> second.gateway().isReady() && suspects(second) == 1);
+    first.gateway().peers().closeSocket();
+    RunningGateway third = startGateway("host-3", List.of(second.peerAddress()));
+    await(() -> third.gateway().isReady() && suspects(third) == 1);
+    for (int i = 0; i < 12; i++) {
+      send(third, "/unsafe/x", CRASHING).status();
+      pause(100);
+    }
+    // The third crash and one trial.
+    assertThat(arrivals(CRASHING)).hasSizeBetween(TOLERATED_CRASHES, TOLERATED_CRASHES + 1);
+  }
+
+  private static int suspects(RunningGateway host) {
+    return host.gateway().peers().crashes().suspectCount();
+  }
+
   /** Each crash is seen by another host, one of which is cut off right after its own. */
   @Test
   void crashesThatDifferentHostsSawAreAddedUp() {
