Unfinished heads are kept as bytes and decoded at once

Callers saw: nothing, at some 195 connections the process had ended. Clients sent heads of 15.8 KB made of lines such as "a:" and did not finish them.

Cause: the codec decodes each header line as it arrives, and a decoded line occupies some 96 bytes, 384 KB a head of 16 KB. Nothing summed that up, on the callers' address, those of readiness and directory, and the metrics port.

The heap at the end held little but header entries, as in the users' histogram.

RequestDecoder keeps the bytes until the empty line has arrived, in a buffer of their own size, and then decodes the head in one go. Continuation lines are joined in place, since the codec copies the value so far for each. Trailers are still decoded line by line; their memory is stated for the account to come.

Ruled out: a limit on the number of lines, which a single request inside the limits of the configuration would meet.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -9,10 +9,10 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.http.RequestDecoder;
+import io.samphiredyke.net.http.ResponseEncoder;
 import io.samphiredyke.net.http.TcpProfile;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -135,14 +135,12 @@
 
     @Override
     protected void initChannel(SocketChannel channel) {
-      HttpDecoderConfig decoder =
-          new HttpDecoderConfig()
-              .setMaxInitialLineLength(limits().maxHeaderBytes())
-              .setMaxHeaderSize(limits().maxHeaderBytes());
+      RequestDecoder decoder = new RequestDecoder(limits().maxHeaderBytes());
       FrontendConnection connection = new FrontendConnection(FrontendServer.this);
       connections.add(connection);
       channel.pipeline().addLast(connection.firstByteHandler());
-      channel.pipeline().addLast(new HttpServerCodec(decoder));
+      channel.pipeline().addLast(decoder);
+      channel.pipeline().addLast(new ResponseEncoder(decoder));
       channel.pipeline().addLast(connection);
     }
   }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -11,8 +11,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -127,9 +125,9 @@
       channel
           .pipeline()
           .addLast(new RequestHeadTimeoutHandler(connection, options.requestTimeout()));
-      HttpDecoderConfig decoder =
-          new HttpDecoderConfig().setMaxHeaderSize(options.maxHeaderBytes());
-      channel.pipeline().addLast(new HttpServerCodec(decoder));
+      RequestDecoder decoder = new RequestDecoder(options.maxHeaderBytes());
+      channel.pipeline().addLast(decoder);
+      channel.pipeline().addLast(new ResponseEncoder(decoder));
       long idleMillis = options.idleTimeout().toMillis();
       channel
           .pipeline()
