Pipelined requests are kept as bytes and read slowly

Callers saw: nothing; two connections ended the process. Each carried 120 requests with heads of 15.8 KB of short lines, one behind the other.

Cause: while a request was processed the connection went on decoding the next ones, up to 1,024 messages of 384 KB each. The codec closed a connection at 128 requests, with an exception whose line named no request.

The decoder now decodes a request only after the response to the one before. From 64 KB on the connection is read once in 250 ms, from 256 KB on not before the response, so that the operating system holds the client back. Nothing is refused, so that no client inside the limits meets this.

Ruled out: closing the connection at a number of requests, as a legal client may pipeline; not reading at all, as a disconnect would not be seen.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -22,10 +22,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.net.http.RequestDecoder;
 import io.samphiredyke.platform.Headers;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -33,17 +32,19 @@
  * A caller's HTTP connection. It aggregates complete requests and handles them one at a time.
  *
  * <p>Reading continues while a request is processed, so that a disconnect of the caller is
- * detected. Pipelined requests are queued.
+ * detected. Pipelined requests are kept as bytes. When there are many, they are read slowly, so
+ * that the operating system holds the rest back.
  */
 final class FrontendConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-  /**
-   * Maximum number of queued messages of pipelined requests; with more, the connection is closed.
-   */
-  private static final int MAX_PIPELINED_MESSAGES = 1_024;
+  /** Bytes of pipelined requests from which on they are read slowly. */
+  private static final int MANY_PIPELINED_BYTES = 64 * 1024;
+
+  /** Bytes of pipelined requests from which on nothing is read before the response. */
+  private static final int MAX_PIPELINED_BYTES = 256 * 1024;
 
   private final FrontendServer server;
-  private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+  private final RequestDecoder decoder;
   private @Nullable ChannelHandlerContext context;
   private @Nullable HttpRequest head;
   private @Nullable CompositeByteBuf body;
@@ -57,13 +58,14 @@
   private String lastRequestId = "";
   private boolean closing;
 
-  FrontendConnection(FrontendServer server) {
+  FrontendConnection(FrontendServer server, RequestDecoder decoder) {
     super(false);
     this.server = server;
+    this.decoder = decoder;
   }
 
-  /** Returns a handler that records when the first byte of a request arrives. */
-  ChannelHandler firstByteHandler() {
+  /** Returns a handler that records when the first byte of a request arrives, and paces reading. */
+  ChannelHandler inputHandler() {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -71,6 +73,7 @@
           firstByteAt = now(ctx);
         }
         ctx.fireChannelRead(message);
+        updateReading(ctx);
       }
     };
   }
@@ -97,18 +100,6 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (writer != null) {
-      pipelined.add(message);
-      if (pipelined.size() > MAX_PIPELINED_MESSAGES) {
-        logRejected(0, "too many pipelined messages");
-        ctx.close();
-      }
-      return;
-    }
-    read(ctx, message);
-  }
-
-  private void read(ChannelHandlerContext ctx, HttpObject message) {
     if (message.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
       rejectMalformed(message.decoderResult().cause());
@@ -191,7 +182,7 @@
 
   /** Returns whether the response is the last one, because the server drains. */
   boolean endsAfterResponse() {
-    return server.isDraining() && pipelined.isEmpty();
+    return server.isDraining() && !decoder.hasUndecodedBytes();
   }
 
   /**
@@ -215,12 +206,47 @@
         });
     if (!keepAlive) {
       closing = true;
-      releasePipelined();
+      discardInput(ctx);
       flushed.addListener(ChannelFutureListener.CLOSE);
       return;
     }
-    while (writer == null && !closing && !pipelined.isEmpty()) {
-      read(ctx, pipelined.poll());
+    readNext(ctx);
+  }
+
+  private void readNext(ChannelHandlerContext ctx) {
+    try {
+      decoder.next();
+    } catch (Exception e) {
+      exceptionCaught(ctx, e);
+      return;
+    }
+    if (writer == null && head == null && firstByteAt < 0 && decoder.hasUndecodedBytes()) {
+      firstByteAt = now(ctx);
+    }
+    updateReading(ctx);
+  }
+
+  private void discardInput(ChannelHandlerContext ctx) {
+    try {
+      decoder.discard();
+    } catch (Exception e) {
+      exceptionCaught(ctx, e);
+    }
+  }
+
+  /** Pauses reading while a request is processed and many bytes of others are kept. */
+  private void updateReading(ChannelHandlerContext ctx) {
+    ctx.channel().config().setAutoRead(!hasManyPipelinedBytes());
+  }
+
+  private boolean hasManyPipelinedBytes() {
+    return writer != null && decoder.keptBytes() > MANY_PIPELINED_BYTES;
+  }
+
+  /** Reads once although many bytes are kept, since only that shows a disconnect. */
+  private void readSlowly(ChannelHandlerContext ctx) {
+    if (hasManyPipelinedBytes() && decoder.keptBytes() < MAX_PIPELINED_BYTES) {
+      ctx.read();
     }
   }
 
@@ -230,10 +256,10 @@
     closing = true;
     head = null;
     releaseBody();
-    releasePipelined();
     if (ctx == null) {
       return;
     }
+    discardInput(ctx);
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
@@ -264,7 +290,11 @@
   /** Enforces the header and idle timeouts, the latter also while a response is sent. */
   void checkTimeouts(CallerLimits limits, long now) {
     ChannelHandlerContext ctx = context;
-    if (ctx == null || writer != null) {
+    if (ctx == null) {
+      return;
+    }
+    if (writer != null) {
+      readSlowly(ctx);
       return;
     }
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
@@ -309,7 +339,6 @@
     closing = true;
     server.closed(this);
     releaseBody();
-    releasePipelined();
     RequestHandler.Observer currentObserver = observer;
     FrontendResponseWriter currentWriter = writer;
     writer = null;
@@ -331,11 +360,6 @@
     }
   }
 
-  private void releasePipelined() {
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
-  }
-
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway.frontend;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -31,6 +32,8 @@
       new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
   private static final int BACKLOG = 1_024;
+  private static final int MIN_READ_BYTES = 2 * 1024;
+  private static final int MAX_READ_BYTES = 16 * 1024;
 
   private final EventLoop loop;
   private final RequestHandler handler;
@@ -57,6 +60,9 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES))
             .childHandler(new Initializer());
     ChannelFuture bind = TcpProfile.UNPROBED.accepted(bootstrap).bind(address);
     CompletableFuture<Void> started = new CompletableFuture<>();
@@ -136,9 +142,9 @@
     @Override
     protected void initChannel(SocketChannel channel) {
       RequestDecoder decoder = new RequestDecoder(limits().maxHeaderBytes());
-      FrontendConnection connection = new FrontendConnection(FrontendServer.this);
+      FrontendConnection connection = new FrontendConnection(FrontendServer.this, decoder);
       connections.add(connection);
-      channel.pipeline().addLast(connection.firstByteHandler());
+      channel.pipeline().addLast(connection.inputHandler());
       channel.pipeline().addLast(decoder);
       channel.pipeline().addLast(new ResponseEncoder(decoder));
       channel.pipeline().addLast(connection);
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -121,11 +121,11 @@
       if (tls != null) {
         channel.pipeline().addLast(tls.newHandler(channel.alloc()));
       }
-      ServerConnection connection = new ServerConnection(options, handler);
+      RequestDecoder decoder = new RequestDecoder(options.maxHeaderBytes());
+      ServerConnection connection = new ServerConnection(options, handler, decoder);
       channel
           .pipeline()
           .addLast(new RequestHeadTimeoutHandler(connection, options.requestTimeout()));
-      RequestDecoder decoder = new RequestDecoder(options.maxHeaderBytes());
       channel.pipeline().addLast(decoder);
       channel.pipeline().addLast(new ResponseEncoder(decoder));
       long idleMillis = options.idleTimeout().toMillis();
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
@@ -10,12 +11,14 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decoder of the requests on a server connection that keeps what is not decoded yet as bytes.
  *
  * <p>A decoded header line occupies many times its length, so that a head is decoded only when all
- * of it has arrived. Nothing is decoded or kept after a message that is malformed.
+ * of it has arrived, and pipelined requests are decoded one by one, each when {@link #next} is
+ * called. Nothing is decoded or kept after a message that is malformed.
  */
 public final class RequestDecoder extends HttpRequestDecoder {
 
@@ -33,6 +36,10 @@
   private boolean isHeadDecoded;
   private boolean isMalformed;
   private int undecodedBytes;
+  private @Nullable ChannelHandlerContext context;
+  private boolean isRequestComplete;
+  private boolean isDecoding;
+  private boolean isDiscarding;
 
   /**
    * Creates a decoder.
@@ -78,14 +85,50 @@
     return internalBuffer().capacity() + (long) undecodedBytes * DECODED_FACTOR;
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
+    context = ctx;
+    super.handlerAdded(ctx);
+  }
+
+  /** Decodes the next request, after the response to the previous one. */
+  public void next() throws Exception {
+    isRequestComplete = false;
+    decodeKept();
+  }
+
+  /** Drops what is kept and all that is received from now on; the connection can only be closed. */
+  public void discard() throws Exception {
+    isDiscarding = true;
+    undecodedBytes = 0;
+    decodeKept();
+  }
+
+  private void decodeKept() throws Exception {
+    ChannelHandlerContext ctx = context;
+    if (ctx != null && !isDecoding && hasUndecodedBytes()) {
+      channelRead(ctx, Unpooled.EMPTY_BUFFER);
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    isDecoding = true;
+    try {
+      super.channelRead(ctx, message);
+    } finally {
+      isDecoding = false;
+    }
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
-    if (isMalformed) {
+    if (isMalformed || isDiscarding) {
       buffer.skipBytes(buffer.readableBytes());
       return;
     }
-    if (!isHeadDecoded && !isHeadReady(buffer)) {
+    if (isRequestComplete || !isHeadDecoded && !isHeadReady(buffer)) {
       return;
     }
     int available = buffer.readableBytes();
@@ -100,6 +143,7 @@
       }
       if (decoded instanceof LastHttpContent) {
         isHeadDecoded = false;
+        isRequestComplete = true;
         scan.reset();
       }
     }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
@@ -27,7 +27,7 @@
  * <p>Reading is paused after the head of a request until the handler asks for the body, so that the
  * body of a request that is rejected by its head is not received. Reading resumes after the body,
  * so that a closed connection is detected while a response is being sent. Pipelined requests are
- * not supported.
+ * handled in turn; a connection on which more than a head is kept for them is closed.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -36,15 +36,17 @@
   private final long number = LAST_NUMBER.incrementAndGet();
   private final HttpServerOptions options;
   private final HttpHandler handler;
+  private final RequestDecoder decoder;
   private @Nullable ServerExchange exchange;
   private @Nullable Future<?> requestTimer;
   private @Nullable ChannelHandlerContext context;
   private boolean inputEnded = true;
   private long requestCount;
 
-  ServerConnection(HttpServerOptions options, HttpHandler handler) {
+  ServerConnection(HttpServerOptions options, HttpHandler handler, RequestDecoder decoder) {
     this.options = options;
     this.handler = handler;
+    this.decoder = decoder;
   }
 
   @Override
@@ -86,10 +88,6 @@
 
   private void startExchange(ChannelHandlerContext ctx, HttpRequest request) {
     requestCount++;
-    if (exchange != null) {
-      ctx.close();
-      return;
-    }
     inputEnded = !hasBody(request);
     ctx.channel().config().setAutoRead(false);
     long timeoutMillis = options.requestTimeout().toMillis();
@@ -138,10 +136,27 @@
     }
     current.receive(bytes, last);
     if (last && current.isResponseEnded()) {
-      exchange = null;
+      endExchange(ctx);
+    }
+  }
+
+  private void endExchange(ChannelHandlerContext ctx) {
+    exchange = null;
+    try {
+      decoder.next();
+    } catch (Exception e) {
+      exceptionCaught(ctx, e);
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (exchange != null && inputEnded && decoder.keptBytes() > 2L * options.maxHeaderBytes()) {
+      ctx.close();
+    }
+    ctx.fireChannelReadComplete();
+  }
+
   private void rejectMalformed(ChannelHandlerContext ctx, HttpObject message) {
     Throwable cause = message.decoderResult().cause();
     boolean tooLong = cause != null && cause.getClass().getSimpleName().startsWith("TooLong");
@@ -185,7 +200,7 @@
       ctx.close();
       return;
     }
-    exchange = null;
+    endExchange(ctx);
   }
 
   private void cancelTimer() {
