The memory of all clients' requests is counted and bounded

Callers saw: nothing, or ordinary requests that waited for seconds; the process ended, or its event loop waited for direct memory. Clients sent unfinished trailers, unfinished bodies of a megabyte, or such bodies one behind the other.

Cause: what a connection may hold was bounded in bytes sent, and nothing summed over connections. Bodies kept the buffers of the socket, of direct memory, as slices, and joined them again every 64 pieces. The servers of readiness, directory and metrics had no sum either.

ClientMemory is one account for all addresses. When it is used up the connection that holds most gives way, unless its request was sent to an endpoint: 503 with Retry-After, true as nothing ran.

Ruled out: a larger heap; a fixed share for each connection.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.samphiredyke.core.follow.PositionCheck;
 import io.samphiredyke.core.pool.PoolScheduler;
-import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.core.serving.EndpointDirectory;
 import io.samphiredyke.core.serving.ServingConfiguration;
 import io.samphiredyke.gateway.frontend.FrontendServer;
@@ -70,6 +69,7 @@
   private final EndpointAccess access;
   private final RequestService service;
   private final StartupQueue startupQueue;
+  private final ClientLimits clients;
   private final FrontendServer frontend;
   private final EndpointReceiver endpoints;
   private final StoreClient store;
@@ -176,7 +176,9 @@
             endpointRefresh::read);
     peers.statements().setLeavingListener(directory::markLeaving);
     this.startupQueue = new StartupQueue(loop, service);
-    this.frontend = new FrontendServer(eventLoop, startupQueue, this::limits, log);
+    this.clients = new ClientLimits(log);
+    this.frontend =
+        new FrontendServer(eventLoop, startupQueue, state::limits, clients.memory(), log);
     endpointFollower.setReadCondition(endpointUpdates::mustReadStore);
     this.peerBootstrap =
         new PeerBootstrap(
@@ -203,6 +205,7 @@
         .registerRequests(service.inProgress(), streams)
         .registerResponses(service)
         .registerPaths(access)
+        .registerClients(clients)
         .registerRollouts(rollouts);
   }
 
@@ -210,14 +213,9 @@
     return peers.slotClient().scheduler();
   }
 
-  private CallerLimits limits() {
-    ServingConfiguration configuration = state.configuration();
-    return configuration == null ? CallerLimits.defaults() : configuration.limits();
-  }
-
   /** Binds all addresses and starts reading configuration and endpoints. */
   CompletableFuture<Void> start() {
-    ManagementServer managementServer = new ManagementServer(this, metrics);
+    ManagementServer managementServer = new ManagementServer(this, metrics, clients);
     store.setEraListener(era -> loop.execute(() -> storeEra.observe(era)));
     loop.execute(this::startFollowing);
     return frontend
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -16,6 +16,7 @@
 import io.samphiredyke.gateway.store.StreamOriginArchive;
 import io.samphiredyke.gateway.store.TopicFollower;
 import io.samphiredyke.gateway.upstream.EndpointConnectionPool;
+import io.samphiredyke.net.http.ClientMemory;
 
 /** Registers the gauges whose values are read from the gateway's components on each scrape. */
 final class GatewayGauges {
@@ -150,6 +151,23 @@
     return this;
   }
 
+  GatewayGauges registerClients(ClientLimits clients) {
+    ClientMemory memory = clients.memory();
+    metrics.gauge(
+        "samphiredyke_client_memory_bytes",
+        "Memory that requests occupy from their first byte to their response.",
+        memory::used);
+    metrics.gauge(
+        "samphiredyke_client_memory_limit_bytes",
+        "Memory that requests may occupy, from which on connections give way.",
+        memory::limit);
+    metrics.gauge(
+        "samphiredyke_client_memory_reclaimed",
+        "Connections whose requests were refused because the memory for them was used up.",
+        memory::reclaimed);
+    return this;
+  }
+
   void registerRollouts(RolloutService rollouts) {
     metrics.gauge(
         "samphiredyke_running_rollouts", "Roll-outs that have not ended.", rollouts::running);
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/ManagementServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/ManagementServer.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.gateway;
 
 import io.netty.channel.EventLoop;
+import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.metrics.GatewayMetrics;
 import io.samphiredyke.gateway.store.PeerBootstrap;
 import io.samphiredyke.net.control.SocketAddresses;
@@ -9,6 +10,7 @@
 import io.samphiredyke.net.http.HttpServerOptions;
 import io.samphiredyke.platform.CallerApi;
 import io.samphiredyke.platform.HostSettings;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -34,10 +36,15 @@
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
 
+  private final HttpServerOptions options;
   private final Gateway gateway;
   private final GatewayMetrics metrics;
 
-  ManagementServer(Gateway gateway, GatewayMetrics metrics) {
+  ManagementServer(Gateway gateway, GatewayMetrics metrics, ClientLimits clients) {
+    this.options =
+        HttpServerOptions.defaults()
+            .withMemory(clients.memory())
+            .withRequestTimeout(Duration.ofMillis(CallerLimits.defaults().headerTimeoutMillis()));
     this.gateway = gateway;
     this.metrics = metrics;
   }
@@ -50,8 +57,7 @@
   }
 
   private CompletableFuture<HttpServer> listen(EventLoop loop, String address) {
-    return HttpServer.start(
-        loop, SocketAddresses.parse(address), HttpServerOptions.defaults(), this::handle);
+    return HttpServer.start(loop, SocketAddresses.parse(address), options, this::handle);
   }
 
   private void handle(HttpExchange exchange) {
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -1,7 +1,6 @@
 package io.samphiredyke.gateway.frontend;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -22,6 +21,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.samphiredyke.core.serving.CallerLimits;
+import io.samphiredyke.net.http.BodyBuffer;
+import io.samphiredyke.net.http.ClientMemory;
 import io.samphiredyke.net.http.RequestDecoder;
 import io.samphiredyke.net.http.RequestHead;
 import io.samphiredyke.platform.Headers;
@@ -36,20 +37,23 @@
  * detected. Pipelined requests are kept as bytes. When there are many, they are read slowly, so
  * that the operating system holds the rest back.
  */
-final class FrontendConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class FrontendConnection extends SimpleChannelInboundHandler<HttpObject>
+    implements ClientMemory.Holder {
 
-  /** Bytes of pipelined requests from which on they are read slowly. */
-  private static final int MANY_PIPELINED_BYTES = 64 * 1024;
+  /** Bytes of memory for each byte of the header that lists the parts of a prompt. */
+  private static final int PART_FACTOR = 12;
 
-  /** Bytes of pipelined requests from which on nothing is read before the response. */
-  private static final int MAX_PIPELINED_BYTES = 256 * 1024;
+  /** Time after which a request may be sent again for which no memory was left. */
+  private static final int RETRY_AFTER_SECONDS = 1;
 
   private final FrontendServer server;
-  private final RequestDecoder decoder;
+  private final PipelinedInput input;
+  private final ClientMemory.Share memory;
   private @Nullable ChannelHandlerContext context;
   private @Nullable RequestHead head;
   private boolean keepAlive;
-  private @Nullable CompositeByteBuf body;
+  private @Nullable BodyBuffer body;
+  private long processedBytes;
   private @Nullable FrontendResponseWriter writer;
   private RequestHandler.@Nullable Observer observer;
   private long headArrivedAt;
@@ -63,7 +67,8 @@
   FrontendConnection(FrontendServer server, RequestDecoder decoder) {
     super(false);
     this.server = server;
-    this.decoder = decoder;
+    this.input = new PipelinedInput(decoder);
+    this.memory = server.memory().open(this);
   }
 
   /** Returns a handler that records when the first byte of a request arrives, and paces reading. */
@@ -75,7 +80,8 @@
           firstByteAt = now(ctx);
         }
         ctx.fireChannelRead(message);
-        updateReading(ctx);
+        input.updateReading(ctx, writer != null);
+        memory.set(keptBytes());
       }
     };
   }
@@ -128,7 +134,7 @@
     keepAlive = HttpUtil.isKeepAlive(request);
     headArrivedAt = now(ctx);
     firstByteAt = -1;
-    body = Unpooled.compositeBuffer(64);
+    body = new BodyBuffer();
     boolean isAmbiguous =
         request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
             && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
@@ -148,22 +154,29 @@
   }
 
   private void readContent(HttpContent content) {
-    CompositeByteBuf collected = body;
+    BodyBuffer collected = body;
     RequestHead request = head;
     if (collected == null || request == null) {
       content.release();
       return;
     }
-    collected.addComponent(true, content.content());
-    if (collected.readableBytes() > server.limits().maxBodyBytes()) {
+    collected.append(content.content());
+    content.release();
+    if (collected.size() > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
     if (content instanceof LastHttpContent) {
-      handleRequest(request, collected);
+      processedBytes = collected.capacity() + bytesOf(request);
+      handleRequest(request, collected.toByteBuf());
     }
   }
 
+  private static long bytesOf(RequestHead request) {
+    int partBytes = request.headers().get(Headers.PROMPT_PARTS, "").length();
+    return request.keptBytes() + (long) partBytes * PART_FACTOR;
+  }
+
   private void handleRequest(RequestHead request, ByteBuf completeBody) {
     ChannelHandlerContext ctx = context;
     if (ctx == null) {
@@ -184,7 +197,7 @@
 
   /** Returns whether the response is the last one, because the server drains. */
   boolean endsAfterResponse() {
-    return server.isDraining() && !decoder.hasUndecodedBytes();
+    return input.isDiscarded() || server.isDraining() && !input.hasBytes();
   }
 
   /**
@@ -196,6 +209,7 @@
     ChannelHandlerContext ctx = context;
     writer = null;
     observer = null;
+    processedBytes = 0;
     if (ctx == null) {
       return;
     }
@@ -208,7 +222,8 @@
         });
     if (!keepAlive) {
       closing = true;
-      discardInput(ctx);
+      input.discard();
+      memory.set(keptBytes());
       flushed.addListener(ChannelFutureListener.CLOSE);
       return;
     }
@@ -216,40 +231,11 @@
   }
 
   private void readNext(ChannelHandlerContext ctx) {
-    try {
-      decoder.next();
-    } catch (Exception e) {
-      exceptionCaught(ctx, e);
-      return;
-    }
-    if (writer == null && head == null && firstByteAt < 0 && decoder.hasUndecodedBytes()) {
+    input.next();
+    if (writer == null && head == null && firstByteAt < 0 && input.hasBytes()) {
       firstByteAt = now(ctx);
     }
-    updateReading(ctx);
-  }
-
-  private void discardInput(ChannelHandlerContext ctx) {
-    try {
-      decoder.discard();
-    } catch (Exception e) {
-      exceptionCaught(ctx, e);
-    }
-  }
-
-  /** Pauses reading while a request is processed and many bytes of others are kept. */
-  private void updateReading(ChannelHandlerContext ctx) {
-    ctx.channel().config().setAutoRead(!hasManyPipelinedBytes());
-  }
-
-  private boolean hasManyPipelinedBytes() {
-    return writer != null && decoder.keptBytes() > MANY_PIPELINED_BYTES;
-  }
-
-  /** Reads once although many bytes are kept, since only that shows a disconnect. */
-  private void readSlowly(ChannelHandlerContext ctx) {
-    if (hasManyPipelinedBytes() && decoder.keptBytes() < MAX_PIPELINED_BYTES) {
-      ctx.read();
-    }
+    input.updateReading(ctx, writer != null);
   }
 
   private void reject(HttpResponseStatus status) {
@@ -257,23 +243,27 @@
     logRejected(status.code(), status.reasonPhrase());
     closing = true;
     head = null;
-    releaseBody();
+    body = null;
+    input.discard();
+    memory.set(keptBytes());
     if (ctx == null) {
       return;
     }
-    discardInput(ctx);
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, "close");
+    if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      response.headers().setInt(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+    }
     ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
   /** Logs that what arrived is not handled; no request is known if its head is incomplete. */
   private void logRejected(int status, String reason) {
-    RequestHead request = head;
-    String id = request == null ? "" : idOf(request);
-    server.log().event("rejected", "id", id, "status", status, "reason", reason);
+    server
+        .log()
+        .event("rejected", "id", head == null ? "" : name(), "status", status, "reason", reason);
   }
 
   private static String idOf(RequestHead request) {
@@ -296,7 +286,7 @@
       return;
     }
     if (writer != null) {
-      readSlowly(ctx);
+      input.readSlowly(ctx);
       return;
     }
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
@@ -340,7 +330,8 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     closing = true;
     server.closed(this);
-    releaseBody();
+    memory.close();
+    body = null;
     RequestHandler.Observer currentObserver = observer;
     FrontendResponseWriter currentWriter = writer;
     writer = null;
@@ -354,12 +345,48 @@
     ctx.fireChannelInactive();
   }
 
-  private void releaseBody() {
-    ByteBuf collected = body;
-    body = null;
-    if (collected != null) {
-      collected.release();
+  /** Returns the memory that the connection's requests occupy. */
+  private long keptBytes() {
+    RequestHead request = head;
+    BodyBuffer collected = body;
+    return processedBytes
+        + input.keptBytes()
+        + (request == null ? 0 : request.keptBytes())
+        + (collected == null ? 0 : collected.capacity());
+  }
+
+  private boolean isWaiting() {
+    RequestHandler.Observer current = observer;
+    return current != null && current.isWaiting();
+  }
+
+  @Override
+  public long reclaimableBytes() {
+    if (closing) {
+      return 0;
+    }
+    return writer == null || isWaiting() ? keptBytes() : input.keptBytes();
+  }
+
+  @Override
+  public String name() {
+    RequestHead request = head;
+    return request == null ? lastRequestId : idOf(request);
+  }
+
+  /** Refuses the request unless it may run, and ends the connection after its response. */
+  @Override
+  public void giveWay() {
+    if (writer == null) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+      return;
+    }
+    input.discard();
+    RequestHandler.Observer current = observer;
+    if (current != null && current.isWaiting()) {
+      current.refuse("no memory for waiting requests", RETRY_AFTER_SECONDS * 1_000);
     }
+    memory.set(keptBytes());
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.http.ClientMemory;
 import io.samphiredyke.net.http.RequestDecoder;
 import io.samphiredyke.net.http.ResponseEncoder;
 import io.samphiredyke.net.http.TcpProfile;
@@ -38,14 +39,24 @@
   private final EventLoop loop;
   private final RequestHandler handler;
   private final Supplier<CallerLimits> limits;
+  private final ClientMemory memory;
   private final DecisionLog log;
   private final Set<FrontendConnection> connections = new HashSet<>();
   private @Nullable Channel listener;
   private boolean draining;
 
-  /** Creates a server that is not bound yet. */
+  /**
+   * Creates a server that is not bound yet.
+   *
+   * @param memory memory of all clients of the process
+   */
   public FrontendServer(
-      EventLoop loop, RequestHandler handler, Supplier<CallerLimits> limits, DecisionLog log) {
+      EventLoop loop,
+      RequestHandler handler,
+      Supplier<CallerLimits> limits,
+      ClientMemory memory,
+      DecisionLog log) {
+    this.memory = memory;
     this.log = log;
     this.loop = loop;
     this.handler = handler;
@@ -111,6 +122,10 @@
     return limits.get();
   }
 
+  ClientMemory memory() {
+    return memory;
+  }
+
   DecisionLog log() {
     return log;
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ActiveRequest.java
@@ -31,6 +31,9 @@
   /** Retry-After for a stream whose software version no reachable host knows. */
   private static final long UNKNOWN_ORIGIN_RETRY_MILLIS = 1_000;
 
+  private static final String UNKNOWN_ORIGIN =
+      "the software version that began the stream is not known";
+
   private static final String STOPPING = "the host stops";
 
   private final RequestService.Context context;
@@ -113,21 +116,13 @@
       return;
     }
     if (continuity.isTakeUp()) {
-      continuity.findOrigin(acquisition::acquire, this::originUnknown);
+      continuity.findOrigin(
+          acquisition::acquire, () -> refuse(UNKNOWN_ORIGIN, UNKNOWN_ORIGIN_RETRY_MILLIS));
     } else {
       acquisition.acquire();
     }
   }
 
-  private void originUnknown() {
-    if (!ended) {
-      outcome.refused(
-          ErrorResponses.SERVICE_UNAVAILABLE,
-          "the software version that began the stream is not known",
-          UNKNOWN_ORIGIN_RETRY_MILLIS);
-    }
-  }
-
   private void streamBegins() {
     EndpointAttempt serving = attempt;
     if (serving != null) {
@@ -306,11 +301,20 @@
 
   /** Refuses the request if it waits, because the host stops before it could be served. */
   void refuseBeforeStop() {
-    if (ended || attempt != null) {
-      return;
+    refuse(STOPPING, 0);
+  }
+
+  @Override
+  public boolean isWaiting() {
+    return !ended && attempt == null;
+  }
+
+  @Override
+  public void refuse(String reason, long retryAfterMillis) {
+    if (isWaiting()) {
+      acquisition.withdraw();
+      finishUnserved(reason, retryAfterMillis);
     }
-    acquisition.withdraw();
-    finishUnserved(STOPPING, 0);
   }
 
   /** Ends the request in any state, because the process ends. */
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ServingState.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/ServingState.java
@@ -1,5 +1,6 @@
 package io.samphiredyke.gateway.request;
 
+import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.core.serving.EndpointDirectory;
 import io.samphiredyke.core.serving.ServingConfiguration;
 import org.jspecify.annotations.Nullable;
@@ -38,4 +39,10 @@
     configuration = newer;
     return true;
   }
+
+  /** Returns the limits of callers, also before a configuration is known. */
+  public CallerLimits limits() {
+    ServingConfiguration known = configuration;
+    return known == null ? CallerLimits.defaults() : known.limits();
+  }
 }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/StartupQueue.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/request/StartupQueue.java
@@ -82,6 +82,23 @@
       }
     }
 
+    @Override
+    public boolean isWaiting() {
+      Observer current = observer;
+      return current == null ? queued.contains(this) : current.isWaiting();
+    }
+
+    @Override
+    public void refuse(String reason, long retryAfterMillis) {
+      Observer current = observer;
+      if (current != null) {
+        current.refuse(reason, retryAfterMillis);
+      } else if (queued.remove(this)) {
+        // Without a configuration, which it waits for, the request is refused as not run.
+        dispatch();
+      }
+    }
+
     @Override
     public void onWritable() {
       Observer current = observer;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
@@ -171,14 +171,7 @@
   @ParameterizedTest
   @EnumSource(
       mode = EnumSource.Mode.EXCLUDE,
-      names = {
-        "UNFINISHED_TRAILERS",
-        "UNFINISHED_BODIES",
-        "WHOLE_BODIES",
-        "PIPELINED_BODIES",
-        "IDLE",
-        "IDLE_READINESS"
-      })
+      names = {"IDLE", "IDLE_READINESS"})
   void processLivesAndAnswersOrdinaryRequests(Crowd crowd) throws Exception {
     List<Socket> clients = connect(crowd);
     gateway.assertAnswers(CALLERS, "/stream/x");
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/SocketOptionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/SocketOptionsTest.java
@@ -201,6 +201,7 @@
               throw new IllegalStateException("no request is sent");
             },
             CallerLimits::defaults,
+            new ClientLimits(log).memory(),
             log);
     InetSocketAddress address = (InetSocketAddress) listener.getLocalSocketAddress();
     listener.close();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.http.ClientMemory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -50,6 +51,7 @@
           loop,
           this,
           () -> new CallerLimits(2_048, 4_096, 3_000, 15_000),
+          new ClientMemory(1 << 24, (name, bytes, used) -> {}),
           new DecisionLog(log, () -> 0));
   private final AtomicInteger disconnects = new AtomicInteger();
   private Socket caller;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/SlowCallerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/SlowCallerTest.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.Ticker;
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.log.DecisionLog;
+import io.samphiredyke.net.http.ClientMemory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -48,6 +49,7 @@
           loop,
           SlowCallerTest::respond,
           () -> new CallerLimits(2_048, 4_096, 3_000, IDLE_MILLIS),
+          new ClientMemory(1 << 24, (name, bytes, used) -> {}),
           new DecisionLog(log, () -> 0));
   private Socket caller;
 
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /** An HTTP/1.1 server on one listening socket. */
 public final class HttpServer {
@@ -46,7 +47,7 @@
             .group(group)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024)
-            .childHandler(new Initializer(options, handler, connections));
+            .childHandler(new Initializer(options, handler, connections, memories(group, options)));
     CompletableFuture<HttpServer> started = new CompletableFuture<>();
     ChannelFuture bind = TcpProfile.UNPROBED.accepted(bootstrap).bind(address);
     bind.addListener(
@@ -60,6 +61,12 @@
     return started;
   }
 
+  private static Function<EventLoop, ClientMemory> memories(
+      EventLoopGroup group, HttpServerOptions options) {
+    ClientMemory shared = options.memory();
+    return shared == null ? new LoopMemories(group, options.maxBodyBytes())::of : loop -> shared;
+  }
+
   /** Returns the bound address. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
@@ -107,11 +114,17 @@
     private final HttpServerOptions options;
     private final HttpHandler handler;
     private final ChannelGroup connections;
+    private final Function<EventLoop, ClientMemory> memories;
 
-    Initializer(HttpServerOptions options, HttpHandler handler, ChannelGroup connections) {
+    Initializer(
+        HttpServerOptions options,
+        HttpHandler handler,
+        ChannelGroup connections,
+        Function<EventLoop, ClientMemory> memories) {
       this.options = options;
       this.handler = handler;
       this.connections = connections;
+      this.memories = memories;
     }
 
     @Override
@@ -122,7 +135,8 @@
         channel.pipeline().addLast(tls.newHandler(channel.alloc()));
       }
       RequestDecoder decoder = new RequestDecoder(options.maxHeaderBytes());
-      ServerConnection connection = new ServerConnection(options, handler, decoder);
+      ServerConnection connection =
+          new ServerConnection(options, handler, decoder, memories.apply(channel.eventLoop()));
       channel
           .pipeline()
           .addLast(new RequestHeadTimeoutHandler(connection, options.requestTimeout()));
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServerOptions.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServerOptions.java
@@ -13,13 +13,16 @@
  * @param idleTimeout how long a connection may be open without a request, and how long a response
  *     may be blocked because the caller does not read
  * @param tls the TLS settings, or null for plain TCP
+ * @param memory memory of the clients, shared with other servers on one event loop, or null for a
+ *     part of the heap for each event loop
  */
 public record HttpServerOptions(
     int maxHeaderBytes,
     int maxBodyBytes,
     Duration requestTimeout,
     Duration idleTimeout,
-    @Nullable SslContext tls) {
+    @Nullable SslContext tls,
+    @Nullable ClientMemory memory) {
 
   private static final int DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
   private static final int DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -31,27 +34,35 @@
         DEFAULT_MAX_BODY_BYTES,
         Duration.ofSeconds(30),
         Duration.ofMinutes(5),
+        null,
         null);
   }
 
   /** Returns a copy that uses TLS. */
   public HttpServerOptions withTls(SslContext context) {
     return new HttpServerOptions(
-        maxHeaderBytes, maxBodyBytes, requestTimeout, idleTimeout, context);
+        maxHeaderBytes, maxBodyBytes, requestTimeout, idleTimeout, context, memory);
+  }
+
+  /** Returns a copy whose clients share a memory with those of other servers. */
+  public HttpServerOptions withMemory(ClientMemory shared) {
+    return new HttpServerOptions(
+        maxHeaderBytes, maxBodyBytes, requestTimeout, idleTimeout, tls, shared);
   }
 
   /** Returns a copy with another idle timeout. */
   public HttpServerOptions withIdleTimeout(Duration timeout) {
-    return new HttpServerOptions(maxHeaderBytes, maxBodyBytes, requestTimeout, timeout, tls);
+    return new HttpServerOptions(
+        maxHeaderBytes, maxBodyBytes, requestTimeout, timeout, tls, memory);
   }
 
   /** Returns a copy with another request timeout. */
   public HttpServerOptions withRequestTimeout(Duration timeout) {
-    return new HttpServerOptions(maxHeaderBytes, maxBodyBytes, timeout, idleTimeout, tls);
+    return new HttpServerOptions(maxHeaderBytes, maxBodyBytes, timeout, idleTimeout, tls, memory);
   }
 
   /** Returns a copy with another limit for request bodies, in bytes. */
   public HttpServerOptions withMaxBodyBytes(int bytes) {
-    return new HttpServerOptions(maxHeaderBytes, bytes, requestTimeout, idleTimeout, tls);
+    return new HttpServerOptions(maxHeaderBytes, bytes, requestTimeout, idleTimeout, tls, memory);
   }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
@@ -92,22 +92,27 @@
   }
 
   /** Decodes the next request, after the response to the previous one. */
-  public void next() throws Exception {
+  public void next() {
     isRequestComplete = false;
     decodeKept();
   }
 
   /** Drops what is kept and all that is received from now on; the connection can only be closed. */
-  public void discard() throws Exception {
+  public void discard() {
     isDiscarding = true;
     undecodedBytes = 0;
     decodeKept();
   }
 
-  private void decodeKept() throws Exception {
+  private void decodeKept() {
     ChannelHandlerContext ctx = context;
-    if (ctx != null && !isDecoding && hasUndecodedBytes()) {
+    if (ctx == null || isDecoding || !hasUndecodedBytes()) {
+      return;
+    }
+    try {
       channelRead(ctx, Unpooled.EMPTY_BUFFER);
+    } catch (Exception e) {
+      ctx.fireExceptionCaught(e);
     }
   }
 
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
@@ -29,7 +29,8 @@
  * so that a closed connection is detected while a response is being sent. Pipelined requests are
  * handled in turn; a connection on which more than a head is kept for them is closed.
  */
-final class ServerConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class ServerConnection extends SimpleChannelInboundHandler<HttpObject>
+    implements ClientMemory.Holder {
 
   private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
@@ -37,16 +38,22 @@
   private final HttpServerOptions options;
   private final HttpHandler handler;
   private final RequestDecoder decoder;
+  private final ClientMemory.Share memory;
   private @Nullable ServerExchange exchange;
   private @Nullable Future<?> requestTimer;
   private @Nullable ChannelHandlerContext context;
   private boolean inputEnded = true;
   private long requestCount;
 
-  ServerConnection(HttpServerOptions options, HttpHandler handler, RequestDecoder decoder) {
+  ServerConnection(
+      HttpServerOptions options,
+      HttpHandler handler,
+      RequestDecoder decoder,
+      ClientMemory memories) {
     this.options = options;
     this.handler = handler;
     this.decoder = decoder;
+    this.memory = memories.open(this);
   }
 
   @Override
@@ -136,17 +143,14 @@
     }
     current.receive(bytes, last);
     if (last && current.isResponseEnded()) {
-      endExchange(ctx);
+      endExchange();
     }
   }
 
-  private void endExchange(ChannelHandlerContext ctx) {
+  private void endExchange() {
     exchange = null;
-    try {
-      decoder.next();
-    } catch (Exception e) {
-      exceptionCaught(ctx, e);
-    }
+    decoder.next();
+    memory.set(keptBytes());
   }
 
   @Override
@@ -154,9 +158,36 @@
     if (exchange != null && inputEnded && decoder.keptBytes() > 2L * options.maxHeaderBytes()) {
       ctx.close();
     }
+    memory.set(keptBytes());
     ctx.fireChannelReadComplete();
   }
 
+  private long keptBytes() {
+    ServerExchange current = exchange;
+    return decoder.keptBytes() + (current == null ? 0 : current.keptBytes());
+  }
+
+  /** A request that is handled may run, so that only one that is being received gives way. */
+  @Override
+  public long reclaimableBytes() {
+    return inputEnded && exchange != null ? decoder.keptBytes() : keptBytes();
+  }
+
+  @Override
+  public String name() {
+    ChannelHandlerContext ctx = context;
+    return ctx == null ? "" : String.valueOf(ctx.channel().remoteAddress());
+  }
+
+  @Override
+  public void giveWay() {
+    memory.close();
+    ChannelHandlerContext ctx = context;
+    if (ctx != null) {
+      ctx.close();
+    }
+  }
+
   private void rejectMalformed(ChannelHandlerContext ctx, HttpObject message) {
     Throwable cause = message.decoderResult().cause();
     boolean tooLong = cause != null && cause.getClass().getSimpleName().startsWith("TooLong");
@@ -200,7 +231,7 @@
       ctx.close();
       return;
     }
-    endExchange(ctx);
+    endExchange();
   }
 
   private void cancelTimer() {
@@ -223,6 +254,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelTimer();
+    memory.close();
     ServerExchange current = exchange;
     exchange = null;
     if (current != null) {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
@@ -1,6 +1,7 @@
 package io.samphiredyke.net.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -15,7 +16,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -39,7 +39,7 @@
   private final boolean keepAlive;
   private final CompletableFuture<byte[]> body = new CompletableFuture<>();
   private final CompletableFuture<Void> disconnected = new CompletableFuture<>();
-  private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+  private final BodyBuffer received = new BodyBuffer();
   private final List<Runnable> writableActions = new ArrayList<>();
   private boolean bodyRequested;
   private boolean continueExpected;
@@ -147,14 +147,17 @@
       rejectLongBody();
       return;
     }
-    byte[] chunk = new byte[bytes.readableBytes()];
-    bytes.readBytes(chunk);
-    received.writeBytes(chunk);
+    received.append(bytes);
     if (last) {
-      body.complete(received.toByteArray());
+      body.complete(ByteBufUtil.getBytes(received.toByteBuf()));
     }
   }
 
+  /** Returns the memory that the request occupies, in bytes. */
+  long keptBytes() {
+    return request.keptBytes() + received.capacity();
+  }
+
   void fail(Throwable cause) {
     int status = cause instanceof HttpException known ? known.status() : 500;
     String message = cause.getMessage() == null ? cause.toString() : cause.getMessage();
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/RequestDecoderTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/RequestDecoderTest.java
@@ -62,7 +62,7 @@
 
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 7, 100, 1_000})
-  void requestsThatArriveInPiecesAreDecodedOneByOne(int pieceBytes) throws Exception {
+  void requestsThatArriveInPiecesAreDecodedOneByOne(int pieceBytes) {
     String text =
         "\r\n\r\nPOST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
             + "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nx: y\r\n\r\n"
@@ -84,7 +84,7 @@
   }
 
   @Test
-  void pipelinedRequestsAreKeptAsBytes() throws Exception {
+  void pipelinedRequestsAreKeptAsBytes() {
     for (int i = 0; i < 10; i++) {
       receive("GET /" + i + " HTTP/1.1\r\n" + LINES + "\r\n");
     }
@@ -97,7 +97,7 @@
   }
 
   @Test
-  void nothingIsKeptAfterDiscarding() throws Exception {
+  void nothingIsKeptAfterDiscarding() {
     receive("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n" + LINES);
     decoder.discard();
     assertThat(decoder.keptBytes()).isZero();
