Connections of clients are limited by the descriptors of the host

Callers saw: an ordinary request that waited 3.4 to 6.8 s for its connection to be accepted, or got no answer, beside idle connections or unfinished heads.

Cause: Limits.MaxFds was not read, and connections had no cap, so that clients could use the descriptors that endpoints, store and readiness need.

ConnectionLimit closes the connection that has been idle for longest in favour of a new one, or else the one whose request has been arriving for longest. A request that is processed is never ended for it.

Ruled out: not accepting at the limit, which keeps ordinary callers out.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/Gateway.java
@@ -101,6 +101,7 @@
     this.settings = settings;
     this.random = random;
     this.log = log;
+    this.clients = new ClientLimits(settings.maxDescriptors(), log);
     this.eventLoop = group.next();
     this.loop = new ControlEventLoop(eventLoop, Clock.systemUTC(), log::actionFailed);
     this.access =
@@ -176,9 +177,7 @@
             endpointRefresh::read);
     peers.statements().setLeavingListener(directory::markLeaving);
     this.startupQueue = new StartupQueue(loop, service);
-    this.clients = new ClientLimits(log);
-    this.frontend =
-        new FrontendServer(eventLoop, startupQueue, state::limits, clients.memory(), log);
+    this.frontend = clients.frontend(eventLoop, startupQueue, state::limits);
     endpointFollower.setReadCondition(endpointUpdates::mustReadStore);
     this.peerBootstrap =
         new PeerBootstrap(
@@ -205,7 +204,7 @@
         .registerRequests(service.inProgress(), streams)
         .registerResponses(service)
         .registerPaths(access)
-        .registerClients(clients)
+        .registerClients(clients, frontend)
         .registerRollouts(rollouts);
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayGauges.java
@@ -151,7 +151,7 @@
     return this;
   }
 
-  GatewayGauges registerClients(ClientLimits clients) {
+  GatewayGauges registerClients(ClientLimits clients, FrontendServer frontend) {
     ClientMemory memory = clients.memory();
     metrics.gauge(
         "samphiredyke_client_memory_bytes",
@@ -165,6 +165,14 @@
         "samphiredyke_client_memory_reclaimed",
         "Connections whose requests were refused because the memory for them was used up.",
         memory::reclaimed);
+    metrics.gauge(
+        "samphiredyke_caller_connections_limit",
+        "Connections of callers that may be open, from which on new ones displace idle ones.",
+        clients::callerConnections);
+    metrics.gauge(
+        "samphiredyke_caller_connections_displaced",
+        "Connections of callers that were closed because too many were open.",
+        frontend::displacedConnections);
     return this;
   }
 
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/GatewayMain.java
@@ -45,6 +45,7 @@
       System.exit(EXIT_INVALID_SETTINGS);
       return;
     }
+    UnexpectedEnd.register(log);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     // From here on, only the event loop's thread reads files and sockets. Two threads that did so
     // at the same time have crashed the process during its start on the platform.
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/ManagementServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/ManagementServer.java
@@ -44,6 +44,7 @@
     this.options =
         HttpServerOptions.defaults()
             .withMemory(clients.memory())
+            .withMaxConnections(clients.managementConnections(), clients::displaced)
             .withRequestTimeout(Duration.ofMillis(CallerLimits.defaults().headerTimeoutMillis()));
     this.gateway = gateway;
     this.metrics = metrics;
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -23,6 +22,7 @@
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.net.http.BodyBuffer;
 import io.samphiredyke.net.http.ClientMemory;
+import io.samphiredyke.net.http.ConnectionLimit;
 import io.samphiredyke.net.http.RequestDecoder;
 import io.samphiredyke.net.http.RequestHead;
 import io.samphiredyke.platform.Headers;
@@ -38,7 +38,7 @@
  * that the operating system holds the rest back.
  */
 final class FrontendConnection extends SimpleChannelInboundHandler<HttpObject>
-    implements ClientMemory.Holder {
+    implements ClientMemory.Holder, ConnectionLimit.Connection {
 
   /** Bytes of memory for each byte of the header that lists the parts of a prompt. */
   private static final int PART_FACTOR = 12;
@@ -86,9 +86,19 @@
     };
   }
 
+  @Override
+  public ConnectionLimit.Stage stage() {
+    if (writer != null || unflushedResponses > 0) {
+      return ConnectionLimit.Stage.PROCESSING;
+    }
+    return head != null || firstByteAt >= 0 || closing
+        ? ConnectionLimit.Stage.RECEIVING
+        : ConnectionLimit.Stage.IDLE;
+  }
+
   /** Returns whether a request is received or processed, or its response is not yet sent. */
   boolean isBusy() {
-    return writer != null || head != null || unflushedResponses > 0;
+    return head != null || stage() == ConnectionLimit.Stage.PROCESSING;
   }
 
   private static long now(ChannelHandlerContext ctx) {
@@ -96,10 +106,9 @@
   }
 
   @Override
-  public void channelActive(ChannelHandlerContext ctx) {
+  public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
     idleSince = now(ctx);
-    ctx.fireChannelActive();
   }
 
   @Override
@@ -110,7 +119,7 @@
     }
     if (message.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
-      rejectMalformed(message.decoderResult().cause());
+      reject(FrontendResponseWriter.statusOf(message.decoderResult().cause()));
       return;
     }
     if (message instanceof HttpRequest request) {
@@ -121,14 +130,6 @@
     }
   }
 
-  private void rejectMalformed(Throwable cause) {
-    boolean isTooLong = cause instanceof TooLongFrameException;
-    reject(
-        isTooLong
-            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : HttpResponseStatus.BAD_REQUEST);
-  }
-
   private void startRequest(ChannelHandlerContext ctx, HttpRequest request) {
     head = RequestHead.of(request);
     keepAlive = HttpUtil.isKeepAlive(request);
@@ -219,6 +220,7 @@
         done -> {
           unflushedResponses--;
           idleSince = now(ctx);
+          server.becameIdle(this);
         });
     if (!keepAlive) {
       closing = true;
@@ -249,14 +251,8 @@
     if (ctx == null) {
       return;
     }
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    response.headers().set(HttpHeaderNames.CONNECTION, "close");
-    if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-      response.headers().setInt(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
-    }
-    ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    ctx.writeAndFlush(FrontendResponseWriter.rejection(status, RETRY_AFTER_SECONDS))
+        .addListener(ChannelFutureListener.CLOSE);
   }
 
   /** Logs that what arrived is not handled; no request is known if its head is incomplete. */
@@ -272,9 +268,16 @@
 
   /** Closes the connection unless it is processing or receiving a request. */
   void closeIfIdle() {
+    if (stage() == ConnectionLimit.Stage.IDLE) {
+      close();
+    }
+  }
+
+  @Override
+  public void close() {
     ChannelHandlerContext ctx = context;
-    if (ctx != null && !isBusy() && firstByteAt < 0) {
-      closing = true;
+    closing = true;
+    if (ctx != null) {
       ctx.close();
     }
   }
@@ -355,17 +358,14 @@
         + (collected == null ? 0 : collected.capacity());
   }
 
-  private boolean isWaiting() {
-    RequestHandler.Observer current = observer;
-    return current != null && current.isWaiting();
-  }
-
   @Override
   public long reclaimableBytes() {
     if (closing) {
       return 0;
     }
-    return writer == null || isWaiting() ? keptBytes() : input.keptBytes();
+    RequestHandler.Observer current = observer;
+    boolean isWaiting = current != null && current.isWaiting();
+    return writer == null || isWaiting ? keptBytes() : input.keptBytes();
   }
 
   @Override
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendResponseWriter.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendResponseWriter.java
@@ -1,10 +1,13 @@
 package io.samphiredyke.gateway.frontend;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -30,6 +33,29 @@
     this.keepAlive = keepAlive;
   }
 
+  /** Returns the status of the response to a request that can't be decoded. */
+  static HttpResponseStatus statusOf(Throwable cause) {
+    return cause instanceof TooLongFrameException
+        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        : HttpResponseStatus.BAD_REQUEST;
+  }
+
+  /**
+   * Returns the response to a request that is not handled, after which the connection ends.
+   *
+   * @param retryAfterSeconds time after which it may be sent again, if the status is 503
+   */
+  static FullHttpResponse rejection(HttpResponseStatus status, int retryAfterSeconds) {
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      response.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+    }
+    return response;
+  }
+
   private boolean mayKeepAlive() {
     return keepAlive && !announcesClose && !connection.endsAfterResponse();
   }
--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendServer.java
@@ -13,14 +13,11 @@
 import io.samphiredyke.core.serving.CallerLimits;
 import io.samphiredyke.gateway.log.DecisionLog;
 import io.samphiredyke.net.http.ClientMemory;
+import io.samphiredyke.net.http.ConnectionLimit;
 import io.samphiredyke.net.http.RequestDecoder;
 import io.samphiredyke.net.http.ResponseEncoder;
 import io.samphiredyke.net.http.TcpProfile;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -41,7 +38,7 @@
   private final Supplier<CallerLimits> limits;
   private final ClientMemory memory;
   private final DecisionLog log;
-  private final Set<FrontendConnection> connections = new HashSet<>();
+  private final ConnectionLimit<FrontendConnection> connections;
   private @Nullable Channel listener;
   private boolean draining;
 
@@ -49,14 +46,21 @@
    * Creates a server that is not bound yet.
    *
    * @param memory memory of all clients of the process
+   * @param maxConnections connections that may be open at once
    */
   public FrontendServer(
       EventLoop loop,
       RequestHandler handler,
       Supplier<CallerLimits> limits,
       ClientMemory memory,
+      int maxConnections,
       DecisionLog log) {
     this.memory = memory;
+    this.connections =
+        new ConnectionLimit<>(
+            maxConnections,
+            (stage, open) ->
+                log.event("connection_displaced", "stage", stage.name(), "open", open));
     this.log = log;
     this.loop = loop;
     this.handler = handler;
@@ -92,7 +96,7 @@
   /** Closes connections that have been idle for too long or that send a request too slowly. */
   public void closeExpired() {
     long now = loop.ticker().nanoTime();
-    for (FrontendConnection connection : List.copyOf(connections)) {
+    for (FrontendConnection connection : connections.open()) {
       connection.checkTimeouts(limits.get(), now);
     }
   }
@@ -111,7 +115,7 @@
     if (open != null) {
       open.close();
     }
-    List.copyOf(connections).forEach(FrontendConnection::closeIfIdle);
+    connections.open().forEach(FrontendConnection::closeIfIdle);
   }
 
   boolean isDraining() {
@@ -135,7 +139,16 @@
   }
 
   void closed(FrontendConnection connection) {
-    connections.remove(connection);
+    connections.ended(connection);
+  }
+
+  void becameIdle(FrontendConnection connection) {
+    connections.becameIdle(connection);
+  }
+
+  /** Returns the number of connections that were closed because too many were open. */
+  public long displacedConnections() {
+    return connections.closed();
   }
 
   /** Returns the number of open connections. */
@@ -146,7 +159,7 @@
   /** Returns the number of connections with a request or a response that is not yet sent. */
   public int busyConnections() {
     int busy = 0;
-    for (FrontendConnection connection : new ArrayList<>(connections)) {
+    for (FrontendConnection connection : connections.open()) {
       busy += connection.isBusy() ? 1 : 0;
     }
     return busy;
@@ -158,11 +171,11 @@
     protected void initChannel(SocketChannel channel) {
       RequestDecoder decoder = new RequestDecoder(limits().maxHeaderBytes());
       FrontendConnection connection = new FrontendConnection(FrontendServer.this, decoder);
-      connections.add(connection);
       channel.pipeline().addLast(connection.inputHandler());
       channel.pipeline().addLast(decoder);
       channel.pipeline().addLast(new ResponseEncoder(decoder));
       channel.pipeline().addLast(connection);
+      connections.opened(connection);
     }
   }
 }
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayHarness.java
@@ -154,7 +154,8 @@
             0.1,
             5,
             1,
-            1_000);
+            1_000,
+            4_096);
     DecisionLog log = new DecisionLog(hostLog.of(name), System::currentTimeMillis);
     Gateway gateway = new Gateway(settings, group, random.split(), log, endpoints);
     gateway.start().join();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
@@ -65,12 +65,9 @@
     FOLDED_LINES(CALLERS, 60, i -> head(i, "a: b\r\n" + " c\r\n".repeat(LINES_BYTES / 4))),
     NAMED_BY_CONNECTION(CALLERS, 60, i -> head(i, connectionLines())),
     PROMPT_PARTS(CALLERS, 200, i -> head(i, promptParts())),
-    WHOLE_BODIES(CALLERS, 40, i -> head(i, "Content-Length: 1000000\r\n") + "x".repeat(1_000_000)),
+    WHOLE_BODIES(CALLERS, 40, i -> longRequest(i)),
     PIPELINED(CALLERS, 2, i -> head(i, shortLines()).repeat(120)),
-    PIPELINED_BODIES(
-        CALLERS,
-        2,
-        i -> (head(i, "Content-Length: 1000000\r\n") + "x".repeat(1_000_000)).repeat(30)),
+    PIPELINED_BODIES(CALLERS, 2, i -> longRequest(i).repeat(30)),
     BLANK_LINES(CALLERS, 20, i -> "\r\n".repeat(500_000)),
     LONG_PATHS(CALLERS, 120, i -> head(i, "").replace("/x", "/" + "x".repeat(LINES_BYTES))),
     LONG_IDS(CALLERS, 120, i -> head(i, "").replace("crowd-", "crowd-" + "x".repeat(15_000))),
@@ -102,6 +99,10 @@
     return lines.toString();
   }
 
+  private static String longRequest(int number) {
+    return head(number, "Content-Length: 1000000\r\n") + "x".repeat(1_000_000);
+  }
+
   private static String connectionLines() {
     String names = "Connection: " + "b,c,d,e,f,g,h,i,j,k,".repeat(4) + "l\r\n";
     return shortLines().substring(0, LINES_BYTES / 2) + names.repeat(LINES_BYTES / 200);
@@ -169,9 +170,7 @@
   }
 
   @ParameterizedTest
-  @EnumSource(
-      mode = EnumSource.Mode.EXCLUDE,
-      names = {"IDLE", "IDLE_READINESS"})
+  @EnumSource(Crowd.class)
   void processLivesAndAnswersOrdinaryRequests(Crowd crowd) throws Exception {
     List<Socket> clients = connect(crowd);
     gateway.assertAnswers(CALLERS, "/stream/x");
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/SocketOptionsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/SocketOptionsTest.java
@@ -201,7 +201,8 @@
               throw new IllegalStateException("no request is sent");
             },
             CallerLimits::defaults,
-            new ClientLimits(log).memory(),
+            new ClientLimits(0, log).memory(),
+            100,
             log);
     InetSocketAddress address = (InetSocketAddress) listener.getLocalSocketAddress();
     listener.close();
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
@@ -51,6 +51,7 @@
           this,
           () -> new CallerLimits(16_384, 200_000, TIMEOUT_MILLIS, TIMEOUT_MILLIS),
           memory,
+          100,
           new DecisionLog(log, () -> 0));
   private InetSocketAddress address;
 
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendServerTest.java
@@ -52,6 +52,7 @@
           this,
           () -> new CallerLimits(2_048, 4_096, 3_000, 15_000),
           new ClientMemory(1 << 24, (name, bytes, used) -> {}),
+          100,
           new DecisionLog(log, () -> 0));
   private final AtomicInteger disconnects = new AtomicInteger();
   private Socket caller;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/SlowCallerTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/SlowCallerTest.java
@@ -50,6 +50,7 @@
           SlowCallerTest::respond,
           () -> new CallerLimits(2_048, 4_096, 3_000, IDLE_MILLIS),
           new ClientMemory(1 << 24, (name, bytes, used) -> {}),
+          100,
           new DecisionLog(log, () -> 0));
   private Socket caller;
 
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/HttpServer.java
@@ -15,7 +15,9 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -115,6 +117,8 @@
     private final HttpHandler handler;
     private final ChannelGroup connections;
     private final Function<EventLoop, ClientMemory> memories;
+    private final Map<EventLoop, ConnectionLimit<ServerConnection>> limits =
+        new ConcurrentHashMap<>();
 
     Initializer(
         HttpServerOptions options,
@@ -136,7 +140,8 @@
       }
       RequestDecoder decoder = new RequestDecoder(options.maxHeaderBytes());
       ServerConnection connection =
-          new ServerConnection(options, handler, decoder, memories.apply(channel.eventLoop()));
+          new ServerConnection(
+              options, handler, decoder, memories.apply(channel.eventLoop()), limitOf(channel));
       channel
           .pipeline()
           .addLast(new RequestHeadTimeoutHandler(connection, options.requestTimeout()));
@@ -147,6 +152,13 @@
           .pipeline()
           .addLast(new IdleStateHandler(true, idleMillis, idleMillis, 0, TimeUnit.MILLISECONDS));
       channel.pipeline().addLast(connection);
+      limitOf(channel).opened(connection);
+    }
+
+    private ConnectionLimit<ServerConnection> limitOf(SocketChannel channel) {
+      return limits.computeIfAbsent(
+          channel.eventLoop(),
+          loop -> new ConnectionLimit<>(options.maxConnections(), options.displaced()));
     }
   }
 }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
@@ -30,7 +30,7 @@
  * handled in turn; a connection on which more than a head is kept for them is closed.
  */
 final class ServerConnection extends SimpleChannelInboundHandler<HttpObject>
-    implements ClientMemory.Holder {
+    implements ClientMemory.Holder, ConnectionLimit.Connection {
 
   private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
@@ -39,6 +39,7 @@
   private final HttpHandler handler;
   private final RequestDecoder decoder;
   private final ClientMemory.Share memory;
+  private final ConnectionLimit<ServerConnection> limit;
   private @Nullable ServerExchange exchange;
   private @Nullable Future<?> requestTimer;
   private @Nullable ChannelHandlerContext context;
@@ -49,11 +50,13 @@
       HttpServerOptions options,
       HttpHandler handler,
       RequestDecoder decoder,
-      ClientMemory memories) {
+      ClientMemory memories,
+      ConnectionLimit<ServerConnection> limit) {
     this.options = options;
     this.handler = handler;
     this.decoder = decoder;
     this.memory = memories.open(this);
+    this.limit = limit;
   }
 
   @Override
@@ -151,6 +154,7 @@
     exchange = null;
     decoder.next();
     memory.set(keptBytes());
+    limit.becameIdle(this);
   }
 
   @Override
@@ -173,6 +177,24 @@
     return inputEnded && exchange != null ? decoder.keptBytes() : keptBytes();
   }
 
+  @Override
+  public ConnectionLimit.Stage stage() {
+    if (exchange != null && inputEnded) {
+      return ConnectionLimit.Stage.PROCESSING;
+    }
+    return exchange != null || decoder.hasUndecodedBytes()
+        ? ConnectionLimit.Stage.RECEIVING
+        : ConnectionLimit.Stage.IDLE;
+  }
+
+  @Override
+  public void close() {
+    ChannelHandlerContext ctx = context;
+    if (ctx != null) {
+      ctx.close();
+    }
+  }
+
   @Override
   public String name() {
     ChannelHandlerContext ctx = context;
@@ -182,10 +204,7 @@
   @Override
   public void giveWay() {
     memory.close();
-    ChannelHandlerContext ctx = context;
-    if (ctx != null) {
-      ctx.close();
-    }
+    close();
   }
 
   private void rejectMalformed(ChannelHandlerContext ctx, HttpObject message) {
@@ -255,6 +274,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelTimer();
     memory.close();
+    limit.ended(this);
     ServerExchange current = exchange;
     exchange = null;
     if (current != null) {
