--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayProcess.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/GatewayProcess.java
@@ -5,6 +5,7 @@
 import io.samphiredyke.platform.SettingsFile;
 import io.samphiredyke.platform.standin.PlatformFixtures;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -75,16 +76,24 @@
     return new GatewayProcess(builder.start(), log, firstPort);
   }
 
-  boolean isAlive() {
-    return process.isAlive();
+  private String log() throws IOException {
+    return Files.readString(log);
   }
 
-  int exitCode() {
-    return process.exitValue();
+  /** Returns whether the log contains a text. */
+  boolean logs(String text) {
+    try {
+      return log().contains(text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
-  String log() throws IOException {
-    return Files.readString(log);
+  /** Returns a page of one of its addresses. */
+  String page(int portOffset, String path) throws IOException, InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http:/" + address(portOffset) + path)).build();
+    return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
   }
 
   /** Returns one of its addresses, by the position of the port. */
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
@@ -17,6 +17,7 @@
 import java.util.function.IntFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -204,6 +205,33 @@
     assertServed(head(1, "Transfer-Encoding: chunked\r\n") + chunks);
   }
 
+  /** The response repeats the id, and is longer than the head that the gateway accepts. */
+  @Test
+  @Tag("known-red")
+  void singleRequestWithLongIdIsServed() throws Exception {
+    assertServed(Crowd.LONG_IDS.text.apply(0));
+  }
+
+  @Test
+  void limitsAreReported() throws Exception {
+    List<Socket> clients = new ArrayList<>(connect(Crowd.UNFINISHED_BODIES));
+    clients.addAll(connect(Crowd.IDLE));
+    clients.addAll(connect(Crowd.IDLE_READINESS));
+    gateway.assertAnswers(CALLERS, "/stream/x");
+    await(() -> gateway.logs("\"event\":\"memory_reclaimed\""));
+    await(() -> gateway.logs("\"event\":\"connection_displaced\",\"stage\":\"IDLE\""));
+    String metrics = gateway.page(METRICS, "/metrics");
+    assertThat(metrics)
+        .containsPattern("samphiredyke_client_memory_bytes [0-9]")
+        .containsPattern("samphiredyke_client_memory_limit_bytes 8[0-9]{6}")
+        .containsPattern("samphiredyke_client_memory_reclaimed [1-9]")
+        .containsPattern("samphiredyke_caller_connections_limit 133")
+        .containsPattern("samphiredyke_caller_connections_displaced [1-9]");
+    for (Socket client : clients) {
+      client.close();
+    }
+  }
+
   private void assertServed(String request) throws IOException {
     try (Socket client = new Socket()) {
       client.connect(gateway.address(CALLERS));
