--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/LoopMemories.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/LoopMemories.java
@@ -1,16 +1,18 @@
 package io.samphiredyke.net.http;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.internal.logging.InternalLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
 import java.util.HashMap;
 import java.util.Map;
 
 /** The memory of a server's clients, a part of the heap that its event loops share equally. */
 final class LoopMemories {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final InternalLogger logger =
+      InternalLoggerFactory.getInstance(LoopMemories.class);
 
   /** Part of the heap that the requests of clients may occupy, for all event loops. */
   private static final int HEAP_DIVISOR = 4;
@@ -33,7 +35,7 @@
   }
 
   private static void log(String name, long bytes, long used) {
-    logger.atInfo().log("client memory reclaimed: client=%s bytes=%d all=%d", name, bytes, used);
+    logger.info("client memory reclaimed: client={} bytes={} all={}", name, bytes, used);
   }
 
   ClientMemory of(EventLoop loop) {
