--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -257,9 +257,7 @@
 
   /** Logs that what arrived is not handled; no request is known if its head is incomplete. */
   private void logRejected(int status, String reason) {
-    server
-        .log()
-        .event("rejected", "id", head == null ? "" : name(), "status", status, "reason", reason);
+    server.log().event("rejected", "id", name(), "status", status, "reason", reason);
   }
 
   private static String idOf(RequestHead request) {
@@ -301,8 +299,7 @@
     } else if (head != null && now - headArrivedAt > idleNanos) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (head == null && firstByteAt < 0 && now - idleSince > idleNanos) {
-      closing = true;
-      ctx.close();
+      close();
     }
   }
 
@@ -315,8 +312,7 @@
       idleSince = now;
     } else if (now - idleSince > idleNanos) {
       server.log().event("response_not_read", "id", lastRequestId, "unsent_bytes", unsent);
-      closing = true;
-      ctx.close();
+      close();
     }
   }
 
@@ -371,7 +367,8 @@
   @Override
   public String name() {
     RequestHead request = head;
-    return request == null ? lastRequestId : idOf(request);
+    String processed = writer == null ? "" : lastRequestId;
+    return request == null ? processed : idOf(request);
   }
 
   /** Refuses the request unless it may run, and ends the connection after its response. */
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientMemory.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientMemory.java
@@ -23,7 +23,7 @@
     /** Refuses or drops what is not running, and states the bytes that are still held. */
     void giveWay();
 
-    /** Returns the id of the request, or the client's address if it is not known, for the log. */
+    /** Returns the id of the request, empty if it is not known, or the client's address. */
     String name();
   }
 
