FrontendMemoryTest: two tests that raced with their own connections

waitingRequestsAreRefusedBeforeRunningOnes: three requests of 100,000 bytes waited or arrived, and the test expected the second to be the largest. What a body occupies depends on how its reads are cut, so that "next" or "last" could hold more and gave way instead; the test then waited for a response that was not due. The sizes now differ by more than rounding: 150,000 (runs, the largest of all, must not give way), 100,000 (must give way), 60,000 and 20,000 (must be received). New: the other requests are still open at the end and exactly one connection gave way.

memoryIsReturnedOnEachPath: a connection was closed without waiting until the server had accepted it, so that a later step could take its bytes for those of the next connection; the one that was left then held memory until a time-out that the test does not trigger. Each step now waits until its connection holds something. Ruled out: a stalled machine, since no time-out runs in this test unless it asks for it.

--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
@@ -129,6 +129,13 @@
     }
   }
 
+  /** Sends a text on a connection of its own and returns when something of it is held. */
+  private Socket arrive(String text) throws Exception {
+    Socket caller = send(text);
+    awaitUsed(true);
+    return caller;
+  }
+
   private void awaitRequests(int count) throws Exception {
     while (loop.submit(() -> requests.size() < count).get()) {
       Thread.sleep(2);
@@ -155,21 +162,18 @@
         "POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /y HTTP/1.1\r\n\r\nGET /z"
       })
   void memoryIsReturnedOnEachPath(String text) throws Exception {
-    send(text).close();
+    arrive(text).close();
     awaitUsed(false);
-    Socket reset = send(text);
-    awaitUsed(true);
+    Socket reset = arrive(text);
     reset.setSoLinger(true, 0);
     reset.close();
     awaitUsed(false);
-    send(text);
-    awaitUsed(true);
+    arrive(text);
     while (loop.submit(() -> memory.used() > 0).get()) {
       loop.submit(server::closeExpired).get();
       loop.submit(() -> List.copyOf(requests).forEach(request -> request.end(200))).get();
     }
-    Socket stopped = send(text);
-    awaitUsed(true);
+    Socket stopped = arrive(text);
     loop.submit(server::drain).get();
     loop.submit(server::stopAccepting).get();
     loop.submit(() -> List.copyOf(requests).forEach(request -> request.end(503))).get();
@@ -202,16 +206,19 @@
   /** Guards against requests that wait and keep ordinary ones out, and against false refusals. */
   @Test
   void waitingRequestsAreRefusedBeforeRunningOnes() throws Exception {
-    Socket running = send(post("running", 100_000));
+    Socket running = send(post("running", 150_000));
     awaitRequests(1);
     loop.submit(() -> requests.get(0).isRunning = true).get();
     Socket waiting = send(post("waiting", 100_000));
     awaitRequests(2);
-    send(post("next", 100_000));
-    send(post("last", 100_000));
+    send(post("next", 60_000));
     assertThat(status(waiting)).isEqualTo("HTTP/1.1 503");
+    awaitRequests(3);
+    send(post("last", 20_000));
     awaitRequests(4);
     loop.submit(() -> requests.get(0).end(200)).get();
     assertThat(status(running)).isEqualTo("HTTP/1.1 200");
+    assertThat(requests).filteredOn(request -> !request.hasEnded).hasSize(2);
+    assertThat(loop.submit(memory::reclaimed).get()).isOne();
   }
 }
