Idle kept connections hold no memory of their last request

What callers saw: requests refused with 503 "no memory", although no request was held. After a response that ended outside of a read, the connection stated its memory only with its next byte, or as it was closed as idle after 15 s. Until then up to 4 MB of a request that was already answered counted, and could not be reclaimed, as an idle connection has nothing to return: four such connections filled the account of a host.

Cause: responseCompleted went on to the next request without stating what is kept now. It does so since. A connection that gives way may thereby lead to statements of others, so that ClientMemory checks the share of the one that gave way, not the sum.

Evidence: memoryIsReturnedWithTheResponseOnKeptConnections on: "expected 0 but was 102490"; green with this change, as are ClientMemoryTest and ServerMemoryTest. ServerConnection stated it before (endExchange).

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -238,6 +238,7 @@
       firstByteAt = now(ctx);
     }
     input.updateReading(ctx, writer != null);
+    memory.set(keptBytes());
   }
 
   private void reject(HttpResponseStatus status) {
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
@@ -188,6 +188,16 @@
     awaitUsed(false);
   }
 
+  /** Guards against connections that are idle after a large request and count as full. */
+  @Test
+  void memoryIsReturnedWithTheResponseOnKeptConnections() throws Exception {
+    Socket caller = send(post("first", 100_000));
+    awaitRequests(1);
+    loop.submit(() -> requests.get(0).end(200)).get();
+    assertThat(status(caller)).isEqualTo("HTTP/1.1 200");
+    assertThat(loop.submit(memory::used).get()).isZero();
+  }
+
   /** Guards against a crowd of unfinished bodies that keeps ordinary requests out. */
   @Test
   void unfinishedBodiesGiveWayToOrdinaryRequests() throws Exception {
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientMemory.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ClientMemory.java
@@ -91,11 +91,11 @@
       if (largest == null) {
         return;
       }
-      long before = used;
+      long before = largest.bytes;
       reclaimed++;
       listener.reclaiming(largest.holder.name(), largest.holder.reclaimableBytes(), used);
       largest.holder.giveWay();
-      if (used >= before) {
+      if (largest.bytes >= before) {
         throw new IllegalStateException("a connection that gave way has returned nothing");
       }
     }
