A connection on which reading is paused is not read

What callers saw: a caller that sent many pipelined requests behind one that ran got 503 for what it had sent, or lost the connection. The host read them as fast as they came, up to the account of all clients, although reading was to be slowed from 64 KB on.

Cause: ByteToMessageDecoder.channelReadComplete asks for another read whenever reading is paused and a read decoded nothing. While a request runs, nothing is decoded, so that each read led to the next one. The pause of had no effect on this path; its test (PIPELINED) was green as the account bounded the bytes. RequestDecoder now reads nothing by itself; every pause of a server connection ends with setAutoRead.

Evidence: pausedConnectionIsNotRead asked for 1 read before, 0 now. Ruled out: ResponseDecoder, whose reads of a throttled body always decode something.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
@@ -126,6 +126,13 @@
     }
   }
 
+  /** Unlike the superclass, reads nothing while reading is paused, whether or not it decoded. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    discardSomeReadBytes();
+    ctx.fireChannelReadComplete();
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/RequestDecoderTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/RequestDecoderTest.java
@@ -4,6 +4,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -11,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -60,6 +63,26 @@
     assertThat(decoder.keptBytes()).isLessThanOrEqualTo(1_024);
   }
 
+  /** Guards against a superclass that reads on while it decodes nothing. */
+  @Test
+  void pausedConnectionIsNotRead() {
+    AtomicInteger reads = new AtomicInteger();
+    channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void read(ChannelHandlerContext ctx) {
+                reads.incrementAndGet();
+              }
+            });
+    channel.config().setAutoRead(false);
+    receive("GET /a HTTP/1.1\r\n\r\n");
+    receive("GET /b HTTP/1.1\r\n\r\n");
+    assertThat(decoded()).hasSize(2);
+    assertThat(reads).hasValue(0);
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 7, 100, 1_000})
   void requestsThatArriveInPiecesAreDecodedOneByOne(int pieceBytes) {
