Pipelined requests wait until responses before them are taken

What callers saw: nothing; the process ended. Two connections that pipelined small requests which the host answers itself (here without credentials, 401) and read nothing were enough: each response stayed in the connection's output buffer, which has no bound, and in no account.

Cause: the next request was decoded as soon as the response to the one before was written, not when the channel took it.

Evidence: MisbehavingClientsTest, crowd PIPELINED_UNREAD (2 connections, 400,000 requests each), fixed before any change. FrontendMemoryTest, nextRequestsWaitUntilResponsesAreTaken: requests were handled while the channel was not writable before; now none, and all 20,001 are answered once the caller reads. New crowds that were green before and after: PIPELINED_UNREAD_METRICS and IDLE_PEERS.

Ruled out: ServerConnection, which goes on when the operating system has the whole response.

--- a/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
+++ b/samphiredyke-gateway/src/main/java/io/samphiredyke/gateway/frontend/FrontendConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -25,8 +24,8 @@
 import io.samphiredyke.net.http.ConnectionLimit;
 import io.samphiredyke.net.http.RequestDecoder;
 import io.samphiredyke.net.http.RequestHead;
-import io.samphiredyke.platform.Headers;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -35,14 +34,12 @@
  *
  * <p>Reading continues while a request is processed, so that a disconnect of the caller is
  * detected. Pipelined requests are kept as bytes. When there are many, they are read slowly, so
- * that the operating system holds the rest back.
+ * that the operating system holds the rest back. None is decoded while many bytes of responses have
+ * not been taken.
  */
 final class FrontendConnection extends SimpleChannelInboundHandler<HttpObject>
     implements ClientMemory.Holder, ConnectionLimit.Connection {
 
-  /** Bytes of memory for each byte of the header that lists the parts of a prompt. */
-  private static final int PART_FACTOR = 12;
-
   /** Time after which a request may be sent again for which no memory was left. */
   private static final int RETRY_AFTER_SECONDS = 1;
 
@@ -63,6 +60,7 @@
   private long unsentBytes = -1;
   private String lastRequestId = "";
   private boolean closing;
+  private boolean isHeldBack;
 
   FrontendConnection(FrontendServer server, RequestDecoder decoder) {
     super(false);
@@ -76,11 +74,11 @@
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (firstByteAt < 0 && head == null && writer == null) {
+        if (firstByteAt < 0 && head == null && writer == null && !isHeldBack) {
           firstByteAt = now(ctx);
         }
         ctx.fireChannelRead(message);
-        input.updateReading(ctx, writer != null);
+        input.updateReading(ctx, mustWait());
         memory.set(keptBytes());
       }
     };
@@ -136,15 +134,10 @@
     headArrivedAt = now(ctx);
     firstByteAt = -1;
     body = new BodyBuffer();
-    boolean isAmbiguous =
-        request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-            && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    if (isAmbiguous) {
-      reject(HttpResponseStatus.BAD_REQUEST);
-      return;
-    }
-    if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
-      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    Optional<HttpResponseStatus> rejection =
+        CallerHead.rejection(request, server.limits().maxBodyBytes());
+    if (rejection.isPresent()) {
+      reject(rejection.get());
       return;
     }
     if (HttpUtil.is100ContinueExpected(request)) {
@@ -168,16 +161,11 @@
       return;
     }
     if (content instanceof LastHttpContent) {
-      processedBytes = collected.capacity() + bytesOf(request);
+      processedBytes = collected.capacity() + CallerHead.handledBytes(request);
       handleRequest(request, collected.toByteBuf());
     }
   }
 
-  private static long bytesOf(RequestHead request) {
-    int partBytes = request.headers().get(Headers.PROMPT_PARTS, "").length();
-    return request.keptBytes() + (long) partBytes * PART_FACTOR;
-  }
-
   private void handleRequest(RequestHead request, ByteBuf completeBody) {
     ChannelHandlerContext ctx = context;
     if (ctx == null) {
@@ -186,7 +174,7 @@
     }
     head = null;
     body = null;
-    lastRequestId = idOf(request);
+    lastRequestId = CallerHead.idOf(request);
     FrontendResponseWriter current = new FrontendResponseWriter(this, ctx, keepAlive);
     writer = current;
     RequestHandler.Observer requestObserver =
@@ -232,12 +220,24 @@
     readNext(ctx);
   }
 
+  /** Returns whether the next request is not decoded yet. */
+  private boolean mustWait() {
+    return writer != null || isHeldBack;
+  }
+
+  /** Decodes the next request, unless the caller has yet to take the responses before it. */
   private void readNext(ChannelHandlerContext ctx) {
+    isHeldBack = !ctx.channel().isWritable();
+    if (isHeldBack) {
+      input.updateReading(ctx, true);
+      memory.set(keptBytes());
+      return;
+    }
     input.next();
-    if (writer == null && head == null && firstByteAt < 0 && input.hasBytes()) {
+    if (!mustWait() && head == null && firstByteAt < 0 && input.hasBytes()) {
       firstByteAt = now(ctx);
     }
-    input.updateReading(ctx, writer != null);
+    input.updateReading(ctx, mustWait());
     memory.set(keptBytes());
   }
 
@@ -261,10 +261,6 @@
     server.log().event("rejected", "id", name(), "status", status, "reason", reason);
   }
 
-  private static String idOf(RequestHead request) {
-    return request.headers().get(Headers.REQUEST_ID, "");
-  }
-
   /** Closes the connection unless it is processing or receiving a request. */
   void closeIfIdle() {
     if (stage() == ConnectionLimit.Stage.IDLE) {
@@ -287,8 +283,10 @@
     if (ctx == null) {
       return;
     }
-    if (writer != null) {
+    if (mustWait()) {
       input.readSlowly(ctx);
+    }
+    if (writer != null) {
       return;
     }
     long headNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
@@ -323,6 +321,9 @@
     if (current != null && ctx.channel().isWritable()) {
       current.onWritable();
     }
+    if (isHeldBack && !closing && ctx.channel().isWritable()) {
+      readNext(ctx);
+    }
     ctx.fireChannelWritabilityChanged();
   }
 
@@ -369,7 +370,7 @@
   public String name() {
     RequestHead request = head;
     String processed = writer == null ? "" : lastRequestId;
-    return request == null ? processed : idOf(request);
+    return request == null ? processed : CallerHead.idOf(request);
   }
 
   /** Refuses the request unless it may run, and ends the connection after its response. */
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/MisbehavingClientsTest.java
@@ -69,13 +69,16 @@
     WHOLE_BODIES(CALLERS, 40, i -> longRequest(i)),
     PIPELINED(CALLERS, 2, i -> head(i, shortLines()).repeat(120)),
     PIPELINED_BODIES(CALLERS, 2, i -> longRequest(i).repeat(30)),
+    PIPELINED_UNREAD(CALLERS, 2, i -> "GET /x HTTP/1.1\r\n\r\n".repeat(400_000)),
+    PIPELINED_UNREAD_METRICS(METRICS, 2, i -> "GET /metrics HTTP/1.1\r\n\r\n".repeat(100_000)),
     BLANK_LINES(CALLERS, 20, i -> "\r\n".repeat(500_000)),
     LONG_PATHS(CALLERS, 120, i -> head(i, "").replace("/x", "/" + "x".repeat(LINES_BYTES))),
     LONG_IDS(CALLERS, 120, i -> head(i, "").replace("crowd-", "crowd-" + "x".repeat(15_000))),
     LONG_IDS_OF_STREAMS(CALLERS, 4, i -> streamHead("x".repeat(15_000) + i).repeat(500)),
     RESPONSE_HEADS(CALLERS, 120, i -> head(i, "").replace("crowd-", "lines-")),
     IDLE(CALLERS, 800, i -> ""),
-    IDLE_READINESS(READINESS, 800, i -> "");
+    IDLE_READINESS(READINESS, 800, i -> ""),
+    IDLE_PEERS(PEERS, 800, i -> "");
 
     private final int port;
     private final int connections;
--- a/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
+++ b/samphiredyke-gateway/src/test/java/io/samphiredyke/gateway/frontend/FrontendMemoryTest.java
@@ -13,6 +13,7 @@
 import io.samphiredyke.net.http.ClientMemory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -54,6 +55,8 @@
           100,
           new DecisionLog(log, () -> 0));
   private InetSocketAddress address;
+  private boolean answersAtOnce;
+  private boolean handledUnwritable;
 
   /** A request that waits until it is answered, refused or left. */
   private static final class WaitingRequest implements Observer {
@@ -111,7 +114,12 @@
   @Override
   public Observer handle(CallerRequest request) {
     WaitingRequest waiting = new WaitingRequest(request);
-    requests.add(waiting);
+    if (answersAtOnce) {
+      handledUnwritable |= !request.writer().isWritable();
+      request.writer().send(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(new byte[1_000]));
+    } else {
+      requests.add(waiting);
+    }
     return waiting;
   }
 
@@ -198,6 +206,38 @@
     assertThat(loop.submit(memory::used).get()).isZero();
   }
 
+  /**
+   * Guards against responses that are not read and kept without bound, and against a standstill.
+   */
+  @Test
+  void nextRequestsWaitUntilResponsesAreTaken() throws Exception {
+    answersAtOnce = true;
+    Socket caller = send("");
+    String requests = "GET /x HTTP/1.1\r\n\r\n".repeat(20_000);
+    Thread sender =
+        new Thread(
+            () -> {
+              try {
+                caller.getOutputStream().write(requests.getBytes(StandardCharsets.US_ASCII));
+                caller
+                    .getOutputStream()
+                    .write("GET /x HTTP/1.0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+              } catch (IOException e) {
+                throw new UncheckedIOException(e);
+              }
+            });
+    sender.start();
+    while (!loop.submit(() -> server.busyConnections() > 0).get()) {
+      Thread.sleep(2);
+    }
+    Thread.sleep(TIMEOUT_MILLIS);
+    byte[] responses = caller.getInputStream().readAllBytes();
+    assertThat(new String(responses, StandardCharsets.US_ASCII).split("HTTP/1.1 200", -1))
+        .hasSize(20_002);
+    assertThat(handledUnwritable).isFalse();
+    awaitUsed(false);
+  }
+
   /** Guards against a crowd of unfinished bodies that keeps ordinary requests out. */
   @Test
   void unfinishedBodiesGiveWayToOrdinaryRequests() throws Exception {
