A response under way is completed when bytes behind it give way

What callers saw, at readiness, the directory, metrics, peers and the daemon's addresses: a request that was handled lost its connection without a response, because up to 32 KB of later requests on the same connection were to be returned to the account of clients' memory.

Cause: ServerConnection.giveWay closed the connection in each case. It now drops the bytes behind a request that is handled, answers it with "Connection: close" and ends the connection after it, as FrontendConnection does.

A decoder that discards its input holds nothing, also while it is still decoding: a connection that gave way in the middle of a read would otherwise have failed the check that it returned something.

Evidence: ServerMemoryTest.responseUnderWayIsCompletedWhenBytesBehindIt GiveWay: no byte of the response before, 200 and "connection: close" now.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/RequestDecoder.java
@@ -82,6 +82,9 @@
 
   /** Returns the memory that undecoded bytes and unfinished trailers occupy, in bytes. */
   public long keptBytes() {
+    if (isDiscarding) {
+      return 0;
+    }
     return internalBuffer().capacity() + (long) undecodedBytes * DECODED_FACTOR;
   }
 
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerConnection.java
@@ -44,6 +44,7 @@
   private @Nullable Future<?> requestTimer;
   private @Nullable ChannelHandlerContext context;
   private boolean inputEnded = true;
+  private boolean isLast;
   private long requestCount;
 
   ServerConnection(
@@ -201,8 +202,15 @@
     return ctx == null ? "" : String.valueOf(ctx.channel().remoteAddress());
   }
 
+  /** Drops what is not handled; a response that is under way is completed before the end. */
   @Override
   public void giveWay() {
+    if (inputEnded && exchange != null) {
+      isLast = true;
+      decoder.discard();
+      memory.set(keptBytes());
+      return;
+    }
     memory.close();
     close();
   }
@@ -234,9 +242,9 @@
     ctx.close();
   }
 
-  /** Returns whether the current request was received completely. */
-  boolean isInputEnded() {
-    return inputEnded;
+  /** Returns whether another request may follow the current one. */
+  boolean mayStayOpen() {
+    return inputEnded && !isLast;
   }
 
   /** Returns the number of the connection, unique in this process. */
@@ -246,7 +254,7 @@
 
   /** Called after the response of the current exchange was sent. */
   void onResponseSent(ChannelHandlerContext ctx, boolean keepAlive) {
-    if (!keepAlive || !inputEnded) {
+    if (!keepAlive || !mayStayOpen()) {
       ctx.close();
       return;
     }
--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ServerExchange.java
@@ -224,7 +224,7 @@
   }
 
   private void setConnectionHeader(HttpResponse response) {
-    if (!keepAlive || !connection.isInputEnded()) {
+    if (!keepAlive || !connection.mayStayOpen()) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
--- a/samphiredyke-net/src/test/java/io/samphiredyke/net/http/ServerMemoryTest.java
+++ b/samphiredyke-net/src/test/java/io/samphiredyke/net/http/ServerMemoryTest.java
@@ -14,8 +14,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -33,14 +34,14 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final ClientMemory memory = new ClientMemory(LIMIT, (name, bytes, used) -> {});
-  private final AtomicReference<HttpExchange> waiting = new AtomicReference<>();
+  private final Queue<HttpExchange> waiting = new ConcurrentLinkedQueue<>();
   private final List<Socket> clients = new ArrayList<>();
   private HttpServer server;
 
   /** Answers at once, after the body, or when the test does so, as the path says. */
   private void handle(HttpExchange exchange) {
     switch (exchange.path()) {
-      case "/wait" -> exchange.body().thenAccept(body -> waiting.set(exchange));
+      case "/wait" -> exchange.body().thenAccept(body -> waiting.add(exchange));
       case "/body" -> exchange.body().thenAccept(body -> exchange.respond(200, Map.of(), body));
       default -> exchange.respond(200, Map.of(), new byte[0]);
     }
@@ -100,7 +101,7 @@
     send(text);
     awaitUsed(true);
     while (loop.submit(() -> memory.used() > 0).get()) {
-      HttpExchange held = waiting.getAndSet(null);
+      HttpExchange held = waiting.poll();
       if (held != null) {
         held.respond(200, Map.of("connection", "close"), new byte[0]);
         clients.get(clients.size() - 1).shutdownOutput();
@@ -113,6 +114,38 @@
     awaitUsed(false);
   }
 
+  private Socket sendWaiting(int bodyBytes, String behind) throws Exception {
+    int before = waiting.size();
+    String head = "POST /wait HTTP/1.1\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    Socket client = send(head + "x".repeat(bodyBytes) + behind);
+    while (waiting.size() == before) {
+      Thread.sleep(2);
+    }
+    return client;
+  }
+
+  /** Guards against the loss of a request that is handled, when bytes behind it give way. */
+  @Test
+  void responseUnderWayIsCompletedWhenBytesBehindItGiveWay() throws Exception {
+    start(Duration.ofSeconds(20));
+    Socket client = sendWaiting(3, "GET /x HTTP/1.1\r\n" + "a: b\r\n".repeat(2_000));
+    while (loop.submit(() -> memory.used() < 12_000).get()) {
+      Thread.sleep(2);
+    }
+    for (int i = 0; i < 2; i++) {
+      sendWaiting(60_000, "");
+    }
+    while (loop.submit(() -> memory.reclaimed() == 0).get()) {
+      sendWaiting(5_000, "");
+    }
+    waiting.remove().respond(200, Map.of(), new byte[0]);
+    byte[] response = client.getInputStream().readAllBytes();
+    assertThat(new String(response, StandardCharsets.US_ASCII))
+        .startsWith("HTTP/1.1 200")
+        .contains("connection: close");
+    assertThat(loop.submit(memory::reclaimed).get()).isOne();
+  }
+
   @Test
   void pipelinedRequestsAreAnsweredInTurn() throws Exception {
     start(Duration.ofSeconds(5));
