The head of a response may repeat the longest id

Cause: an endpoint repeats the id, and the decoder of responses took heads of 8 KB only, while a request may have 16 KB. Heads may now have 64 KB. What bounded the memory of a head was its bytes, at 25 times their number for the shortest lines; so there is a bound of 2,048 lines besides, as many of the shortest lines as fitted into 8 KB. No response that was accepted before is refused, but one behind 4 to 16 KB of blank lines.

--- a/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
+++ b/samphiredyke-net/src/main/java/io/samphiredyke/net/http/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -32,17 +33,24 @@
   private static final String PROTOCOL = "HTTP/1.";
   private static final int STATUS_DIGITS = 3;
 
+  /** Longest header lines of a response together; it may repeat the id of its request. */
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+
+  /** Most header lines of a response, since each occupies memory beside its text. */
+  private static final int MAX_LINES = 2_048;
+
   /**
    * Bytes, blank lines before a response included, without any part of a response after which the
    * server counts as faulty; the longest status line and headers that are decoded have fewer.
    */
-  private static final int MAX_UNDECODED_BYTES = 16 * 1024;
+  private static final int MAX_UNDECODED_BYTES = MAX_HEADER_BYTES + 8 * 1024;
 
   private final Runnable onSurplus;
   private boolean requestInProgress;
   private boolean hasSurplus;
   private boolean isHeadRequest;
   private int undecodedBytes;
+  private int undecodedLines;
 
   /**
    * Creates a decoder.
@@ -50,6 +58,7 @@
    * @param onSurplus runs when data arrived that belongs to no request
    */
   public ResponseDecoder(Runnable onSurplus) {
+    super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
     this.onSurplus = onSurplus;
   }
 
@@ -58,6 +67,7 @@
     requestInProgress = true;
     hasSurplus = false;
     undecodedBytes = 0;
+    undecodedLines = 0;
     isHeadRequest = method.equals(HttpMethod.HEAD);
   }
 
@@ -88,16 +98,16 @@
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
       throws Exception {
-    int available = buffer.readableBytes();
+    int start = buffer.readerIndex();
     super.decode(ctx, buffer, out);
-    undecodedBytes = out.isEmpty() ? undecodedBytes + available - buffer.readableBytes() : 0;
-    if (undecodedBytes > MAX_UNDECODED_BYTES) {
-      throw new TooLongFrameException(undecodedBytes + " bytes without a response");
-    }
+    countUndecoded(buffer, start, out.isEmpty());
     for (int i = 0; i < out.size(); i++) {
       Object decoded = out.get(i);
       if (decoded instanceof HttpResponse response && hasSecondStatusLine(response)) {
         response.setDecoderResult(failure("two status lines in one head"));
+      } else if (decoded instanceof HttpResponse response
+          && response.headers().size() > MAX_LINES) {
+        response.setDecoderResult(failure("more than " + MAX_LINES + " header lines"));
       }
       if (decoded instanceof LastHttpContent last) {
         hasSurplus = buffer.isReadable();
@@ -111,6 +121,24 @@
     }
   }
 
+  /** Bounds what is read without any part of a response, a part of a head included. */
+  private void countUndecoded(ByteBuf buffer, int start, boolean isUndecoded) {
+    undecodedBytes = isUndecoded ? undecodedBytes + buffer.readerIndex() - start : 0;
+    undecodedLines = isUndecoded ? undecodedLines + linesIn(buffer, start) : 0;
+    if (undecodedBytes > MAX_UNDECODED_BYTES || undecodedLines > MAX_LINES) {
+      throw new TooLongFrameException(
+          undecodedBytes + " bytes, " + undecodedLines + " lines without a response");
+    }
+  }
+
+  private static int linesIn(ByteBuf buffer, int start) {
+    int lines = 0;
+    for (int i = start; i < buffer.readerIndex(); i++) {
+      lines += buffer.getByte(i) == '\n' ? 1 : 0;
+    }
+    return lines;
+  }
+
   /**
    * Returns whether the body of a response ends with the connection, as neither a length nor chunks
    * state its end.
