--- a/review/15/run.sh
+++ /dev/null
@@ -1,6 +0,0 @@
-#!/usr/bin/env bash
-# Callers send a query in UTF-8 without percent-encoding. Exits with 1 if the rule was broken, 0 if
-# it held, 2 if the case couldn't run. TROUBLE=0: the query is in ASCII.
-cd "$(dirname "$0")/../.."
-[ -f target/gateway.jar ] && [ -d target/review-3 ] || exit 2
-exec java -Xmx256m -cp target/review-3 review3.QueryBytes review/15
