--- a/review/standins-3/src/test/java/review3/Case.java
+++ b/review/standins-3/src/test/java/review3/Case.java
@@ -17,6 +17,7 @@
   final boolean hasTrouble;
   private final PrintWriter record;
   private final long startedAt = System.nanoTime();
+  private volatile boolean isStopped;
   private final List<AutoCloseable> parts = new ArrayList<>();
 
   /** Creates a case that writes its record into a folder. */
@@ -26,6 +27,7 @@
     prefix = "127." + (20 + random.nextInt(200)) + "." + (1 + random.nextInt(250)) + ".";
     hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::stop));
     say("disruption: " + (hasTrouble ? "yes" : "no"));
   }
 
@@ -41,8 +43,18 @@
     record.flush();
   }
 
+  /** Ends all parts when this process is told to end, without a verdict. */
+  private void stop() {
+    isStopped = true;
+    close();
+    Runtime.getRuntime().halt(2);
+  }
+
   /** Ends this process with the verdict. */
   void end(boolean isBroken, String verdict) {
+    if (isStopped) {
+      return;
+    }
     say((isBroken ? "BROKEN: " : "held: ") + verdict);
     System.out.println((isBroken ? "BROKEN: " : "held: ") + verdict);
     close();
@@ -51,6 +63,9 @@
 
   /** Ends this process because the case couldn't run. */
   void fail(Throwable cause) {
+    if (isStopped) {
+      return;
+    }
     say("couldn't run: " + cause);
     System.out.println("couldn't run: " + cause);
     close();
